Simulator: real core and node code on a virtual clock and in-memory network

bench.sim is the world (clock, machines, disks, TCP-like streams), bench.town builds a fleet with users in it.

--- /dev/null
+++ b/bench/sim.py
@@ -0,0 +1,742 @@
+"""The simulated world: one virtual clock, machines, their disks, and a network of halls.
+
+The real core and node code runs here unchanged. A seed gives the same run each time.
+Nothing in here knows what a fleet is; bench/town.py builds fleets out of it.
+"""
+
+import collections
+import heapq
+import random
+
+import twisted.internet.address as address
+import twisted.internet.defer as defer
+import twisted.internet.error as error
+import twisted.internet.interfaces as interfaces
+import twisted.python.failure as failure
+import zope.interface as interface
+
+import iriswheel.machine as machine
+import iriswheel.store as store
+
+HALL_US = 1_500  # between halls, one way
+NEAR_US = 200  # within a hall
+FAR_US = 4_000  # to and from requesters
+WINDOW = 65_536
+RESEND_US = 200_000  # how long TCP needs to notice that a cut has healed
+
+
+class Tick:
+    """A call that is due later, as a reactor gives it.
+
+    >>> w = World(1); t = Tick(w, 5, print, ()); t.cancel(); t.active()
+    False
+    """
+
+    def __init__(self, world, at, f, args):
+        self.world, self.at, self.f, self.args = world, at, f, args
+        self.state = "due"
+        self.proc = None
+
+    def active(self):
+        """Whether it is still due.
+
+        >>> Tick(World(1), 5, print, ()).active()
+        True
+        """
+        return self.state == "due"
+
+    def cancel(self):
+        """Take it back.
+
+        Example: `tick.cancel()`
+        """
+        if self.state != "due":
+            raise error.AlreadyCalled() if self.state == "done" else error.AlreadyCancelled()
+        self.state = "cancelled"
+
+    def getTime(self):
+        return self.at / machine.SECOND
+
+    def reset(self, s):
+        """Put it off to s seconds from now.
+
+        Example: `tick.reset(5)`
+        """
+        self.at = self.world.time + int(s * machine.SECOND)
+        self.world.push(self.at, self._ring)
+
+    def delay(self, s):
+        """Put it off by s seconds.
+
+        Example: `tick.delay(5)`
+        """
+        self.at += int(s * machine.SECOND)
+        self.world.push(self.at, self._ring)
+
+    def _ring(self):
+        if self.state != "due" or self.world.time < self.at:
+            return
+        if self.proc is not None and not self.proc.runs(self._ring):
+            return
+        self.state = "done"
+        self.f(*self.args)
+
+
+class World:
+    """The clock, the network and all processes.
+
+    >>> w = World(1); out = []
+    >>> w.push(7, lambda: out.append(w.time)); w.run(10); out
+    [7]
+    """
+
+    def __init__(self, seed):
+        self.time = 0
+        self.rng = random.Random(seed)
+        self.heap = []
+        self.pushed = 0
+        self.procs = {}
+        self.machines = {}
+        self.cuts = set()  # (host, host): what the first sends does not reach the second
+        self.slow = {}  # host -> extra delay each way
+        self.conns = {}  # id -> Conn, in the order made
+        self.next_conn = 0
+
+    def push(self, at, f):
+        """Let f run at a time.
+
+        >>> World(1).push(5, print)
+        """
+        self.pushed += 1
+        heapq.heappush(self.heap, (at, self.pushed, f))
+
+    def run(self, until):
+        """Let the time pass.
+
+        >>> w = World(1); w.run(5); w.time
+        5
+        """
+        while self.heap and self.heap[0][0] <= until:
+            at, _, f = heapq.heappop(self.heap)
+            self.time = max(self.time, at)
+            f()
+        self.time = max(self.time, until)
+
+    # ---- the network -----------------------------------------------------------
+
+    def open(self, a, b):
+        """Whether what host a sends reaches host b now.
+
+        >>> w = World(1); w.cuts.add(("a", "b")); w.open("a", "b"), w.open("b", "a")
+        (False, True)
+        """
+        for m in (a, b):
+            if m in self.machines and not self.machines[m].power:
+                return False
+        return (a, b) not in self.cuts
+
+    def delay(self, a, b):
+        """How long a packet takes from host a to host b.
+
+        >>> World(1).delay("a", "a")
+        30
+        """
+        if a == b:
+            return 30
+        za, zb = self.zone(a), self.zone(b)
+        base = FAR_US if "far" in (za, zb) else NEAR_US if za == zb else HALL_US
+        return base + self.rng.randrange(base // 4) + self.slow.get(a, 0) + self.slow.get(b, 0)
+
+    def zone(self, host):
+        """The hall of a host.
+
+        >>> World(1).zone("10.0.0.1")
+        'far'
+        """
+        return self.machines[host].zone if host in self.machines else "far"
+
+    def cut(self, some, others, both=True):
+        """Cut the network between two groups of hosts.
+
+        Example: `world.cut(["10.0.0.1"], ["10.0.0.2"])`
+        """
+        for a in some:
+            for b in others:
+                if a != b:
+                    self.cuts.add((a, b))
+                    if both:
+                        self.cuts.add((b, a))
+
+    def heal(self):
+        """Mend all cuts; held data goes out again after a while.
+
+        Example: `world.heal()`
+        """
+        self.cuts.clear()
+        self.retry()
+
+    def retry(self):
+        """Let all connections send what they hold, as TCP does.
+
+        Example: `world.retry()`
+        """
+        for conn in list(self.conns.values()):
+            for side in conn.sides:
+                self.push(self.time + RESEND_US, side.flush)
+
+
+class Machine:
+    """A machine: power, a hall, and a disk that keeps what was synced.
+
+    >>> Machine(World(1), "10.0.0.1", "a").power
+    True
+    """
+
+    def __init__(self, world, host, zone):
+        self.world, self.host, self.zone = world, host, zone
+        self.power = True
+        self.synced = {}
+        self.disk = "ok"  # ok, full, slow, stalled
+        self.held = collections.deque()
+        world.machines[host] = self
+
+    def fail(self):
+        """Lose power: processes end, and nobody is told.
+
+        Example: `machine.fail()`
+        """
+        self.power = False
+        self.held.clear()
+        for p in self.world.procs.values():
+            if p.host is self:
+                p.alive = False
+                p.ports.clear()
+        for conn in list(self.world.conns.values()):
+            for side in conn.sides:
+                if side.proc.host is self:
+                    side.state = "closed"
+                    conn.forget()
+
+    def mend(self):
+        """Let a stalled disk go on.
+
+        Example: `machine.mend()`
+        """
+        self.disk = "ok"
+        held, self.held = self.held, collections.deque()
+        for f in held:
+            self.world.push(self.world.time + 1000, f)
+
+
+class Disk:
+    """The disk as one process has it: writes are synced in order, or lost with the process.
+
+    >>> w = World(1); m = Machine(w, "h", "a"); p = Proc(w, "p", m)
+    >>> d = Disk(p).commit([(b"k", b"v")]); m.synced
+    {}
+    >>> w.run(10_000); m.synced
+    {b'k': b'v'}
+    """
+
+    def __init__(self, proc):
+        self.proc = proc
+        self.mach = proc.host
+        self.busy = 0
+
+    def read(self):
+        """All that was synced.
+
+        Example: `state = disk.read()`
+        """
+        return dict(sorted(self.mach.synced.items()))
+
+    def write(self, puts):
+        """Sync at once; only for a process's start.
+
+        Example: `disk.write([(b"k", b"v")])`
+        """
+        for k, v in puts:
+            if v is None:
+                self.mach.synced.pop(k, None)
+            else:
+                self.mach.synced[k] = v
+
+    def commit(self, puts):
+        """Sync a little later.
+
+        Example: `d = disk.commit([(b"k", b"v")])`
+        """
+        world, d = self.proc.world, defer.Deferred()
+        cost = 2_000 + world.rng.randrange(2_000) + (400_000 if self.mach.disk == "slow" else 0)
+        self.busy = max(self.busy, world.time) + cost
+
+        def land():
+            if not self.proc.alive:
+                return
+            if self.mach.disk == "stalled":
+                self.mach.held.append(land)
+                return
+            if self.mach.disk == "full":
+                self.proc.call(lambda: d.errback(store.DiskDefect("No space is left.")))
+                return
+            self.write(puts)
+            self.proc.call(lambda: d.callback(None))
+
+        world.push(self.busy, land)
+        return d
+
+
+class Proc:
+    """One process on a machine: its reactor, and whether it lives or is frozen.
+
+    >>> p = Proc(World(1), "p", Machine(World(1), "h", "a")); p.alive, p.frozen
+    (True, False)
+    """
+
+    def __init__(self, world, name, host):
+        self.world, self.name, self.host = world, name, host
+        self.alive, self.frozen = True, False
+        self.backlog = []
+        self.ports = {}
+        self.reactor = Reactor(self)
+        self.lives = getattr(world.procs.get(name), "lives", 0) + 1
+        world.procs[name] = self
+
+    def mach(self):
+        """The Machine object that the code gets; its clock ignores wall-clock jumps.
+
+        Example: `core.Core(proc.mach(), Disk(proc), options)`
+        """
+        seed = f"{self.world.rng.random()}-{self.name}-{self.lives}"
+        return machine.Machine(self.reactor, now=lambda: self.world.time, seed=seed)
+
+    def runs(self, f):
+        """Whether the process runs now; if it is frozen, f is kept for its wake.
+
+        Example: `if proc.runs(f): f()`
+        """
+        if not self.alive:
+            return False
+        if self.frozen:
+            self.backlog.append(f)
+            return False
+        return True
+
+    def call(self, f):
+        """Run f in this process, now or at its wake.
+
+        Example: `proc.call(lambda: d.callback(None))`
+        """
+        if self.runs(f):
+            f()
+
+    def kill(self):
+        """End the process at once; its machine's kernel resets its connections.
+
+        Example: `proc.kill()`
+        """
+        self.alive = False
+        self.ports.clear()
+        for conn in list(self.world.conns.values()):
+            for side in conn.sides:
+                if side.proc is self:
+                    side.reset()
+
+    def freeze(self):
+        """Stop the process without ending it.
+
+        Example: `proc.freeze()`
+        """
+        self.frozen = True
+
+    def wake(self):
+        """Let a frozen process go on.
+
+        Example: `proc.wake()`
+        """
+        self.frozen = False
+        backlog, self.backlog = self.backlog, []
+        for f in backlog:
+            self.world.push(self.world.time, lambda f=f: self.call(f))
+
+
+class Port:
+    """A listening port.
+
+    Example: `reactor.listenTCP(80, factory).getHost().port`
+    """
+
+    def __init__(self, reactor, port, factory):
+        self.reactor, self.port, self.factory = reactor, port, factory
+
+    def getHost(self):
+        return address.IPv4Address("TCP", self.reactor.proc.host.host, self.port)
+
+
+class Reactor:
+    """What the code under test takes for its reactor.
+
+    Example: `proc.reactor.callLater(1, f)`
+    """
+
+    def __init__(self, proc):
+        self.proc = proc
+        self.next_port = 40_000
+
+    def seconds(self):
+        return self.proc.world.time / machine.SECOND
+
+    def callLater(self, s, f, *args, **kw):
+        world = self.proc.world
+        tick = Tick(world, world.time + int(s * machine.SECOND), (lambda: f(*args, **kw)) if kw else f, () if kw else args)
+        tick.proc = self.proc
+        world.push(tick.at, tick._ring)
+        return tick
+
+    def listenTCP(self, port, factory, backlog=50, interface=""):
+        if port == 0:
+            self.next_port += 1
+            port = self.next_port
+        factory.doStart()
+        self.proc.ports[port] = factory
+        return Port(self, port, factory)
+
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
+        return Connector(self.proc, host, port, factory, timeout)
+
+
+class Connector:
+    """A connection that is being opened.
+
+    Example: `reactor.connectTCP("10.0.0.1", 80, factory)`
+    """
+
+    def __init__(self, proc, host, port, factory, timeout):
+        self.proc, self.host, self.port, self.factory = proc, host, port, factory
+        self.world = proc.world
+        self.done = False
+        factory.doStart()
+        factory.startedConnecting(self)
+        self.tick = proc.reactor.callLater(timeout or 30, self.fail, error.TimeoutError())
+        self.knock()
+
+    def knock(self):
+        """Send the opening packet, again and again while the way is cut.
+
+        Example: `connector.knock()`
+        """
+        if self.done or not self.proc.alive:
+            return
+        here = self.proc.host.host
+        if not self.world.open(here, self.host) or self.host not in self.world.machines:
+            self.world.push(self.world.time + RESEND_US, self.knock)
+            return
+        self.world.push(self.world.time + self.world.delay(here, self.host), self.arrive)
+
+    def arrive(self):
+        """The opening packet is there: the far kernel takes it or refuses.
+
+        Example: `connector.arrive()`
+        """
+        if self.done or not self.proc.alive:
+            return
+        here = self.proc.host.host
+        far = next((p for p in self.world.procs.values()
+                    if p.alive and p.host.host == self.host and self.port in p.ports), None)
+        if not self.world.open(self.host, here):
+            self.world.push(self.world.time + RESEND_US, self.knock)
+            return
+        back = self.world.time + self.world.delay(self.host, here)
+        if far is None:
+            self.world.push(back, lambda: self.proc.call(lambda: self.fail(error.ConnectionRefusedError())))
+        else:
+            self.world.push(back, lambda: self.proc.call(lambda: self.succeed(far)))
+
+    def succeed(self, far):
+        """Both sides have their connection.
+
+        Example: `connector.succeed(proc)`
+        """
+        if self.done:
+            return
+        self.done = True
+        if self.tick.active():
+            self.tick.cancel()
+        proto = self.factory.buildProtocol(address.IPv4Address("TCP", self.host, self.port))
+        conn = Conn(self.world, self.proc, far, self.port)
+        if proto is None:
+            conn.sides[0].abortConnection()
+            return
+        conn.sides[0].attach(proto)
+
+        def accept():
+            if self.port not in far.ports:
+                conn.sides[1].reset()
+                return
+            made = far.ports[self.port].buildProtocol(address.IPv4Address("TCP", self.proc.host.host, 1))
+            if made is None:
+                conn.sides[1].abortConnection()
+            else:
+                conn.sides[1].attach(made)
+
+        if far.alive:
+            far.call(accept)
+        else:
+            conn.sides[1].reset()
+
+    def fail(self, why):
+        """The connection can't be had.
+
+        Example: `connector.fail(error.TimeoutError())`
+        """
+        if self.done:
+            return
+        self.done = True
+        if self.tick.active():
+            self.tick.cancel()
+        self.factory.clientConnectionFailed(self, failure.Failure(why))
+
+    def stopConnecting(self):
+        self.fail(error.UserError())
+
+    disconnect = stopConnecting
+
+
+class Conn:
+    """A connection between two processes.
+
+    Example: `Conn(world, proc, far, 80)`
+    """
+
+    def __init__(self, world, near, far, port):
+        self.world = world
+        self.id = world.next_conn
+        world.next_conn += 1
+        a, b = Side(self, near, port), Side(self, far, port)
+        a.peer, b.peer = b, a
+        self.sides = (a, b)
+        world.conns[self.id] = self
+
+    def forget(self):
+        """Drop the connection once both sides are through with it.
+
+        Example: `conn.forget()`
+        """
+        if all(s.state == "closed" for s in self.sides):
+            self.world.conns.pop(self.id, None)
+
+
+@interface.implementer(interfaces.ITCPTransport, interfaces.IPushProducer, interfaces.IConsumer)
+class Side:
+    """One side's transport: an ordered stream that a cut holds up and a kill resets.
+
+    Example: `side.write(b"...")`
+    """
+
+    disconnecting = False
+
+    def __init__(self, conn, proc, port):
+        self.conn, self.proc, self.port = conn, proc, port
+        self.world = conn.world
+        self.proto = None
+        self.state = "open"
+        self.out = []  # (number, piece), not yet on the wire; a piece of None is the end
+        self.numbered = 0
+        self.early = {}  # pieces that came before one that was held up
+        self.expected = 1
+        self.flying = 0  # bytes written here and not yet taken there
+        self.last = 0
+        self.inbox = collections.deque()
+        self.paused = False
+        self.producer = None
+        self.streaming = False
+        self.producer_paused = False
+
+    # ---- transport ------------------------------------------------------------
+
+    def attach(self, proto):
+        """Give the connection to its protocol.
+
+        Example: `side.attach(protocol)`
+        """
+        if self.state == "closed":
+            return
+        self.proto = proto
+        proto.makeConnection(self)
+        self.drain()
+
+    def getPeer(self):
+        return address.IPv4Address("TCP", self.peer.proc.host.host, self.port)
+
+    def getHost(self):
+        return address.IPv4Address("TCP", self.proc.host.host, self.port)
+
+    def setTcpNoDelay(self, on):
+        pass
+
+    def getTcpNoDelay(self):
+        return True
+
+    def setTcpKeepAlive(self, on):
+        pass
+
+    def getTcpKeepAlive(self):
+        return False
+
+    def write(self, data):
+        if self.state != "open" or self.disconnecting or not data:
+            return
+        self.queue(bytes(data))
+        self.flying += len(data)
+        self.flush()
+        if self.flying > WINDOW and self.producer is not None and self.streaming and not self.producer_paused:
+            self.producer_paused = True
+            self.producer.pauseProducing()
+
+    def writeSequence(self, pieces):
+        self.write(b"".join(pieces))
+
+    def loseConnection(self, _=None):
+        if self.state == "open" and not self.disconnecting:
+            self.disconnecting = True
+            if self.producer is None:
+                self.queue(None)
+                self.flush()
+
+    def loseWriteConnection(self):
+        self.loseConnection()
+
+    def abortConnection(self):
+        if self.state == "open":
+            self.disconnecting = True
+            self.world.push(self.world.time, lambda: self.reset(error.ConnectionAborted()))
+
+    def registerProducer(self, producer, streaming):
+        if self.state != "open":
+            producer.stopProducing()
+            return
+        self.producer, self.streaming, self.producer_paused = producer, streaming, False
+        if not streaming:
+            producer.resumeProducing()
+
+    def unregisterProducer(self):
+        self.producer = None
+        if self.disconnecting and self.state == "open":
+            self.queue(None)
+            self.flush()
+
+    def pauseProducing(self):
+        self.paused = True
+
+    def resumeProducing(self):
+        self.paused = False
+        self.world.push(self.world.time, lambda: self.proc.call(self.drain))
+
+    def stopProducing(self):
+        self.loseConnection()
+
+    # ---- the wire ----------------------------------------------------------------
+
+    def queue(self, piece):
+        """Number a piece and keep it for the wire.
+
+        Example: `side.queue(b"...")`
+        """
+        self.numbered += 1
+        self.out.append((self.numbered, piece))
+
+    def flush(self):
+        """Put what is written on the wire, if the way is open.
+
+        Example: `side.flush()`
+        """
+        here, there = self.proc.host.host, self.peer.proc.host.host
+        if not self.out or not self.world.open(here, there):
+            return
+        out, self.out = self.out, []
+        for k, piece in out:
+            self.last = max(self.last, self.world.time + self.world.delay(here, there))
+            self.world.push(self.last, lambda k=k, piece=piece: self.peer.land(k, piece))
+
+    def land(self, k, piece):
+        """A piece arrives; on a cut way it is sent again later, and order is restored here.
+
+        Example: `side.land(1, b"...")`
+        """
+        if self.state == "closed":
+            if piece is not None and self.peer.state == "open":
+                self.tell_reset()
+            return
+        if not self.proc.host.power:
+            return
+        if not self.world.open(self.peer.proc.host.host, self.proc.host.host):
+            self.peer.out = sorted(self.peer.out + [(k, piece)], key=lambda x: x[0])
+            return
+        self.early[k] = piece
+        while self.expected in self.early:
+            self.inbox.append(self.early.pop(self.expected))
+            self.expected += 1
+        self.proc.call(self.drain)
+
+    def drain(self):
+        """Hand what arrived to the protocol, unless it has paused.
+
+        Example: `side.drain()`
+        """
+        while self.inbox and self.proto is not None and self.state == "open" and not self.paused:
+            piece = self.inbox.popleft()
+            if piece is None:
+                self.closed(error.ConnectionDone())
+                return
+            self.peer.taken(len(piece))
+            self.proto.dataReceived(piece)
+
+    def taken(self, n):
+        """The far side took n bytes; a paused producer may go on.
+
+        Example: `side.taken(100)`
+        """
+        self.flying -= n
+        if self.flying < WINDOW // 4 and self.producer_paused and self.producer is not None:
+            self.producer_paused = False
+            self.proc.call(lambda: self.producer is not None and self.producer.resumeProducing())
+        elif self.flying == 0 and self.producer is not None and not self.streaming:
+            self.proc.call(lambda: self.producer is not None and self.producer.resumeProducing())
+
+    def reset(self, why=None):
+        """Close here at once, and tell the far side if the way is open.
+
+        Example: `side.reset()`
+        """
+        if self.state == "closed":
+            return
+        self.closed(why or error.ConnectionLost())
+        self.tell_reset()
+
+    def tell_reset(self):
+        """Tell the far side that the connection is no more.
+
+        Example: `side.tell_reset()`
+        """
+        here, there = self.proc.host.host, self.peer.proc.host.host
+        if self.world.open(here, there):
+            at = max(self.last, self.world.time + self.world.delay(here, there))
+            self.world.push(at, lambda: self.peer.proc.call(lambda: self.peer.closed(error.ConnectionLost())))
+
+    def closed(self, why):
+        """The connection is no more on this side.
+
+        Example: `side.closed(error.ConnectionLost())`
+        """
+        if self.state == "closed":
+            return
+        self.state = "closed"
+        if isinstance(why, error.ConnectionDone) and self.peer.state == "open":
+            self.queue(None)
+            self.flush()
+        self.conn.forget()
+        if self.proto is not None and self.proc.alive:
+            if self.producer is not None:
+                self.producer.stopProducing()
+                self.producer = None
+            self.proto.connectionLost(failure.Failure(why))
--- a/bench/stand.py
+++ b/bench/stand.py
@@ -15,6 +15,7 @@
 import iriswheel.load as load
 import iriswheel.machine as machine
 import iriswheel.outer as outer
+import iriswheel.sender as sender
 import iriswheel.web as web
 
 PREFILL_BYTES_PER_S = 400_000  # prompt bytes read per second, alone
@@ -143,6 +144,43 @@
         self.mach = mach
         self.events = events
         self.workers = {}  # id -> its row
+        self.nodes = {}  # name -> (host, HTTP port)
+        self.told = {}  # name -> whether it said that it is ready
+        self.sender = sender.Sender(mach)
+
+    async def ask_nodes(self):
+        """Ask every node whether it is ready, over and over.
+
+        Example: `mach.spawn(platform.ask_nodes())`
+        """
+        while True:
+            for name, (host, port) in sorted(self.nodes.items()):
+                self.mach.spawn(self.ask_node(name, host, port), log)
+            await self.mach.sleep(500 * machine.MILLI)
+
+    async def ask_node(self, name, host, port):
+        """Ask one node whether it is ready.
+
+        Example: `await platform.ask_node("n1", "127.0.0.1", 8101)`
+        """
+        try:
+            await self.sender.fetch(host, port, outer.READY_PATH, 400 * machine.MILLI)
+            ready = True
+        except defer.CancelledError:
+            raise
+        except Exception:
+            ready = False
+        if self.told.get(name) != ready:
+            self.told[name] = ready
+            self.events.put(self.mach.now(), "asked", node=name, ready=ready)
+
+    def places(self):
+        """Where requesters are handed to: the ready nodes; all of them where none is.
+
+        Example: `load.Load(mach, platform.places, ...)`
+        """
+        ready = [self.nodes[n] for n in sorted(self.nodes) if self.told.get(n)]
+        return ready or [self.nodes[n] for n in sorted(self.nodes)]
 
     def put(self, id, **more):
         """List a worker, or change how it is listed.
--- /dev/null
+++ b/bench/town.py
@@ -0,0 +1,362 @@
+"""A simulated town: a whole fleet of either deployment's shape, its users and its faults."""
+
+import json
+import os
+
+import loguru
+import twisted.internet.defer as defer
+
+import bench.fleet as fleet
+import bench.sim as sim
+import bench.stand as stand
+import iriswheel.command as command
+import iriswheel.core as core
+import iriswheel.load as load
+import iriswheel.machine as machine
+import iriswheel.node as node
+import iriswheel.options as options
+import iriswheel.outer as outer
+import iriswheel.sender as sender
+import iriswheel.web as web
+import iriswheel.wire as wire
+
+S = machine.SECOND
+PEER, HTTP = 7001, 8001
+
+log = loguru.logger.bind(part="town")
+
+
+class Tape:
+    """An event log in memory, in the form of load.Events.
+
+    >>> t = Tape(); t.put(5, "sent", exchange="x1"); t.rows
+    [{'at': 5, 'kind': 'sent', 'exchange': 'x1'}]
+    """
+
+    def __init__(self):
+        self.rows = []
+
+    def put(self, at, kind, **more):
+        """Keep one event.
+
+        >>> Tape().put(1, "sent")
+        """
+        self.rows.append({"at": at, "kind": kind, **more})
+
+    def text(self):
+        """The log as it would stand in a file.
+
+        >>> Tape().text()
+        ''
+        """
+        return "".join(json.dumps(r) + "\n" for r in self.rows)
+
+
+class Town:
+    """One simulated run.
+
+    Example: `t = Town(seed=7, shape="magnolia"); t.begin(); t.go(30); t.end()`
+    """
+
+    def __init__(self, seed, shape="magnolia", long_rate=1.5, short_rate=8.0, talks=6, seconds=60, blueprint=None):
+        self.world = sim.World(seed)
+        self.rng = self.world.rng
+        self.tape = Tape()
+        self.halls, self.worker_count, self.pool, name = fleet.SHAPES[shape]
+        with open(os.path.join(fleet.EXAMPLES, name)) as f:
+            self.blueprint = blueprint or json.load(f)
+        self.rates = (long_rate, short_rate, talks)
+        self.seconds = seconds
+        self.cores, self.nodes, self.workers = {}, {}, {}
+        self.options = {}
+        self.seeds = []
+        self.probe = 0  # which probe route was confirmed last
+        self.probing = True
+
+    # ---- building -----------------------------------------------------------------
+
+    def machine(self, host, zone):
+        """The machine of a host, made when first named.
+
+        Example: `town.machine("10.0.1.1", "a")`
+        """
+        return self.world.machines.get(host) or sim.Machine(self.world, host, zone)
+
+    def begin(self):
+        """Start everything and let the blueprint be confirmed.
+
+        Example: `town.begin()`
+        """
+        zones = sorted(set(self.halls))
+        self.seeds = [f"10.0.1.{k}:{PEER}" for k in (1, 2, 3)]
+        self.platform_proc = sim.Proc(self.world, "platform", self.machine("10.0.4.1", zones[0]))
+        self.platform = stand.Platform(self.platform_proc.mach(), self.tape)
+        self.listen(self.platform_proc, 9000, web.Server(self.platform.mach, self.platform.handle))
+        for k in range(1, self.worker_count + 1):
+            self.start_worker(f"w{k}", f"10.0.3.{k}")
+        for k in (1, 2, 3):
+            self.start_core(f"c{k}", f"10.0.1.{k}", zones[(k - 1) % len(zones)])
+        for k, hall in enumerate(self.halls, 1):
+            self.start_node(f"n{k}", f"10.0.2.{k}", hall)
+        self.platform.mach.spawn(self.platform.ask_nodes(), log)
+        self.callers = sim.Proc(self.world, "callers", self.machine("10.9.0.1", "far"))
+        self.office = sim.Proc(self.world, "office", self.machine("10.9.0.2", "far"))
+        self.office_mach = self.office.mach()
+        self.boss = Operator(self, self.office_mach, "boss")
+        first = self.office_mach.spawn(self.boss.change(self.with_probe(0)), log)
+        self.until(lambda: first.called, 30)
+        self.until(lambda: all(self.platform.told.get(n) for n in self.nodes), 30)
+        self.tape.put(self.world.time, "begun", cap=self.blueprint["pools"][self.pool].get("cap", 10),
+                      lifetime_us=60 * S, blueprint=self.blueprint)
+        mach = self.callers.mach()
+        self.load = load.Load(mach, self.platform.places, "/v1/complete", self.seconds * S, *self.rates, self.tape)
+        self.load_done = mach.spawn(self.load.run(), log)
+        mach.spawn(self.probe_all(mach), log)
+
+    def listen(self, proc, port, factory):
+        """Let a process listen.
+
+        Example: `town.listen(proc, 9000, server)`
+        """
+        proc.reactor.listenTCP(port, factory)
+
+    def start_core(self, name, host, zone):
+        """Start a core machine's process, on the disk that is there.
+
+        Example: `town.start_core("c4", "10.0.1.4", "a")`
+        """
+        m = self.machine(host, zone)
+        m.power = True
+        proc = sim.Proc(self.world, name, m)
+        o = options.Options("core", name=name, host=host, port=PEER, http_port=HTTP, zone=zone,
+                            seeds=list(self.seeds), data="sim")
+        mach = proc.mach()
+        c = self.cores[name] = core.Core(mach, sim.Disk(proc), o)
+        c.proc = proc
+        self.options[name] = (host, zone)
+        self.listen(proc, PEER, wire.Listener(mach, c.serve, log))
+        self.listen(proc, HTTP, web.Server(mach, c.handle))
+        c.start()
+
+    def start_node(self, name, host, zone):
+        """Start a node's process.
+
+        Example: `town.start_node("n9", "10.0.2.9", "a")`
+        """
+        m = self.machine(host, zone)
+        m.power = True
+        proc = sim.Proc(self.world, name, m)
+        o = options.Options("node", name=name, host=host, port=PEER, http_port=HTTP, zone=zone,
+                            seeds=list(self.seeds), platform="10.0.4.1:9000")
+        mach = proc.mach()
+        n = self.nodes[name] = node.Node(mach, o)
+        n.proc = proc
+        self.options[name] = (host, zone)
+        self.listen(proc, PEER, wire.Listener(mach, n.serve, log))
+        self.listen(proc, HTTP, web.Server(mach, n.door.handle))
+        n.start(PEER, HTTP)
+        self.platform.nodes[name] = (host, HTTP)
+
+    def start_worker(self, name, host):
+        """Start a worker and list it.
+
+        Example: `town.start_worker("w9", "10.0.3.9")`
+        """
+        proc = sim.Proc(self.world, name, self.machine(host, sorted(set(self.halls))[0]))
+        mach = proc.mach()
+        w = self.workers[name] = stand.Worker(mach, name, self.tape)
+        w.proc, w.host = proc, host
+        self.listen(proc, 9001, web.Server(mach, w.handle))
+        self.platform.put(name, host=host, port=9001, pool=self.pool, state="ready")
+
+    # ---- time ---------------------------------------------------------------------------
+
+    def go(self, seconds):
+        """Let virtual time pass.
+
+        Example: `town.go(5)`
+        """
+        self.world.run(self.world.time + int(seconds * S))
+
+    def until(self, cond, seconds):
+        """Let time pass until a condition holds; False where it did not in time.
+
+        Example: `town.until(lambda: town.tail() is not None, 10)`
+        """
+        end = self.world.time + seconds * S
+        while not cond():
+            if self.world.time >= end:
+                return False
+            self.go(0.05)
+        return True
+
+    def end(self):
+        """The day's end: what is open ends, and the blueprint is read back.
+
+        Example: `town.end()`
+        """
+        self.until(lambda: self.load_done.called, self.seconds + 120)
+        self.probing = False
+        self.go(2)
+        done = self.office_mach.spawn(self.boss.read(), log)
+        self.until(lambda: done.called, 40)
+        self.tape.put(self.world.time, "ended")
+
+    # ---- users ----------------------------------------------------------------------------
+
+    def with_probe(self, k, more=None):
+        """The blueprint with probe route k, and perhaps more routes.
+
+        Example: `town.with_probe(3)`
+        """
+        doc = json.loads(json.dumps(self.blueprint))
+        doc["routes"]["probe"] = {"path": f"/p/{k}", "pool": self.pool}
+        doc["routes"].update(more or {})
+        return doc
+
+    async def probe_all(self, mach):
+        """Every second, try the newest probe route and the one before at every ready node.
+
+        Example: `mach.spawn(town.probe_all(mach))`
+        """
+        agent = sender.Sender(mach).fresh
+        while self.probing:
+            await mach.sleep(S)
+            for name in [n for n in sorted(self.nodes) if self.platform.told.get(n)]:
+                for k in (self.probe, self.probe - 1):
+                    if k >= 0:
+                        mach.spawn(self.probe_one(mach, agent, name, k), log)
+
+    async def probe_one(self, mach, agent, name, k):
+        """Try one probe route at one node.
+
+        Example: `await town.probe_one(mach, agent, "n1", 3)`
+        """
+        began = mach.now()
+        host, port = self.platform.nodes[name]
+        heads = load.http_headers.Headers({outer.REPEAT: ["yes"]})
+        try:
+            res = await mach.within(agent.request(
+                b"POST", f"http://{host}:{port}/p/{k}".encode(), heads, sender.Body(b"probe")), 5 * S)
+        except Exception:
+            return
+        self.tape.put(began, "probe", node=name, k=k, status=res.code)
+        res.deliverBody(sender.Collect(lambda raw: None))
+
+    # ---- what the faults aim at -------------------------------------------------------------
+
+    def tail(self):
+        """The core that is the leased tail, or None.
+
+        Example: `town.tail().options.name`
+        """
+        return next((c for c in self.cores.values() if c.proc.alive and c.council.leased()), None)
+
+    def head(self):
+        """The core that is the head of the newest view, or None.
+
+        Example: `town.head()`
+        """
+        live = [c for c in self.cores.values() if c.proc.alive and c.council.view is not None]
+        v = max((c.council.view for c in live), key=lambda v: v.number, default=None)
+        return next((c for c in live if v is not None and c.council.me.id == v.chain[0].id), None)
+
+    def warden(self):
+        """The node that is the seated warden, or None.
+
+        Example: `town.warden().me.name`
+        """
+        for n in self.nodes.values():
+            w = n.wardens.get(self.pool)
+            if n.proc.alive and w is not None and w.seated():
+                return n
+        return None
+
+    def fault(self, what, target, large=False):
+        """Note a fault in the log.
+
+        Example: `town.fault("kill", "n1")`
+        """
+        self.tape.put(self.world.time, "fault", what=what, target=target, large=large)
+
+    def hosts(self, *groups):
+        """The hosts of some groups: "cores", "nodes", "workers", "platform", "outside".
+
+        Example: `town.hosts("cores", "nodes")`
+        """
+        out = []
+        for g in groups:
+            match g:
+                case "cores":
+                    out += [self.options[n][0] for n in self.cores]
+                case "nodes":
+                    out += [self.options[n][0] for n in self.nodes]
+                case "workers":
+                    out += [w.host for w in self.workers.values()]
+                case "platform":
+                    out.append("10.0.4.1")
+                case "outside":
+                    out += ["10.9.0.1", "10.9.0.2"]
+        return out
+
+
+class Operator:
+    """An operator at a desk: plans, confirms, reads back, and logs it all.
+
+    Example: `mach.spawn(Operator(town, mach, "boss").change(doc))`
+    """
+
+    def __init__(self, town, mach, name):
+        self.town, self.mach, self.name = town, mach, name
+
+    async def ask(self, method, path, doc=None):
+        """Ask any core, in a chance order.
+
+        Example: `status, doc = await operator.ask("GET", "/blueprint")`
+        """
+        places = [f"{self.town.options[c][0]}:{HTTP}" for c in self.town.cores]
+        self.mach.rng.shuffle(places)
+        try:
+            return await self.mach.within(
+                defer.ensureDeferred(command.ask(self.mach, places, method, path, doc)), 6 * S)
+        except Exception as e:
+            return 504, {"code": "unknown_outcome", "verdict": "may_have_run", "text": repr(e)}
+
+    async def change(self, doc, tries=40):
+        """Get a blueprint confirmed; the stamp, or 0.
+
+        Example: `stamp = await operator.change(doc)`
+        """
+        tape, probe = self.town.tape, int(doc["routes"]["probe"]["path"][3:])
+        for _ in range(tries):
+            status, plan = await self.ask("POST", "/plans", {"blueprint": doc})
+            if status != 200:
+                await self.mach.sleep(300 * machine.MILLI)
+                continue
+            ident = plan["id"]
+            tape.put(self.mach.now(), "confirm_sent", plan=ident, base=plan["base"], probe=probe, who=self.name,
+                     blueprint=doc)
+            for _ in range(tries):
+                status, res = await self.ask("POST", f"/plans/{ident}/confirm", {})
+                if status == 200:
+                    tape.put(self.mach.now(), "confirmed", plan=ident, stamp=res["stamp"], probe=probe, who=self.name)
+                    self.town.probe = max(self.town.probe, probe)
+                    return res["stamp"]
+                tape.put(self.mach.now(), "confirm_refused", plan=ident, code=res.get("code"),
+                         verdict=res.get("verdict"), who=self.name)
+                if res.get("code") in ("base_moved", "not_found"):
+                    break
+                await self.mach.sleep(300 * machine.MILLI)
+        return 0
+
+    async def read(self, tries=60):
+        """Read the blueprint back.
+
+        Example: `await operator.read()`
+        """
+        for _ in range(tries):
+            status, doc = await self.ask("GET", "/blueprint")
+            if status == 200:
+                self.town.tape.put(self.mach.now(), "read", stamp=doc["stamp"], blueprint=doc["blueprint"])
+                return
+            await self.mach.sleep(500 * machine.MILLI)
--- a/iriswheel/command.py
+++ b/iriswheel/command.py
@@ -333,7 +333,7 @@
     reactor = the_reactor()
     out = open(events, "w") if events else None
     gen = load_generator.Load(
-        machine.Machine(reactor, seed=seed), places, path, seconds * machine.SECOND,
+        machine.Machine(reactor, seed=seed), lambda: places, path, seconds * machine.SECOND,
         long_rate, short_rate, talks, load_generator.Events(out))
     reactor.callWhenRunning(lambda: defer.ensureDeferred(gen.run()).addBoth(lambda r: reactor.stop() or r))
     reactor.run()
--- a/iriswheel/load.py
+++ b/iriswheel/load.py
@@ -71,12 +71,12 @@
 class Load:
     """The mix: long prompts that share a prefix, short ones, conversations, quick retriers.
 
-    Example: `gen = Load(mach, [("127.0.0.1", 8101)], "/v1/complete", 20 * SECOND, 4, 40, 12, Events())`
+    Example: `gen = Load(mach, lambda: [("127.0.0.1", 8101)], "/v1/complete", 20 * SECOND, 4, 40, 12, Events())`
     """
 
     def __init__(self, mach, places, path, us, long_rate, short_rate, talks, events):
         self.mach = mach
-        self.places = places
+        self.places = places  # gives the nodes that requesters are handed to now
         self.path = path
         self.us = us
         self.long_rate, self.short_rate, self.talks = long_rate, short_rate, talks
@@ -165,7 +165,7 @@
 
         Example: `end, worker, wait = await gen.send("short", "x1", 1, True, ["system"], b"...")`
         """
-        host, port = self.mach.rng.choice(self.places)
+        host, port = self.mach.rng.choice(self.places())
         heads = http_headers.Headers({
             outer.PREFIX: [", ".join(parts)], outer.EXCHANGE: [ident], outer.SEND: [str(send)],
             outer.REPEAT: ["yes" if repeat else "no"], "Content-Type": ["text/plain"]})
