--- a/bench/sim.py
+++ b/bench/sim.py
@@ -496,6 +496,9 @@
             self.tick.cancel()
         self.factory.clientConnectionFailed(self, failure.Failure(why))
 
+    def getDestination(self):
+        return address.IPv4Address("TCP", self.host, self.port)
+
     def stopConnecting(self):
         self.fail(error.UserError())
 
--- a/bench/stand.py
+++ b/bench/stand.py
@@ -80,7 +80,7 @@
         parts = outer.prefix(heads)
         raw = req.content.read()
         self.runs += 1
-        run = f"{self.ident}-{self.runs}"
+        run = f"{self.ident}-{self.mach.boot}-{self.runs}"
         self.events.put(self.mach.now(), "run", worker=self.ident, run=run, exchange=ident, send=send, parts=parts,
                         target=outer.header(heads, outer.TARGET), path=req.path.decode("latin-1"))
         work = defer.ensureDeferred(self.answer(req, run, ident, parts, len(raw)))
--- a/bench/town.py
+++ b/bench/town.py
@@ -58,7 +58,7 @@
     Example: `t = Town(seed=7, shape="magnolia"); t.begin(); t.go(30); t.end()`
     """
 
-    def __init__(self, seed, shape="magnolia", long_rate=1.5, short_rate=8.0, talks=6, seconds=60, blueprint=None):
+    def __init__(self, seed, shape="magnolia", long_rate=1.5, short_rate=8.0, talks=6, seconds=600, blueprint=None):
         self.world = sim.World(seed)
         self.rng = self.world.rng
         self.tape = Tape()
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -18,6 +18,7 @@
 BEAT_US = 250 * machine.MILLI
 FRESH_US = 1_100 * machine.MILLI
 ANSWER_US = 3 * machine.SECOND
+FORCE_US = 3 * machine.SECOND
 
 log = loguru.logger.bind(part="core")
 
@@ -32,7 +33,8 @@
         self.core = core
         self.link = link
         self.member = join.member
-        self.n = join.place
+        self.n = self.place = join.place  # what was sent, and what the node has taken
+        link.post = self
         old = core.chain.history.get(join.place)
         self.sent = None if old is None else blueprint.carve(old.items, self.member.zone)
         self.roster = join.roster.stamp if join.roster is not None else (0, 0)
@@ -120,6 +122,8 @@
         self.listing = None
         self.seated = {}
         self.report_now = machine.Signal()
+        self.forced = 0  # every node has come at least this far
+        self.forced_on = machine.Signal()
         self.counts = {"plans": 0, "confirms": 0, "refused": 0, "joins": 0, "views": 0}
         self.spread = None  # the stamp of the roster last spread from here
         self.stopping = False
@@ -199,12 +203,19 @@
             case message.Place() | message.Refill() | message.Append() | message.Propose() | message.Look():
                 return self.chain.answer(msg)
             case message.Sessions():
+                before = self.issuer.forced(self.chain.base.n)
                 self.issuer.take(msg)
                 self.spread_roster()
+                if self.issuer.forced(self.chain.base.n) != before:
+                    self.beat_now.wake()
             case message.Beat():
                 self.hear_beat(msg)
             case message.Join():
                 self.join(link, msg)
+            case message.Alive(n=n):
+                if link.post is not None and n > link.post.place:
+                    link.post.place = n
+                    self.report_now.wake()
             case message.Listing():
                 if self.listing is None or msg.stamp > self.listing.stamp:
                     self.listing = msg
@@ -241,8 +252,18 @@
         self.issuer.learn(m.roster)
         if self.chain.whole():
             self.chain.commit(m.n)
+        self.take_forced(m.forced)
         self.wake_posts()
 
+    def take_forced(self, n):
+        """Every member has come as far as n.
+
+        Example: `core.take_forced(17)`
+        """
+        if n > self.forced:
+            self.forced = n
+            self.forced_on.wake()
+
     def join(self, link, m):
         """Begin a node's session.
 
@@ -270,14 +291,14 @@
                 for i in [i for i, p in self.posts.items() if not p.link.up]:
                     del self.posts[i]
                 members = [self.posts[i].member for i in sorted(self.posts)]
+                places = [self.posts[i].place for i in sorted(self.posts)]
                 latest = self.issuer.latest
                 told = latest if latest is not None and latest.stamp[0] < v.number else None
                 msg = message.Sessions(
-                    self.council.me.id, v.number, members, self.listing, sorted(self.seated.items()), told)
+                    self.council.me.id, v.number, members, places, self.listing, sorted(self.seated.items()), told)
                 tail = v.chain[-1].id
                 if tail == self.council.me.id:
-                    self.issuer.take(msg)
-                    self.spread_roster()
+                    self.serve(None, msg)
                 else:
                     seat = self.council.seat(tail)
                     self.mach.spawn(self.neighbours.tell(seat.host, seat.port, msg), log)
@@ -322,9 +343,11 @@
                     news = latest if latest is not None and told.get(link) != (v.number, latest.stamp) else None
                     if latest is not None:
                         told[link] = (v.number, latest.stamp)
-                    msg = message.Beat(v.number, n, news)
+                    forced = self.issuer.forced(n)
+                    msg = message.Beat(v.number, n, forced, news)
                     if link.id == self.council.me.id:
                         self.beaten = (self.mach.now(), v.number)
+                        self.take_forced(forced)
                         for post in list(self.posts.values()):
                             post.changed.wake()
                     else:
@@ -353,7 +376,7 @@
                 req.answer_json(200, {**seen.plan, "now": seen.stamp})
             case (b"POST", ["plans", ident, "confirm"]):
                 self.counts["confirms"] += 1
-                res = await self.propose("confirm", ident)
+                res = await self.confirm(ident)
                 req.answer_json(200, {"id": ident, "stamp": res.stamp, "verdict": "ran"})
             case (b"GET", ["state"]):
                 req.answer_json(200, self.state())
@@ -429,6 +452,25 @@
             raise verdict.Defect(res.code, res.text, verdict.Verdict(res.verdict))
         return res
 
+    async def confirm(self, ident):
+        """Have a plan confirmed; returns once it stands and every member has it in force.
+
+        Example: `res = await core.confirm("3-ab")`
+        """
+        latest = self.issuer.latest
+        if latest is not None and latest.duties and not latest.members:
+            raise verdict.Defect("no_nodes", "No node can be reached; a change would not come into force.")
+        res = await self.propose("confirm", ident)
+        until = self.mach.now() + FORCE_US
+        while self.forced < res.stamp:
+            left = until - self.mach.now()
+            if left <= 0:
+                raise verdict.Defect(
+                    "unknown_outcome", "The change stands, but a node does not have it yet.",
+                    verdict.Verdict.MAY_HAVE_RUN)
+            await self.mach.pause(self.forced_on, left)
+        return res
+
     async def plan(self, doc):
         """Make a plan of an operator's intent: a whole blueprint, or a JSON Patch.
 
--- a/iriswheel/door.py
+++ b/iriswheel/door.py
@@ -386,25 +386,17 @@
         except wire.Broken:
             return None
         d = link.call(msg, left + 500 * machine.MILLI)
-        answered = machine.Signal()
-
-        def wake(res):
-            answered.wake()
-            return res
-
-        d.addBoth(wake)
+        got, answered = [], machine.Signal()
+        d.addCallbacks(got.append, lambda _: got.append(None))
+        d.addBoth(lambda _: answered.wake())
         try:
-            while not d.called:
+            while not got:
                 await self.mach.pause(answered, 100 * machine.MILLI)
-                if not d.called and self.mach.now() - link.heard > QUIET_US:
+                if not got and self.mach.now() - link.heard > QUIET_US:
                     return None
-            return await d
-        except (wire.Broken, machine.Late):
-            return None
+            return got[0]
         finally:
-            if not d.called:
-                d.addErrback(lambda _: None)
-                d.cancel()
+            d.cancel()
 
 
 def covers(path, want):
--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -18,6 +18,7 @@
 STALE_US = 2_500 * machine.MILLI  # worker news older than this is not relied on
 ASK_US = 500 * machine.MILLI  # between questions to the platform
 POLL_US = 1 * machine.SECOND
+SILENT_US = 800 * machine.MILLI  # the core tells four times a second that all is well
 
 log = loguru.logger.bind(part="follow")
 
@@ -89,6 +90,13 @@
         return (self.link is not None and self.link.up and self.core_at is not None
                 and self.mach.now() - self.core_at < wire.SILENCE_US)
 
+    def core_heard(self):
+        """Whether the core was heard just now, for neighbours that ask.
+
+        Example: `fol.core_heard()`
+        """
+        return self.core_stands() and self.mach.now() - self.core_at < SILENT_US
+
     def settled(self):
         """Whether this node may rely on what it knows: it was not frozen, or has rejoined.
 
@@ -120,18 +128,21 @@
         return self.news_at is not None and self.mach.now() - self.news_at < STALE_US
 
     def cut_off(self):
-        """Whether this node has lost the core while its neighbours have not, or has lost all.
+        """Whether this node has lost the core while a neighbour has not, or has lost both.
+
+        Without the core, a node counts as cut off unless it reaches more than half of the
+        members: else it could not tell that the core is gone from being cut off with few.
 
         Example: `fol.cut_off()`
         """
         if self.core_stands():
             return False
         now = self.mach.now()
-        others = [m for m in self.roster.members if m.id != self.node.me.id]
         fresh = [g for at, g in self.goes.values() if now - at < 2 * machine.SECOND]
         if any(g.core for g in fresh):
             return True
-        return len(others) > 0 and not fresh
+        members = len(self.roster.members)
+        return 2 * (len(fresh) + 1) <= members if members > 2 else members == 2 and not fresh
 
     # ---- taking news -----------------------------------------------------------------
 
@@ -155,6 +166,7 @@
                     self.pools[name] = blueprint.Pool.from_dict(val)
                 case "terms":
                     self.terms[name] = blueprint.Terms.from_dict(val)
+        self.tell_core(message.Alive(self.place, self.roster.stamp))
         self.node.on_news()
 
     def take_roster(self, r):
@@ -272,7 +284,7 @@
             await self.mach.sleep(200 * machine.MILLI)
             self.look_for_freeze()
             now = self.mach.now()
-            if self.core_stands():
+            if self.core_at is not None and now - self.core_at < SILENT_US and self.core_stands():
                 self.goes = {}
                 continue
             if now - asked > 500 * machine.MILLI:
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -249,6 +249,7 @@
     core: str
     view: int
     members: list[Member]
+    places: list[int]  # how far each of the members has come
     listing: "Listing | None"
     seated: list[tuple[str, tuple[int, int]]]
     roster: Roster | None
@@ -259,6 +260,7 @@
 
     view: int
     n: int
+    forced: int  # every member has come at least this far
     roster: Roster | None
 
 
@@ -292,6 +294,8 @@
 
 
 class Alive(Message):
+    """A sign of life on a session; from a node, how far it has come."""
+
     n: int
     stamp: tuple[int, int]
 
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -198,7 +198,7 @@
                 self.follower.take_listing(listing)
             case message.HowGoes():
                 fol = self.follower
-                return message.Goes(fol.core_stands() and fol.settled(), fol.roster)
+                return message.Goes(fol.core_heard() and fol.settled(), fol.roster)
             case _:
                 log.warning("A node has no answer to {}.", type(msg).__name__)
 
--- a/iriswheel/roster.py
+++ b/iriswheel/roster.py
@@ -79,6 +79,7 @@
         self.since = None
         self.heard = {}  # core -> (heard, Sessions)
         self.seen = {}  # member id -> (seen, Member, at which core)
+        self.places = {}  # member id -> how far it has come
         self.left = set()
         self.listing = None
         self.news = machine.Signal()
@@ -114,9 +115,10 @@
             self.learn(m.roster)
         self.list(m.listing)
         ids = {x.id for x in m.members}
-        for x in m.members:
+        for x, place in zip(m.members, m.places):
             if x.id not in self.left:
                 self.seen[x.id] = (now, x, m.core)
+                self.places[x.id] = max(place, self.places.get(x.id, 0))
         for i, (seen, x, core) in self.seen.items():
             if core == m.core and i not in ids:
                 self.seen[i] = (min(seen, now - SILENT_US + GRACE_US), x, "")
@@ -142,6 +144,17 @@
         self.heard = {}
         self.seen = {}
 
+    def forced(self, n):
+        """How far up to n every member has come; 0 while members are known and none is there.
+
+        Example: `issuer.forced(17)`
+        """
+        if not self.issuing():
+            return 0
+        if not self.seen:
+            return 0 if self.latest.duties else n
+        return min([n] + [self.places.get(i, 0) for i in self.seen])
+
     def issuing(self):
         """Whether this tail has issued a roster in its view.
 
--- a/iriswheel/verdict.py
+++ b/iriswheel/verdict.py
@@ -39,6 +39,7 @@
     "not_ready": (503, True),
     "no_chain": (503, True),
     "too_few_copies": (503, True),
+    "no_nodes": (503, True),
     "unknown_outcome": (504, True),
     "worker_broke": (502, True),
     "stopping": (503, True),
--- a/iriswheel/wire.py
+++ b/iriswheel/wire.py
@@ -66,6 +66,7 @@
         self.sent_bytes = 0
         self.full = False
         self.room = machine.Signal()
+        self.post = None  # the node's session, where a core serves one on this link
 
     def connectionMade(self):
         self.up = True
