--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -204,6 +204,20 @@
             time.sleep(0.05)
         return time.monotonic() - began
 
+    def cpu(self):
+        """The share of a core that each process used since it started.
+
+        Example: `fleet.cpu()["n1"]`
+        """
+        out, tick = {}, os.sysconf("SC_CLK_TCK")
+        with open("/proc/uptime") as f:
+            up = float(f.read().split()[0])
+        for name, p in self.procs.items():
+            with open(f"/proc/{p.pid}/stat") as f:
+                rest = f.read().rsplit(")", 1)[1].split()
+            out[name] = (int(rest[11]) + int(rest[12])) / tick / max(0.1, up - int(rest[19]) / tick)
+        return out
+
     def signal(self, name, sig):
         """Send a signal to one of our own processes.
 
--- a/bench/trial.py
+++ b/bench/trial.py
@@ -85,7 +85,7 @@
             with open(self.fleet.events(name)) as f:
                 rows += replay.read(f)[0]
         rows.sort(key=lambda r: r["at"])
-        return report, replay.judge(rows), replay.recovery(rows)
+        return report, replay.judge(rows), replay.recovery_lines(rows)
 
 
 def run(shape: str = "magnolia", *, seconds: int = 75, long_rate: float = 4.0, short_rate: float = 40.0):
@@ -129,8 +129,8 @@
         t.fault("wake", name)
         report, found, back = t.finish()
     print(json.dumps(report, indent=2))
-    for fault, ms in back:
-        print(f"recovery: {fault}: {'never seen' if ms is None else f'{ms} ms'}")
+    for line in back:
+        print(line)
     for checker, lines in found.items():
         for line in lines:
             print(f"{checker}: {line}")
--- a/iriswheel/command.py
+++ b/iriswheel/command.py
@@ -374,8 +374,8 @@
     for name, texts in found.items():
         for text in texts:
             print(f"{name}: {text}")
-    for fault, ms in judge.recovery(lines):
-        print(f"recovery: {fault}: {'never seen' if ms is None else f'{ms} ms'}")
+    for line in judge.recovery_lines(lines):
+        print(line)
     print(f"{len(lines)} events, {len(judge.CHECKERS)} checkers, {sum(map(len, found.values()))} complaints")
     sys.exit(1 if found else 0)
 
--- a/iriswheel/load.py
+++ b/iriswheel/load.py
@@ -156,10 +156,10 @@
         """
         turn = 0
         while not self.over():
-            await self.mach.sleep(self.mach.rng.randrange(200, 1500) * machine.MILLI)
+            await self.mach.sleep(self.mach.rng.randrange(300, 2500) * machine.MILLI)
             if turn == 0:
                 name = f"talk-{k}-{self.count}"
-                turns = self.mach.rng.randrange(3, 12)
+                turns = self.mach.rng.randrange(5, 25)
             worker = await self.exchange("talk", ["system", name])
             if worker is not None:
                 if name in self.turns:
--- a/iriswheel/replay.py
+++ b/iriswheel/replay.py
@@ -411,26 +411,33 @@
 
 
 def recovery(rows):
-    """For each fault: how long until five first sends in a row came through, in ms.
+    """For each fault: when the last first send failed that was sent before the next fault, and how many.
+
+    Rows of (fault, ms from the fault to the sending of the last one that failed, failed, sent);
+    refusals because of the cap don't count.
 
     >>> recovery([{"at": 1, "kind": "fault", "what": "kill", "target": "n1", "large": False}])
-    [('kill n1', None)]
+    [('kill n1', 0, 0, 0)]
     """
     log = Log(rows)
     whole = {(r["exchange"], r["send"]) for r in log.of("whole")}
+    full = {(r["exchange"], r["send"]) for r in log.of("refused") if r["code"] == "sessions_full"}
+    faults = log.of("fault")
     out = []
-    for f in log.of("fault"):
-        streak, start, got = 0, None, None
-        for r in log.of("sent"):
-            if r["at"] < f["at"] or r["send"] != 1:
-                continue
-            if (r["exchange"], 1) in whole:
-                start = start if streak else r["at"]
-                streak += 1
-                if streak == 5:
-                    got = (start - f["at"]) // 1000
-                    break
-            else:
-                streak = 0
-        out.append((f"{f['what']} {f['target']}", got))
+    for f, nxt in zip(faults, faults[1:] + [{"at": log.end + 1}]):
+        sent = [r for r in log.of("sent") if f["at"] <= r["at"] < min(nxt["at"], f["at"] + BACK_US)
+                and r["send"] == 1 and (r["exchange"], 1) not in full]
+        failed = [r["at"] for r in sent if (r["exchange"], 1) not in whole]
+        out.append((f"{f['what']} {f['target']}", (max(failed) - f["at"]) // 1000 if failed else 0,
+                    len(failed), len(sent)))
     return out
+
+
+def recovery_lines(rows):
+    """The recoveries as lines to print.
+
+    >>> recovery_lines([{"at": 1, "kind": "fault", "what": "kill", "target": "n1", "large": False}])
+    ['recovery: kill n1: 0 of 0 first sends failed, the last one sent after 0 ms']
+    """
+    return [f"recovery: {fault}: {bad} of {n} first sends failed, the last one sent after {ms} ms"
+            for fault, ms, bad, n in recovery(rows)]
--- a/iriswheel/roster.py
+++ b/iriswheel/roster.py
@@ -12,7 +12,7 @@
 import iriswheel.message as message
 
 SETTLE_US = 1 * machine.SECOND  # a new tail listens this long before it issues
-GRACE_US = 1 * machine.SECOND  # for a node whose session ended
+GRACE_US = 500 * machine.MILLI  # for a node whose session ended
 SILENT_US = 3_500 * machine.MILLI  # for a node whose core fell silent
 COPIES = 2
 
@@ -123,7 +123,7 @@
             if core == m.core and i not in ids:
                 self.seen[i] = (min(seen, now - SILENT_US + GRACE_US), x, "")
         for i, (seen, x, core) in self.seen.items():
-            if core and now - self.heard.get(core, (now,))[0] > GRACE_US:
+            if core and now - self.heard.get(core, (now,))[0] > SETTLE_US:
                 self.seen[i] = (seen, x, "")
         self.heard[m.core] = (now, m)
         self.issue()
