Real-process tests; dead pins are dropped everywhere; a new pool has lost no claims

Wardens now tell all nodes which sessions closed or moved. Tests over real sockets: a retry of an exchange that had run got 429 instead of 409, since the budget came before the claim; such a retry now pays only once granted. And a first boot refused what had an exchange id but no send number, since an empty history looked like a lost one; core machines now note on disk that a pool had a warden. Ruled out: lowering the claim's memory, which would let a true second run through.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -249,12 +249,14 @@
 
         Example: `fleet.kill(fleet.warden())`
         """
-        for name in self.nodes:
-            if self.procs[name].poll() is None:
-                for w in self.state(name).get("wardens", []):
-                    if w["seated"]:
-                        return name
-        return ""
+        return next((n for n in self.nodes if self.procs[n].poll() is None and self.warden_of(n)), "")
+
+    def warden_of(self, name):
+        """Whether a node is a seated warden.
+
+        Example: `fleet.warden_of("n1")`
+        """
+        return any(w["seated"] for w in self.state(name).get("wardens", []))
 
     def end(self):
         """Stop all that was started here.
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -260,8 +260,8 @@
                     for s in self.seats():
                         if s.id != self.council.me.id:
                             self.mach.spawn(self.neighbours.tell(s.host, s.port, msg), log)
-            case message.Gather(pool=pool):
-                return message.Gathered(True, self.shelves.setdefault(pool, warden.Shelf()).told(self.mach.now())[0])
+            case message.Gather():
+                return self.gathered(msg)
             case _:
                 log.warning("A core has no answer to {}.", type(msg).__name__)
 
@@ -342,6 +342,24 @@
                     self.mach.spawn(self.neighbours.tell(seat.host, seat.port, msg), log)
             await self.mach.pause(self.report_now, BEAT_US)
 
+    async def gathered(self, m):
+        """What is kept here of a pool, for a new warden; `copy` says whether it ever had one.
+
+        That it has one now is on the disk before the answer, so that no later warden takes
+        the pool for new.
+
+        Example: `res = await core.gathered(message.Gather("desk", (3, 1), "n1-c0ffee"))`
+        """
+        shelf = self.shelves.setdefault(m.pool, warden.Shelf())
+        had = shelf.term > (0, 0)
+        shelf.fence(m.term)
+        if not had:
+            try:
+                await self.disk.commit([(b"shelf/" + m.pool.encode(), freeze_shelf(shelf, self.mach.now()))])
+            except store.DiskDefect:
+                return message.Gathered(False)
+        return message.Gathered(True, shelf.told(self.mach.now())[0], copy=had)
+
     async def keep_shelves(self):
         """Now and then, bring the late copies of sessions to the disk.
 
--- a/iriswheel/door.py
+++ b/iriswheel/door.py
@@ -195,18 +195,28 @@
     def admit(self, x):
         """Keep requesters' retries within the budget.
 
+        A retry of what may not be repeated pays only when it was granted: mostly the
+        warden knows better, and says that it ran.
+
         Example: `door.admit(x)`
         """
         if self.node.closing:
             raise verdict.Defect("stopping", "This node is stopping.")
+        if x.send <= 1:
+            self.budget.first(self.mach.now())
+        elif x.repeatable:
+            self.pay(x)
+
+    def pay(self, x):
+        """Take a retry from the budget, or refuse it.
+
+        Example: `door.pay(x)`
+        """
         now = self.mach.now()
-        if x.send > 1:
-            if not self.budget.spend(now):
-                raise verdict.Defect(
-                    "retry_budget", "Too many retries for now.", retry_us=self.budget.wait_us(now))
-            self.counts["repeats"] += 1
-        else:
-            self.budget.first(now)
+        if not self.budget.spend(now):
+            raise verdict.Defect(
+                "retry_budget", "Too many retries for now.", self.known(x), self.budget.wait_us(now))
+        self.counts["repeats"] += 1
 
     # ---- elect and send ----------------------------------------------------------------
 
@@ -245,6 +255,8 @@
             outcome = verdict.Verdict.NOT_RUN
             try:
                 worker = await self.elect(x, shun)
+                if x.send > 1 and not x.repeatable and not turn:
+                    self.pay(x)
                 outcome = verdict.Verdict.MAY_HAVE_RUN
                 out = await self.node.sender.send(x.req, x.raw, worker, x.repeatable)
                 match out:
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -412,6 +412,13 @@
     ok: bool
 
 
+class Unpin(Message):
+    """Sessions that were closed or moved: no node may go by what it remembers of them."""
+
+    pool: str
+    sessions: list[str]
+
+
 class Spread(Message):
     """The worker list, told directly from node to node."""
 
@@ -435,5 +442,5 @@
     Pulse, Prepare, Promise, Accept, Accepted, Decided, LeaseAsk, LeaseGiven, Place, Placed,
     Refill, Append, Stored, Propose, Proposed, Look, Seen, Sessions, Beat, Join, Elsewhere,
     Frame, Change, News, Alive, Listing, Seated, Leave, Elect, Granted, Denied, Done, Running,
-    Gather, Gathered, Copy, Copied, Spread, HowGoes, Goes, Ping, Entry, Roster,
+    Gather, Gathered, Copy, Copied, Unpin, Spread, HowGoes, Goes, Ping, Entry, Roster,
 ]
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -198,6 +198,9 @@
                 return self.gathered(pool, term)
             case message.Copy(pool=pool):
                 return message.Copied(self.shelf(pool).take(msg, self.mach.now()))
+            case message.Unpin(pool=pool, sessions=idents):
+                for ident in idents:
+                    self.door.pins.pop((pool, ident), None)
             case message.Spread(listing=listing):
                 self.follower.take_listing(listing)
             case message.HowGoes():
--- a/iriswheel/warden.py
+++ b/iriswheel/warden.py
@@ -272,14 +272,19 @@
     async def gather_cores(self):
         """The sessions that core machines keep, for when no holder's copy is left.
 
+        Where most core machines answer and none has ever heard of the pool, it is new, and
+        no claim was lost.
+
         Example: `sessions = await warden.gather_cores()`
         """
         msg = message.Gather(self.pool, self.duty.term, self.node.me.id)
         seats = self.node.follower.roster.cores
         ds = [defer.ensureDeferred(self.node.neighbours.call(s.host, s.port, msg, GATHER_US)) for s in seats]
         out = {}
-        for ok, a in await defer.DeferredList(ds, consumeErrors=True):
-            for s in a.sessions if ok else []:
+        got = [a for ok, a in await defer.DeferredList(ds, consumeErrors=True) if ok and a.ok]
+        self.broken = 2 * len(got) <= len(seats) or any(a.copy for a in got)
+        for a in got:
+            for s in a.sessions:
                 if s.id not in out or (out[s.id].stamp, out[s.id].left_us) < (s.stamp, s.left_us):
                     out[s.id] = s
         return list(out.values())
@@ -403,7 +408,7 @@
             self.check_workers()
 
     async def copy_lazily(self):
-        """Bring the copies' expiries up to date, a few times a second.
+        """Bring the copies' expiries up to date, a few times a second, and drop dead pins everywhere.
 
         Example: `mach.spawn(warden.copy_lazily())`
         """
@@ -419,6 +424,9 @@
             claims = [c.told(now) for c in lazy.values()
                       if isinstance(c, Claim) and self.claims.get(c.exchange) is c]
             closed = [i for i in gone if i not in self.book.records and i not in self.claims]
+            if gone:
+                for m in self.node.follower.roster.members:
+                    self.node.tell_member(m.id, message.Unpin(self.pool, list(gone)))
             msg = message.Copy(self.pool, self.duty.term, self.node.me.id, sessions, claims, closed)
             self.tell_cores(msg)
             if not await self.copy(msg):
@@ -589,6 +597,7 @@
         r = self.book.pinned(m.session)
         if r is not None and r.worker != worker:
             self.book.close(r.id)
+            self.gone[r.id] = None
             self.counts["closed"] += 1
             r = None
         pinned = r is not None
--- a/iriswheel/web.py
+++ b/iriswheel/web.py
@@ -1,5 +1,6 @@
 """HTTP as iriswheel's processes serve it: twisted.web, bounded, one task per exchange."""
 
+import http as status
 import json
 import re
 
@@ -47,7 +48,7 @@
         """
         self.refused = verdict.Defect(code, text)
         body = self.refused.body()
-        head = f"HTTP/1.1 {self.refused.status} Refused\r\nContent-Type: application/json\r\n" \
+        head = f"HTTP/1.1 {self.refused.status} {status.HTTPStatus(self.refused.status).phrase}\r\nContent-Type: application/json\r\n" \
                f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         self.channel.transport.write(head.encode() + body)
         self.channel.loseConnection()
@@ -82,21 +83,21 @@
         heads = {} if d.retry_after is None else {"Retry-After": str(d.retry_after)}
         self.answer(d.status, d.body(), heads)
 
-    def answer_json(self, status, val):
+    def answer_json(self, code, val):
         """Give a JSON answer.
 
         Example: `request.answer_json(200, {"stamp": 4})`
         """
-        self.answer(status, json.dumps(val).encode() + b"\n")
+        self.answer(code, json.dumps(val).encode() + b"\n")
 
-    def answer(self, status, body, heads=None):
+    def answer(self, code, body, heads=None):
         """Give a whole answer at once; a requester that has gone away gets none.
 
         Example: `request.answer(200, b"{}")`
         """
         if self.gone or self.finished or self.startedWriting:
             return
-        self.setResponseCode(status)
+        self.setResponseCode(code, status.HTTPStatus(code).phrase.encode())
         self.setHeader("Content-Type", "application/json")
         self.setHeader("Content-Length", str(len(body)))
         for k, v in (heads or {}).items():
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,203 @@
+"""Real processes: the command line, the outside surface, and one short trial under faults."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+import testtools
+
+import bench.fleet as fleet
+import bench.trial as trial
+
+
+def program(*args):
+    """Run the program: exit code, standard output, standard error."""
+    p = subprocess.run([sys.executable, "-m", "iriswheel", *args], capture_output=True, text=True, timeout=60)
+    return p.returncode, p.stdout, p.stderr
+
+
+def raw(port, text):
+    """Send bytes to a port and read all that comes: head and body."""
+    with socket.create_connection((fleet.HOST, port), timeout=20) as s:
+        s.sendall(text)
+        got = b""
+        while True:
+            piece = s.recv(65536)
+            if not piece:
+                break
+            got += piece
+    head, _, body = got.partition(b"\r\n\r\n")
+    return head.decode("latin-1"), body
+
+
+class CommandLine(testtools.TestCase):
+    def test_all_mistakes_at_once_with_exit_2(self):
+        code, _, err = program("node", "--host", "nowhere", "--seeds", "127.0.0.1")
+        self.assertEqual(2, code)
+        for name in ("name: missing", "zone: missing", "host: 'nowhere'", "seeds: '127.0.0.1'", "platform: ''"):
+            self.assertIn(name, err)
+
+    def test_unknown_option_in_a_file(self):
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as f:
+            f.write('name = "n"\ncolour = "red"\n')
+            f.flush()
+            code, _, err = program("core", "--options", f.name)
+        self.assertEqual(2, code)
+        self.assertIn("colour: unknown option", err)
+
+    def test_check(self):
+        for name in ("magnolia.json", "swan.json"):
+            self.assertEqual(0, program("check", os.path.join(fleet.EXAMPLES, name))[0])
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as f:
+            json.dump({"pools": {"p": {"cap": -1, "size": 3}}, "routes": {"r": {"path": "x", "pool": "q"}}}, f)
+            f.flush()
+            code, _, err = program("check", f.name)
+        self.assertEqual(2, code)
+        self.assertEqual(4, len(err.splitlines()))
+
+    def test_replay_of_bad_files(self):
+        with tempfile.NamedTemporaryFile("w") as f:
+            f.write('{"at": 1, "kind": "sent"\n{"at": 2, "kind": "ended"}\n')
+            f.flush()
+            code, _, err = program("replay", f.name)
+        self.assertEqual((2, 1), (code, len(err.splitlines())))
+        self.assertEqual(2, program("replay", "/nowhere/at/all")[0])
+
+    def test_sweep_of_an_unknown_scene(self):
+        p = subprocess.run([sys.executable, "-m", "bench.sweep", "--scenes", "nonsense"], capture_output=True, text=True)
+        self.assertEqual((2, 1), (p.returncode, len(p.stderr.splitlines())))
+
+    def test_a_data_folder_has_one_process(self):
+        with tempfile.TemporaryDirectory() as d:
+            args = ["core", "--name", "c", "--zone", "a", "--host", fleet.HOST, "--seeds", "127.0.0.1:1", "--data", d]
+            one = subprocess.Popen(
+                [sys.executable, "-m", "iriswheel", *args, "--port", str(fleet.free_port())],
+                stderr=subprocess.PIPE, text=True)
+            while "listens" not in one.stderr.readline():
+                self.assertIsNone(one.poll())
+            code, _, err = program(*args, "--port", str(fleet.free_port()))
+            one.terminate()
+            self.assertEqual((3, True), (code, "data folder" in err))
+            one.communicate()
+            self.assertEqual(0, one.returncode)
+
+
+class Surface(testtools.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        cls.fleet = fleet.Fleet("small")
+        cls.fleet.begin()
+        cls.port = cls.fleet.nodes["n1"][1]
+        cls.core = f"{fleet.HOST}:{cls.fleet.cores['c2'][1]}"
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.fleet.end()
+        super().tearDownClass()
+
+    def refused(self, text, status, code, field=None):
+        head, body = raw(self.port, text)
+        doc = json.loads(body)
+        self.assertIn(f" {status} ", head.splitlines()[0] + " ")
+        self.assertEqual((code, "not_run", field), (doc["code"], doc["verdict"], doc.get("field")))
+
+    def post(self, heads="", body=b"hello", path="/v1/complete"):
+        return (f"POST {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {len(body)}\r\n{heads}\r\n"
+                ).encode() + body
+
+    def test_bad_input_is_named(self):
+        self.refused(self.post(path="/nowhere"), 404, "no_route", "path")
+        self.refused(self.post("X-May-Repeat: perhaps\r\n"), 400, "bad_request", "X-May-Repeat")
+        self.refused(self.post("X-Send-Number: 0\r\n"), 400, "bad_request", "X-Send-Number")
+        self.refused(self.post("X-Exchange-Id: a b\r\n"), 400, "bad_request", "X-Exchange-Id")
+        self.refused(self.post("X-Exchange-Id: a\r\nX-Exchange-Id: b\r\n"), 400, "bad_request", "X-Exchange-Id")
+        self.refused(self.post("X-Prompt-Prefix: " + ",".join("p" * 33) + "\r\n"), 400, "bad_request", "X-Prompt-Prefix")
+        self.refused(b"GET /v1/complete HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 405, "bad_method")
+        self.refused(b"POST /v1/complete HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+                     411, "length_required", "Content-Length")
+        self.refused(b"POST /v1/complete HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", 413, "too_large")
+        self.refused(b"nonsense\r\n\r\n", 400, "bad_request", "head")
+
+    def test_an_answer_streams_back_with_its_worker(self):
+        head, body = raw(self.port, self.post("X-Target-Worker: w9\r\nX-Exchange-Id: s1\r\n"))
+        self.assertIn("200", head.splitlines()[0])
+        heads = head.lower()
+        self.assertTrue("x-target-worker: w1" in heads or "x-target-worker: w2" in heads)
+        self.assertIn("transfer-encoding: chunked", heads)
+        self.assertIn(b"[DONE]", body)
+
+    def test_a_second_send_of_what_may_not_be_repeated(self):
+        heads = "X-Exchange-Id: once\r\nX-Send-Number: 1\r\n"
+        self.assertIn("200", raw(self.port, self.post(heads))[0].splitlines()[0])
+        head, body = raw(self.fleet.nodes["n2"][1], self.post(heads.replace("Number: 1", "Number: 2")))
+        self.assertIn("409", head.splitlines()[0])
+        self.assertEqual("ran", json.loads(body)["verdict"])
+
+    def test_plan_confirm_show(self):
+        path = os.path.join(fleet.EXAMPLES, "magnolia.json")
+        with open(path) as f:
+            doc = json.load(f)
+        doc["pools"]["desk"]["cap"] = 7
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as f:
+            json.dump(doc, f)
+            f.flush()
+            code, out, _ = program("plan", f.name, "--core", self.core)
+        plan = json.loads(out)
+        self.assertEqual((0, ["pools/desk"], ["desk"]), (code, plan["changed"], plan["pools"]))
+        first = program("confirm", plan["id"], "--core", self.core)
+        self.assertEqual(first, program("confirm", plan["id"], "--core", self.core))
+        shown = json.loads(program("show", "--core", self.core)[1])
+        self.assertEqual((7, json.loads(first[1])["stamp"]), (shown["blueprint"]["pools"]["desk"]["cap"], shown["stamp"]))
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as f:
+            json.dump([{"op": "replace", "path": "/pools/desk/cap", "value": 8}], f)
+            f.flush()
+            stale = program("plan", f.name, "--patch", "--base", str(plan["base"]), "--core", self.core)
+            self.assertEqual((4, "base_moved"), (stale[0], json.loads(stale[1])["code"]))
+            code, out, _ = program("plan", f.name, "--patch", "--core", self.core)
+        self.assertEqual((0, ["pools/desk"]), (code, json.loads(out)["changed"]))
+
+    def test_unknown_plans_and_paths(self):
+        http = self.fleet.cores["c1"][1]
+        status, doc = fleet.ask(http, "POST", "/plans/99-0000/confirm", {})
+        self.assertEqual((404, "not_run"), (status, doc["verdict"]))
+        status, doc = fleet.ask(http, "POST", "/plans/0-0000/confirm", {})
+        self.assertEqual((404, "may_have_run"), (status, doc["verdict"]))
+        self.assertEqual(404, fleet.ask(http, "GET", "/nowhere")[0])
+        status, doc = fleet.ask(http, "POST", "/plans", {"blueprint": {"pools": {"p": {"cap": "x"}}, "odd": {}}})
+        self.assertEqual((422, "not_run"), (status, doc["verdict"]))
+        self.assertIn("odd: unknown section", doc["text"])
+
+
+class Faults(testtools.TestCase):
+    def test_a_short_trial_is_clean(self):
+        with fleet.Fleet("small") as f:
+            t = trial.Trial(f, 16, ["--short-rate", "15", "--long-rate", "1", "--talks", "3"])
+            t.served(10)
+            name = f.warden()
+            t.fault("kill", name, True)
+            f.kill(name)
+            f.until(lambda: f.warden() not in ("", name), "another warden is seated", 10)
+            t.served(10)
+            f.restart(name)
+            f.until(lambda: f.ready(name), "the node is ready again", 10)
+            t.fault("kill", "c1", True)
+            f.kill("c1")
+            doc = json.loads(json.dumps(f.blueprint))
+            doc["routes"]["late"] = {"path": "/v1/late", "pool": f.pool}
+            f.until(lambda: f.confirm(doc, t.note), "a change is confirmed without c1", 15)
+            f.restart("c1")
+            name = f.warden()
+            t.fault("freeze", name, True)
+            f.signal(name, signal.SIGSTOP)
+            other = next(n for n in f.nodes if n != name)
+            f.until(lambda: f.warden_of(other), "the other node is the warden", 10)
+            f.signal(name, signal.SIGCONT)
+            t.served(5)
+            report, found, _ = t.finish()
+            self.assertEqual({}, found)
+            self.assertTrue(report["ends"]["whole"] > 30)
