--- a/iriswheel/door.py
+++ b/iriswheel/door.py
@@ -101,6 +101,7 @@
         self.filters = [self.parse, self.route, self.terms, self.admit]
         self.count = 0
         self.open = 0
+        self.sends = {}  # ask -> sender.Send, under way
         self.pins = {}  # (pool, session) -> (worker, until)
         self.counts = {"exchanges": 0, "whole": 0, "torn": 0, "repeats": 0, "bypass": 0, "gone": 0}
         self.refused = {}
@@ -258,7 +259,8 @@
                 if x.send > 1 and not x.repeatable and not turn:
                     self.pay(x)
                 outcome = verdict.Verdict.MAY_HAVE_RUN
-                out = await self.node.sender.send(x.req, x.raw, worker, x.repeatable)
+                send = self.sends[x.ask] = sender.Send(worker.id)
+                out = await self.node.sender.send(x.req, x.raw, worker, x.repeatable, send)
                 match out:
                     case sender.Outcome.WHOLE:
                         outcome = verdict.Verdict.RAN
@@ -273,6 +275,7 @@
                     case sender.Outcome.BROKE:
                         x.sent = True
             finally:
+                self.sends.pop(x.ask, None)
                 self.give_back(x, outcome)
             shun.append(worker.id)
             x.ask = f"{x.ask.split('.')[0]}.{turn + 1}"
@@ -283,6 +286,14 @@
                 self.counts["repeats"] += 1
         raise verdict.Defect("no_worker", "No worker could be reached.")
 
+    def cut_drained(self):
+        """End the sends to workers that left and have had their time for them.
+
+        Example: `door.cut_drained()`
+        """
+        for send in [s for s in self.sends.values() if self.node.follower.drained(s.worker)]:
+            send.cut()
+
     def give_back(self, x, outcome):
         """Tell the warden that a grant is over, or was never used.
 
--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -42,6 +42,7 @@
         self.roster = message.Roster((0, 0), [], [], [], [])
         self.workers = []
         self.states = {}  # worker -> message.Worker
+        self.drains = {}  # worker that is not ready -> when its streams must have ended
         self.listed = (0, 0, 0)
         self.news_at = None  # when worker news last came
         self.link = None
@@ -82,6 +83,13 @@
         w = self.states.get(worker)
         return w.state if w is not None else "gone"
 
+    def drained(self, worker):
+        """Whether a worker that leaves or is gone has had its time for streams under way.
+
+        Example: `fol.drained("w1")`
+        """
+        return self.mach.now() > self.drains.get(worker, self.mach.now())
+
     def core_stands(self):
         """Whether the session with a core machine stands.
 
@@ -198,8 +206,14 @@
         """
         self.news_at = self.mach.now()
         if workers != self.workers:
-            self.workers = workers
+            was, self.workers = self.states, workers
             self.states = {w.id: w for w in workers}
+            for ident in sorted({*was, *self.states}):
+                w = self.states.get(ident, was.get(ident))
+                if self.state(ident) == "ready":
+                    self.drains.pop(ident, None)
+                else:
+                    self.drains.setdefault(ident, self.mach.now() + w.drain_us)
             self.node.on_news()
 
     # ---- tasks -----------------------------------------------------------------------
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -138,6 +138,7 @@
                     pool = d.key[5:]
                     asks = [a for a, g in sorted(self.grants.items()) if g.pool == pool]
                     self.tell_member(d.holder, message.Running(pool, self.me.id, asks))
+            self.door.cut_drained()
             now = self.mach.now()
             for shelf in self.shelves.values():
                 shelf.sweep(now)
--- a/iriswheel/sender.py
+++ b/iriswheel/sender.py
@@ -146,10 +146,32 @@
         self.done(b"".join(self.parts) if whole else None)
 
 
+class Send:
+    """One send under way, which can be cut short.
+
+    Example: `send = Send("w1")`; `out = await sender.send(req, raw, worker, True, send)`; `send.cut()`.
+    """
+
+    def __init__(self, worker):
+        self.worker = worker
+        self.waiting = None  # the Deferred that the send waits on
+        self.was_cut = False
+
+    def cut(self):
+        """End it now: the worker has had its time.
+
+        >>> s = Send("w1"); s.cut(); s.was_cut
+        True
+        """
+        self.was_cut = True
+        if self.waiting is not None:
+            self.waiting.cancel()
+
+
 class Sender:
     """This process's connections to workers and platform.
 
-    Example: `sender = Sender(mach)`; `out = await sender.send(req, raw, worker)`.
+    Example: `sender = Sender(mach)`; `raw = await sender.fetch(host, port, "/load", 500_000)`.
     """
 
     def __init__(self, mach):
@@ -180,27 +202,30 @@
             raise ValueError(f"answer {res.code}")
         return raw
 
-    async def send(self, req, raw, worker, repeatable):
+    async def send(self, req, raw, worker, repeatable, send):
         """Send an exchange to a worker and stream the answer back; an Outcome.
 
         An exchange that may not be repeated goes out on a fresh connection: on a pooled
         one that the worker just closed, nobody could say whether it had run.
 
-        Example: `out = await sender.send(req, raw, worker, False)`
+        Example: `out = await sender.send(req, raw, worker, False, Send(worker.id))`
         """
         agent = self.agent if repeatable else self.fresh
         uri = b"http://%s:%d%s" % (worker.host.encode(), worker.port, req.uri)
         asked = agent.request(req.method, uri, outer.onward(req.requestHeaders, worker.id), Body(raw))
+        send.waiting = self.mach.within(asked, FIRST_US)
         try:
-            res = await self.mach.within(asked, FIRST_US)
+            res = await send.waiting
         except (error.ConnectError, error.TimeoutError, client.RequestNotSent):
             return Outcome.UNSENT
         except defer.CancelledError:
-            raise
+            if not send.was_cut:
+                raise
+            return Outcome.BROKE
         except Exception as e:
             log.warning("Worker {} gave no answer: {}", worker.id, type(e).__name__)
             return Outcome.BROKE
-        done = defer.Deferred(lambda _: relay.stopProducing())
+        done = send.waiting = defer.Deferred(lambda _: relay.stopProducing())
         req.setResponseCode(res.code, res.phrase)
         for name, vals in outer.back(res.headers, worker.id):
             req.responseHeaders.setRawHeaders(name, vals)
@@ -211,6 +236,10 @@
         res.deliverBody(relay)
         try:
             whole = await done
+        except defer.CancelledError:
+            if not send.was_cut:
+                raise
+            whole = False
         finally:
             if not req.gone and not req.finished:
                 req.unregisterProducer()
--- a/iriswheel/warden.py
+++ b/iriswheel/warden.py
@@ -50,6 +50,43 @@
         return message.Claim(self.exchange, self.send, self.node, self.ask, self.state, max(0, self.until - now))
 
 
+class Busy:
+    """What a worker has in flight, added up.
+
+    >>> b = Busy(); b.add(message.Grant("p", "a", "n", "w", "", 70, True)); len(b.held), b.long, b.work
+    (1, 1, 70)
+    >>> b.drop("a"); b.drop("a"); len(b.held), b.long, b.work
+    (0, 0, 0)
+    """
+
+    __slots__ = ("held", "long", "work")
+
+    def __init__(self):
+        self.held = {}  # ask -> Grant
+        self.long = 0
+        self.work = 0
+
+    def add(self, g):
+        """Count a grant.
+
+        >>> Busy().add(message.Grant("p", "a", "n", "w", "", 70, True))
+        """
+        self.drop(g.ask)
+        self.held[g.ask] = g
+        self.long += g.long
+        self.work += g.work
+
+    def drop(self, ask):
+        """Count a grant no more.
+
+        >>> Busy().drop("a")
+        """
+        g = self.held.pop(ask, None)
+        if g is not None:
+            self.long -= g.long
+            self.work -= g.work
+
+
 class Shelf:
     """The copies that a node keeps of one pool's records, under the newest term it saw.
 
@@ -141,7 +178,7 @@
         self.book = session.Book()
         self.claims = {}
         self.grants = {}  # ask -> (Grant, when, listed)
-        self.busy = {}  # worker -> {ask: Grant}
+        self.busy = {}  # worker -> Busy
         self.voids = {}  # ask -> until: asks given up before they came here
         self.waiting = 0
         self.freed = machine.Signal()
@@ -318,7 +355,7 @@
         Example: `warden.hold(grant)`
         """
         self.grants[g.ask] = [g, self.mach.now(), claim]
-        self.busy.setdefault(g.worker, {})[g.ask] = g
+        self.busy.setdefault(g.worker, Busy()).add(g)
 
     def release(self, ask, outcome):
         """A grant is over; what waits for a seat looks again.
@@ -332,7 +369,7 @@
                 self.voids[ask] = now + 60 * machine.SECOND
             return
         g = kept[0]
-        self.busy[g.worker].pop(ask, None)
+        self.busy[g.worker].drop(ask)
         r = self.book.pinned(g.session)
         if r is not None and r.worker == g.worker:
             r.turns = max(0, r.turns - 1)
@@ -477,10 +514,10 @@
 
         Example: `warden.score("w1", elect)`
         """
-        held = self.busy.get(worker, {})
-        load = sum(g.work for g in held.values()) + self.book.load(worker)
+        busy = self.busy.get(worker) or Busy()
+        load = busy.work + self.book.load(worker)
         running, queued = self.reports.get(worker, (0, 0))
-        load += max(0, running + queued - len(held)) * 100
+        load += max(0, running + queued - len(busy.held)) * 100
         known = self.prefixes.get(worker, {})
         hits = 0
         for part in m.prefix:
@@ -494,10 +531,8 @@
 
         Example: `warden.has_seat("w1", True, pool)`
         """
-        held = self.busy.get(worker, {})
-        if len(held) >= pool.slots:
-            return False
-        return not long or sum(1 for g in held.values() if g.long) < pool.long_slots
+        busy = self.busy.get(worker) or Busy()
+        return len(busy.held) < pool.slots and (not long or busy.long < pool.long_slots)
 
     def pick(self, m, pool):
         """The worker for an exchange: its name, or None to wait, or a Denied.
@@ -653,6 +688,6 @@
         return {
             "pool": self.pool, "term": list(self.duty.term), "seated": self.seated(), "broken": self.broken,
             "sessions": {w: len(rs) for w, rs in sorted(self.book.at.items()) if rs},
-            "in_flight": {w: len(gs) for w, gs in sorted(self.busy.items()) if gs},
+            "in_flight": {w: len(b.held) for w, b in sorted(self.busy.items()) if b.held},
             "claims": len(self.claims), "waiting": self.waiting, "counts": self.counts,
         }
--- a/tests/test_scenes.py
+++ b/tests/test_scenes.py
@@ -32,8 +32,8 @@
     return await self.propose("confirm", ident)
 
 
-async def _unsent(self, req, raw, worker, repeatable, send=sender.Sender.send):
-    out = await send(self, req, raw, worker, repeatable)
+async def _unsent(self, *args, send=sender.Sender.send):
+    out = await send(self, *args)
     return sender.Outcome.UNSENT if out is sender.Outcome.BROKE else out
 
 
--- /dev/null
+++ b/tests/test_town.py
@@ -0,0 +1,210 @@
+"""Small simulated towns, one matter each."""
+
+import loguru
+import testtools
+import twisted.web.http_headers as http_headers
+
+import bench.sim as sim
+import bench.town as town
+import iriswheel.load as load
+import iriswheel.sender as sender
+import iriswheel.web as web
+
+S = town.S
+
+
+class Towns(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        loguru.logger.remove()
+
+    def quiet(self, shape="small", **more):
+        """A town without any load of its own."""
+        t = town.Town(3, shape, long_rate=0, short_rate=0, talks=0, **more)
+        t.probing = False
+        t.begin()
+        t.go(1)
+        return t
+
+    def ask(self, t, parts=("system",), node="n1", path="/v1/complete", body=b"hello", send=1, repeat=True, ident="x"):
+        """Send one exchange; a box that will hold (status, head of the answer, its Taker)."""
+        box = []
+        agent = sender.Sender(t.load.mach).fresh
+        heads = http_headers.Headers({
+            "X-Prompt-Prefix": [", ".join(parts)], "X-Exchange-Id": [ident], "X-Send-Number": [str(send)],
+            "X-May-Repeat": ["yes" if repeat else "no"]})
+
+        async def go():
+            host, port = t.platform.nodes[node]
+            res = await agent.request(b"POST", f"http://{host}:{port}{path}".encode(), heads, sender.Body(body))
+            done = load.defer.Deferred()
+            taker = load.Taker(t.load.mach, done)
+            res.deliverBody(taker)
+            box.append((res.code, res.headers, taker, done))
+
+        box.append(t.load.mach.spawn(go(), town.log))
+        return box
+
+    def answer(self, t, **more):
+        """Send one exchange and wait for its end: status, headers, body."""
+        box = self.ask(t, **more)
+        self.assertTrue(t.until(lambda: len(box) > 1 and box[1][3].called, 30))
+        code, heads, taker, _ = box[1]
+        return code, heads, b"".join(taker.raw)
+
+    def open_sessions(self, t):
+        return sum(len(rs) for rs in t.warden().wardens[t.pool].book.at.values())
+
+    def test_a_conversation_is_released_after_a_minute_of_silence(self):
+        t = self.quiet()
+        self.answer(t, parts=("system", "talk"))
+        t.go(57)
+        self.assertEqual(1, self.open_sessions(t))
+        self.answer(t, parts=("system", "talk"), node="n2")
+        t.go(57)
+        self.assertEqual(1, self.open_sessions(t))
+        t.go(10)
+        self.assertEqual(0, self.open_sessions(t))
+
+    def test_a_prefix_that_everybody_shares_opens_no_session(self):
+        t = self.quiet()
+        self.answer(t, parts=("system",))
+        self.assertEqual(0, self.open_sessions(t))
+
+    def test_the_cap_refuses_at_once_until_the_earliest_expiry(self):
+        doc = {"pools": {"desk": {"cap": 1}}, "terms": {"default": {"lifetime_us": 30 * S}},
+               "routes": {"all": {"path": "/v1", "pool": "desk"}}}
+        t = self.quiet(blueprint=doc)
+        for k in range(2):
+            self.assertEqual(200, self.answer(t, parts=("system", f"talk-{k}"), ident=f"x{k}")[0])
+        began = t.world.time
+        code, heads, body = self.answer(t, parts=("system", "talk-2"), ident="x2")
+        self.assertTrue(t.world.time - began < S)
+        self.assertEqual(503, code)
+        self.assertIn(b"sessions_full", body)
+        self.assertTrue(25 <= int(heads.getRawHeaders("Retry-After")[0]) <= 31)
+
+    def test_a_requester_that_goes_away_ends_the_run_at_once(self):
+        t = self.quiet()
+        box = self.ask(t)
+        self.assertTrue(t.until(lambda: len(box) > 1 and box[1][2].first, 5))
+        box[1][2].transport.stopProducing()
+        t.go(0.1)
+        self.assertEqual(["cut"], [r["kind"] for r in t.tape.rows if r["kind"] in ("ran", "cut")])
+        t.go(1)
+        self.assertEqual({}, t.warden().wardens[t.pool].grants)
+
+    def test_a_slow_requester_slows_the_worker(self):
+        t = self.quiet()
+        sent = []
+
+        async def flood(req):
+            if req.method == b"GET":
+                req.answer_json(200, {"running": 0, "queued": 0})
+                return
+            for _ in range(200):
+                while req.channel.transport.producer_held:
+                    await t.load.mach.sleep(10_000)
+                req.write(b"x" * 16_384)
+                sent.append(16_384)
+            req.finish()
+
+        for w in t.workers.values():
+            w.proc.ports.clear()
+            t.listen(w.proc, 9001, web.Server(w.mach, flood))
+        held = sim.Side.producer_held = property(lambda side: side.producer_paused or side.flying > sim.WINDOW)
+        self.addCleanup(lambda: delattr(sim.Side, "producer_held"))
+        self.assertIsNotNone(held)
+        box = self.ask(t)
+        self.assertTrue(t.until(lambda: len(box) > 1 and box[1][2].first, 5))
+        box[1][2].transport.pauseProducing()
+        t.go(5)
+        self.assertTrue(sum(sent) < 12 * sim.WINDOW)
+        box[1][2].transport.resumeProducing()
+        self.assertTrue(t.until(lambda: box[1][3].called, 30))
+        self.assertEqual(200 * 16_384, sum(map(len, box[1][2].raw)))
+
+    def test_a_route_of_another_hall_is_not_known_here(self):
+        doc = {"pools": {"desk": {}}, "terms": {"default": {}}, "routes": {
+            "all": {"path": "/v1", "pool": "desk"}, "far": {"path": "/far", "pool": "desk", "zones": ["d"]}}}
+        t = self.quiet("magnolia", blueprint=doc)
+        self.assertEqual(404, self.answer(t, path="/far", node="n1")[0])
+        self.assertEqual(200, self.answer(t, path="/far", node="n6")[0])
+        self.assertNotIn("routes/far", t.nodes["n1"].follower.items)
+
+    def test_a_node_without_a_blueprint_is_not_ready_and_says_not_run(self):
+        t = self.quiet()
+        t.world.cut(["10.0.2.7"], t.hosts("cores"))
+        t.start_node("n7", "10.0.2.7", "a")
+        t.go(3)
+        self.assertFalse(t.platform.told["n7"])
+        code, _, body = self.answer(t, node="n7")
+        self.assertEqual((503, True, True), (code, b"not_ready" in body, b"not_run" in body))
+
+    def test_one_working_disk_takes_no_change(self):
+        t = self.quiet()
+        for name in ("c2", "c3"):
+            t.cores[name].proc.host.disk = "full"
+        done = t.office_mach.spawn(t.boss.change(t.with_probe(1)), town.log)
+        t.go(8)
+        self.assertFalse(done.called)
+        code, may = self.plan_refused(t)
+        self.assertEqual((True, "not_run"), (code in ("too_few_copies", "no_chain"), may))
+        for name in ("c2", "c3"):
+            t.cores[name].proc.host.mend()
+        self.assertTrue(t.until(lambda: done.called, 20))
+        self.assertTrue(done.result > 0)
+
+    def plan_refused(self, t):
+        """Code and verdict that a plan gets now."""
+        got = []
+
+        async def go():
+            _, doc = await t.boss.ask("POST", "/plans", {"blueprint": t.with_probe(9)})
+            got.extend([doc["code"], doc["verdict"]])
+
+        d = t.office_mach.spawn(go(), town.log)
+        self.assertTrue(t.until(lambda: d.called, 10))
+        return got
+
+    def test_a_late_ask_that_was_given_up_gets_no_grant(self):
+        t = self.quiet()
+        n = t.warden()
+        w = n.wardens[t.pool]
+        w.release("late-ask", town.node.verdict.Verdict.NOT_RUN)
+        msg = town.node.message.Elect(
+            t.pool, w.duty.term, "n1", "late-ask", "e1", 1, False, "", [], 20, False, [],
+            {"lifetime_us": S, "cost": 1}, S)
+        d = n.mach.spawn(w.elect(msg), town.log)
+        t.go(1)
+        self.assertEqual("no_warden", d.result.code)
+        self.assertEqual({}, w.claims)
+
+    def test_an_old_warden_gets_no_copy_taken(self):
+        t = self.quiet("magnolia")
+        n = t.warden()
+        old = n.wardens[t.pool]
+        holder = next(m for m in t.nodes.values() if m.me.id == old.duty.copies[0])
+        holder.shelf(t.pool).fence((old.duty.term[0], old.duty.term[1] + 1))
+        d = n.mach.spawn(old.copy(town.node.message.Copy(t.pool, old.duty.term, n.me.id, [], [], [])), town.log)
+        t.go(1)
+        self.assertEqual((False, False), (d.result, old.live()))
+
+    def test_a_thawed_tail_answers_nothing_on_its_old_lease(self):
+        t = self.quiet()
+        tail = t.tail()
+        tail.proc.freeze()
+        t.go(4)
+        tail.proc.frozen = False  # it runs again, before it has heard anything
+        self.assertFalse(tail.council.leased())
+        self.assertFalse(tail.chain.look(town.node.message.Look(1)).ok)
+        self.assertFalse(tail.serving())
+
+    def test_a_thawed_node_elects_nothing_before_it_has_rejoined(self):
+        t = self.quiet()
+        n = t.nodes["n1"]
+        n.proc.freeze()
+        t.go(4)
+        n.proc.frozen = False
+        self.assertFalse(n.follower.settled())
+        self.assertEqual((False, "rejoining"), n.ready())
