--- a/bench/measure.py
+++ b/bench/measure.py
@@ -2,6 +2,7 @@
 
     python -m bench.measure hop
     python -m bench.measure saturate
+    python -m bench.measure elects
     python -m bench.measure slices
     python -m bench.measure recovery
 """
@@ -12,11 +13,15 @@
 
 import defopt
 import loguru
+import twisted.internet.defer as defer
 
 import bench.fleet as fleet
 import bench.scenes as scenes
 import bench.town as town
+import iriswheel.machine as machine
+import iriswheel.message as message
 import iriswheel.replay as replay
+import iriswheel.wire as wire
 
 
 def spans(f):
@@ -79,6 +84,53 @@
                   f"{max(v for n, v in cpu.items() if n in f.nodes and n != f.warden()):.0%}", flush=True)
 
 
+def elects(*, shape: str = "magnolia", seconds: int = 5, depth: int = 64):
+    """Elections that one warden answers per second, asked over one link, many at a time.
+
+    :param shape: magnolia, swan or small
+    :param seconds: how long to ask
+    :param depth: questions under way at a time
+    """
+    import twisted.internet.reactor as reactor
+
+    loguru.logger.remove()
+    with fleet.Fleet(shape) as f:
+        f.blueprint["pools"][f.pool].update(slots=100_000, long_slots=100_000, cap=0)
+        f.begin()
+        holder = f.warden()
+        duty = next(d for d in f.state(holder)["duties"] if d["key"] == f"pool/{f.pool}")
+        mach = machine.Machine(reactor)
+        done = []
+
+        async def ask(link, k, sort):
+            ident = f"{sort}-{k}"
+            res = await link.call(message.Elect(
+                f.pool, tuple(duty["term"]), "bench", ident, ident, 1, sort != "claimed",
+                ident if sort == "opened" else "", ["system"], 20, False, [],
+                {"lifetime_us": 60 * machine.SECOND, "cost": 1}, machine.SECOND), 5 * machine.SECOND)
+            if isinstance(res, message.Granted):
+                done.append(ident)
+            link.tell(message.Done(f.pool, ident, "ran"))
+
+        async def lane(link, j, sort, until):
+            k = 0
+            while mach.now() < until:
+                k += 1
+                await ask(link, f"{j}-{k}", sort)
+
+        async def go():
+            link = await wire.connect(mach, fleet.HOST, f.nodes[holder][0], lambda *_: None, loguru.logger)
+            for sort in ("placed", "claimed", "opened"):
+                done.clear()
+                until = mach.now() + seconds * machine.SECOND
+                await defer.DeferredList([defer.ensureDeferred(lane(link, j, sort, until)) for j in range(depth)])
+                print(f"{sort}: {len(done) / seconds:.0f} elections a second", flush=True)
+            reactor.stop()
+
+        reactor.callWhenRunning(lambda: mach.spawn(go()))
+        reactor.run()
+
+
 def slices(*, routes: list[int] = (0, 100, 1000), changes: int = 10):
     """Bytes that a change costs on each node's link, as routes outside its slice grow (simulated).
 
@@ -142,4 +194,4 @@
 
 
 if __name__ == "__main__":
-    defopt.run([hop, saturate, slices, recovery])
+    defopt.run([hop, saturate, elects, slices, recovery])
--- a/iriswheel/command.py
+++ b/iriswheel/command.py
@@ -9,7 +9,6 @@
 import loguru
 import twisted.internet.defer as defer
 import twisted.internet.error as error
-import twisted.web.client as client
 import twisted.web.http_headers as http_headers
 
 import iriswheel.blueprint as blueprint
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -13,7 +13,6 @@
 import iriswheel.verdict as verdict
 import iriswheel.view as view
 import iriswheel.warden as warden
-import iriswheel.web as web
 import iriswheel.wire as wire
 
 BEAT_US = 250 * machine.MILLI
@@ -477,12 +476,12 @@
             "role": "core", "id": c.me.id, "boot": self.mach.boot, "zone": c.me.zone,
             "view": v.number if v is not None else 0,
             "chain": [link.id for link in v.chain] if v is not None else [],
-            "seats": [[s.id, s.host, s.port] for s in v.seats] if v is not None else [],
+            "seats": message.plain(v.seats) if v is not None else [],
             "tail": c.tail(), "leased": c.leased(), "serving": self.serving(), "whole": self.chain.whole(),
             "stamp": self.chain.base.stamp, "n": self.chain.base.n, "tip": self.chain.tip.n,
             "disk_ok": self.disk.ok, "sessions": sorted(p.member.name for p in self.posts.values()),
             "fed_bytes": {p.member.name: p.link.sent_bytes for p in self.posts.values()},
-            "roster": msgspec.to_builtins(self.issuer.latest) if self.issuer.latest is not None else None,
+            "roster": message.plain(self.issuer.latest),
             "counts": self.counts,
         }
 
--- a/iriswheel/machine.py
+++ b/iriswheel/machine.py
@@ -4,7 +4,7 @@
 chance, so that the simulator can hand in its own. Times are whole microseconds.
 """
 
-import heapq
+import collections
 import random
 import time
 
@@ -181,24 +181,19 @@
 class Holding:
     """A bounded holding between two stages; put says whether there was room.
 
-    The lowest rank leaves first; equal ranks leave in the order they came.
-
     >>> h = Holding(1)
-    >>> h.put("a"), h.put("b")
-    (True, False)
-    >>> h.take()
-    'a'
+    >>> h.put("a"), h.put("b"), h.take(), len(h)
+    (True, False, 'a', 0)
     """
 
     def __init__(self, room):
         self.room = room
-        self.items = []
-        self.count = 0
+        self.items = collections.deque()
 
     def __len__(self):
         return len(self.items)
 
-    def put(self, item, rank=0):
+    def put(self, item):
         """Add an item unless the holding is full.
 
         >>> Holding(0).put("a")
@@ -206,15 +201,13 @@
         """
         if len(self.items) >= self.room:
             return False
-        self.count += 1
-        heapq.heappush(self.items, (rank, self.count, item))
+        self.items.append(item)
         return True
 
     def take(self):
-        """Remove and return the first item.
+        """Remove and return the item that came first.
 
-        >>> h = Holding(2); _ = h.put("late", rank=2), h.put("soon", rank=1)
-        >>> h.take()
-        'soon'
+        >>> h = Holding(2); _ = h.put("one"), h.put("two"); h.take()
+        'one'
         """
-        return heapq.heappop(self.items)[2]
+        return self.items.popleft()
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -13,6 +13,20 @@
     """The base of all messages."""
 
 
+def plain(val):
+    """A message as plain data with names, for people to read.
+
+    >>> plain([Seat("c0ffee", "127.0.0.1", 7001, "a")])
+    [{'id': 'c0ffee', 'host': '127.0.0.1', 'port': 7001, 'zone': 'a'}]
+    """
+    match val:
+        case Message():
+            return {name: plain(getattr(val, name)) for name in val.__struct_fields__}
+        case list() | tuple():
+            return [plain(v) for v in val]
+    return val
+
+
 # ---- shared shapes -------------------------------------------------------
 
 
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -1,7 +1,6 @@
 """A light node: the door towards requesters, and the controllers beside it."""
 
 import loguru
-import msgspec
 import twisted.internet.defer as defer
 
 import iriswheel.door as door
@@ -86,7 +85,7 @@
             "place": fol.place, "core_stands": fol.core_stands(), "moves": fol.moves,
             "roster": list(fol.roster.stamp), "workers": {w.id: w.state for w in fol.workers},
             "routes": sorted(fol.routes), "pools": sorted(fol.pools),
-            "duties": [msgspec.to_builtins(d) for d in fol.roster.duties],
+            "duties": message.plain(fol.roster.duties),
             "wardens": [w.state() for _, w in sorted(self.wardens.items())],
             "open": self.door.open, "counts": self.door.counts, "refused": self.door.refused,
         }
--- a/iriswheel/options.py
+++ b/iriswheel/options.py
@@ -4,8 +4,6 @@
 import ipaddress
 import tomllib
 
-ROLES = ("core", "node")
-
 
 class BadOptions(ValueError):
     """All mistakes in the options, by name.
--- a/iriswheel/sender.py
+++ b/iriswheel/sender.py
@@ -8,7 +8,6 @@
 import twisted.internet.error as error
 import twisted.internet.protocol as protocol
 import twisted.web.client as client
-import twisted.web.http_headers as http_headers
 import twisted.web.iweb as iweb
 import zope.interface as interface
 
--- a/iriswheel/warden.py
+++ b/iriswheel/warden.py
@@ -14,7 +14,6 @@
 import iriswheel.outer as outer
 import iriswheel.session as session
 import iriswheel.verdict as verdict
-import iriswheel.wire as wire
 
 GATHER_US = 600 * machine.MILLI
 COPY_US = 500 * machine.MILLI
@@ -22,6 +21,7 @@
 USE_US = 2 * machine.SECOND  # how long a grant may lie unused
 LOAD_US = 500 * machine.MILLI
 MISSES = 3  # load reports missed in a row until a worker counts as dark
+WHOLE_SWEEPS = 6  # every so many sweeps the copies get the whole
 LOST_US = 3 * machine.SECOND  # a grant that its node no longer lists
 PREFIXES = 256  # prefix parts remembered per worker
 
@@ -304,10 +304,7 @@
             if r is not None and r.worker == g.worker:
                 r.turns += 1
         self.check_workers()
-        whole = message.Copy(
-            self.pool, self.duty.term, self.node.me.id,
-            [session.told(r, now) for r in self.book.records.values()],
-            [c.told(now) for c in self.claims.values()], [], True, max(0, self.broken_until - now))
+        whole = self.whole_copy()
         if not await self.copy(whole):
             return False
         self.tell_cores(whole)
@@ -316,6 +313,17 @@
             log.warning("No copy of the last group of {} answers: claims may be lost.", self.pool)
         return True
 
+    def whole_copy(self):
+        """All records, as a holder that knows nothing needs them.
+
+        Example: `await warden.copy(warden.whole_copy())`
+        """
+        now = self.mach.now()
+        return message.Copy(
+            self.pool, self.duty.term, self.node.me.id,
+            [session.told(r, now) for r in self.book.records.values()],
+            [c.told(now) for c in self.claims.values()], [], True, max(0, self.broken_until - now))
+
     async def gather_cores(self):
         """The sessions that core machines keep, for when no holder's copy is left.
 
@@ -449,10 +457,17 @@
     async def sweep(self):
         """Every five seconds: close what is past its expiry, forget old claims.
 
+        Now and then the whole goes out to the copies, in case one of them has gone astray.
+
         Example: `mach.spawn(warden.sweep())`
         """
+        sweeps = 0
         while self.live():
             await self.mach.sleep(session.SWEEP_US)
+            sweeps += 1
+            if sweeps % WHOLE_SWEEPS == 0 and self.seated():
+                self.tell_cores(self.whole_copy())
+                await self.copy(self.whole_copy())
             now = self.mach.now()
             for r in self.book.sweep(now):
                 self.gone[r.id] = None
--- a/iriswheel/web.py
+++ b/iriswheel/web.py
@@ -2,7 +2,6 @@
 
 import http as status
 import json
-import re
 
 import loguru
 import twisted.internet.defer as defer
@@ -13,7 +12,6 @@
 
 BODY_BYTES = 8 << 20
 IDLE_S = 75
-LENGTH = re.compile(rb"[0-9]{1,15}\Z")
 
 log = loguru.logger.bind(part="web")
 
