Fleet runner: the system picks the ports; recovery counts failures by when they ended

Cause: a node ended with code 3 in a run of the fleet, its port taken by another connection between the look and the start. Now nodes and HTTP doors take what the system gives and say so in their logs; core ports, which the seeds name, lie below the system's own range.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -7,6 +7,8 @@
 import contextlib
 import json
 import os
+import random
+import re
 import shutil
 import signal
 import socket
@@ -27,6 +29,7 @@
     "swan": (["yard", "yard", "yard", "mill", "mill", "mill", "office", "office"], 6, "reviews", "swan.json"),
 }
 HOST = "127.0.0.1"
+LISTENS = re.compile(r"listens on [0-9.]+:([0-9]+), HTTP on ([0-9]+)")
 EXAMPLES = os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "examples")
 
 
@@ -47,14 +50,19 @@
 
 
 def free_port():
-    """A port that the system says is free.
+    """A free port for a core machine, whose port must be known before it starts.
 
-    >>> free_port() > 0
+    It lies below the ports that the system hands out by itself, so that no connection
+    takes it between this look and the start.
+
+    >>> 20_000 <= free_port() < 32_000
     True
     """
-    with contextlib.closing(socket.socket()) as s:
-        s.bind((HOST, 0))
-        return s.getsockname()[1]
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with contextlib.suppress(OSError), contextlib.closing(socket.socket()) as s:
+            s.bind((HOST, port))
+            return port
 
 
 class Fleet:
@@ -71,6 +79,7 @@
         self.folder = folder or tempfile.mkdtemp(prefix="iriswheel-")
         self.procs = {}  # name -> Popen
         self.lines = {}  # name -> how it was started
+        self.starts = {}  # name -> where in its log its present life begins
         self.cores = {}  # name -> (port, http)
         self.nodes = {}  # name -> (port, http)
         self.workers = {}  # name -> port
@@ -88,6 +97,7 @@
         Example: `fleet.spawn("w1", ["-m", "bench.stand", "worker", "--ident", "w1"], told=True)`
         """
         log = open(os.path.join(self.folder, f"{name}.log"), "a")
+        self.starts[name] = log.tell()
         p = subprocess.Popen(
             [sys.executable, *args], stderr=log, stdout=subprocess.PIPE if told else log, start_new_session=True)
         log.close()
@@ -134,23 +144,37 @@
 
         Example: `fleet.add_core("c4", free_port(), "a")`
         """
-        http = free_port()
-        self.cores[name] = (port, http)
         self.spawn(name, [
-            "-m", "iriswheel", "core", "--name", name, "--host", HOST, "--port", str(port), "--http-port", str(http),
-            "--zone", zone, "--data", os.path.join(self.folder, name), "--seeds", *self.seeds])
+            "-m", "iriswheel", "core", "--name", name, "--host", HOST, "--port", str(port), "--zone", zone,
+            "--data", os.path.join(self.folder, name), "--seeds", *self.seeds])
+        self.cores[name] = self.learn(name)
 
     def add_node(self, name, zone):
         """Start a node.
 
         Example: `fleet.add_node("n9", "a")`
         """
-        port, http = free_port(), free_port()
-        self.nodes[name] = (port, http)
         self.spawn(name, [
-            "-m", "iriswheel", "node", "--name", name, "--host", HOST, "--port", str(port), "--http-port", str(http),
-            "--zone", zone, "--platform", f"{HOST}:{self.platform}", "--seeds", *self.seeds])
-        ask(self.platform, "POST", "/nodes", {"name": name, "host": HOST, "port": http})
+            "-m", "iriswheel", "node", "--name", name, "--host", HOST, "--zone", zone,
+            "--platform", f"{HOST}:{self.platform}", "--seeds", *self.seeds])
+        self.nodes[name] = self.learn(name)
+        ask(self.platform, "POST", "/nodes", {"name": name, "host": HOST, "port": self.nodes[name][1]})
+
+    def learn(self, name):
+        """The ports that a process says it listens on, once it says so.
+
+        Example: `port, http = fleet.learn("n1")`
+        """
+        found = []
+
+        def told():
+            with open(os.path.join(self.folder, f"{name}.log")) as f:
+                f.seek(self.starts[name])
+                found.extend(LISTENS.findall(f.read()))
+            return found
+
+        self.until(told, f"{name} listens", 20)
+        return tuple(map(int, found[0]))
 
     def list(self, **row):
         """Change the platform's list.
@@ -240,7 +264,12 @@
         """
         args, told = self.lines[name]
         got = self.spawn(name, args, told)
-        if told:
+        if name in self.cores:
+            self.cores[name] = self.learn(name)
+        elif name in self.nodes:
+            self.nodes[name] = self.learn(name)
+            ask(self.platform, "POST", "/nodes", {"name": name, "host": HOST, "port": self.nodes[name][1]})
+        else:
             self.workers[name] = got
             self.list(id=name, host=HOST, port=got, pool=self.pool, state="ready")
 
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -188,8 +188,9 @@
                     out.setdefault(fault.split()[0], []).append((ms, bad, n))
         for what, rows in out.items():
             ms = sorted(r[0] for r in rows)
-            print(f"{name}: {what}: {len(rows)} faults, {sum(r[1] for r in rows)} of {sum(r[2] for r in rows)} first "
-                  f"sends failed; last failed one sent after: median {ms[len(ms) // 2]} ms, worst {ms[-1]} ms",
+            print(f"{name}: {what}: {len(rows)} faults, {sum(r[1] for r in rows)} first sends failed, "
+                  f"{sum(r[2] for r in rows)} sent; the last failed one sent after: median {ms[len(ms) // 2]} ms, "
+                  f"worst {ms[-1]} ms",
                   flush=True)
 
 
--- a/iriswheel/replay.py
+++ b/iriswheel/replay.py
@@ -180,12 +180,11 @@
 
 def in_force(log):
     """5: a change is in force within 2 s of its acknowledgement, and never slips back."""
-    acked, sent = {}, {}
+    acked, plan = {}, {}
     for r in log.of("confirmed"):
-        acked.setdefault(r["probe"], r["at"])
-    for r in log.of("confirm_sent"):
-        sent.setdefault(r["probe"], r["at"])
-    order = sorted(sent.values())
+        if r["probe"] not in acked:
+            acked[r["probe"]], plan[r["probe"]] = r["at"], r["plan"]
+    sent = {r["plan"]: r["at"] for r in reversed(log.of("confirm_sent"))}
     by_stamp = sorted((r["stamp"], r["probe"]) for r in log.of("confirmed"))
     after = {}
     for (_, k), (_, later) in zip(by_stamp, by_stamp[1:]):
@@ -193,7 +192,7 @@
     for r in log.of("probe"):
         k, at = r["k"], r["at"]
         if k in acked and at > acked[k] + FORCE_US and r["status"] == 404:
-            later = [t for t in order if t > sent[k]]
+            later = [c["at"] for c in log.of("confirm_sent") if c["probe"] != k and c["at"] > sent[plan[k]]]
             if not later or r["done"] < later[0]:
                 yield f"{r['node']} did not know change {k} {(at - acked[k]) / SECOND:.1f} s after its acknowledgement"
         nxt = after.get(k)
@@ -411,25 +410,24 @@
 
 
 def recovery(rows):
-    """For each fault: when the last first send failed that was sent before the next fault, and how many.
+    """For each fault: when the last first send was sent that failed before the next fault, and how many did.
 
-    Rows of (fault, ms from the fault to the sending of the last one that failed, failed, sent);
-    refusals because of the cap don't count.
+    Rows of (fault, ms from the fault to that sending, failed, sent in the 12 s after the
+    fault); refusals because of the cap are no failures.
 
     >>> recovery([{"at": 1, "kind": "fault", "what": "kill", "target": "n1", "large": False}])
     [('kill n1', 0, 0, 0)]
     """
     log = Log(rows)
-    whole = {(r["exchange"], r["send"]) for r in log.of("whole")}
-    full = {(r["exchange"], r["send"]) for r in log.of("refused") if r["code"] == "sessions_full"}
+    ends = [(r["at"], log.sent[(r["exchange"], 1)]["at"]) for kind in ("refused", "torn", "lost") for r in log.of(kind)
+            if r["send"] == 1 and r.get("code") != "sessions_full"]
     faults = log.of("fault")
     out = []
     for f, nxt in zip(faults, faults[1:] + [{"at": log.end + 1}]):
-        sent = [r for r in log.of("sent") if f["at"] <= r["at"] < min(nxt["at"], f["at"] + BACK_US)
-                and r["send"] == 1 and (r["exchange"], 1) not in full]
-        failed = [r["at"] for r in sent if (r["exchange"], 1) not in whole]
-        out.append((f"{f['what']} {f['target']}", (max(failed) - f["at"]) // 1000 if failed else 0,
-                    len(failed), len(sent)))
+        until = min(nxt["at"], f["at"] + BACK_US)
+        n = sum(1 for r in log.of("sent") if r["send"] == 1 and f["at"] <= r["at"] < until)
+        failed = [sent for end, sent in ends if f["at"] <= end < nxt["at"] and sent < until]
+        out.append((f"{f['what']} {f['target']}", max([0] + [s - f["at"] for s in failed]) // 1000, len(failed), n))
     return out
 
 
@@ -437,7 +435,7 @@
     """The recoveries as lines to print.
 
     >>> recovery_lines([{"at": 1, "kind": "fault", "what": "kill", "target": "n1", "large": False}])
-    ['recovery: kill n1: 0 of 0 first sends failed, the last one sent after 0 ms']
+    ['recovery: kill n1: 0 first sends failed, the last one sent after 0 ms; 0 sent']
     """
-    return [f"recovery: {fault}: {bad} of {n} first sends failed, the last one sent after {ms} ms"
+    return [f"recovery: {fault}: {bad} first sends failed, the last one sent after {ms} ms; {n} sent"
             for fault, ms, bad, n in recovery(rows)]
