--- a/bench/scenes.py
+++ b/bench/scenes.py
@@ -389,6 +389,19 @@
     t.go(10)
 
 
+def worker_vanish(t):
+    """A worker's machine is gone for good without a word; the platform notices some seconds later."""
+    changes(t, 6, 5)
+    for _ in range(2):
+        t.go(6 + t.rng.random())
+        name = t.rng.choice(sorted(t.workers))
+        t.fault("vanish", name)
+        t.workers.pop(name).proc.host.fail()
+        t.go(2 + t.rng.random() * 6)
+        t.platform.drop(name)
+        t.go(8)
+
+
 def worker_leaves(t):
     """Workers are replaced one after another, as in a release: leaving, gone, a new one."""
     changes(t, 6, 5)
@@ -582,7 +595,8 @@
     calm, kill_node, kill_warden, kill_core, power_after_ack, kill_many, roll_nodes, roll_cores,
     kill_hall, kill_all_cores, kill_all,
     disk_lost, disk_sick, freeze, cut_core_one, cut_core_two, cut_core_off, cut_node, one_way, slow_link, lossy_link,
-    new_address, replace_all, worker_crash, worker_leaves, worker_storm, worker_breaks,
+    new_address, replace_all, worker_crash, worker_vanish, worker_leaves,
+    worker_storm, worker_breaks,
     worker_freeze,    other_pool, crowd, hot_key, many_talks, burst, race, many_routes,
     last_fault, mixed)}
 
--- a/iriswheel/load.py
+++ b/iriswheel/load.py
@@ -144,8 +144,10 @@
 
         Example: `await gen.stream("short", 40)`
         """
+        due = self.mach.now()
         while rate > 0 and not self.over():
-            await self.mach.sleep(int(self.mach.rng.expovariate(rate) * machine.SECOND))
+            due += int(self.mach.rng.expovariate(rate) * machine.SECOND)
+            await self.mach.sleep(due - self.mach.now())
             parts = ["phrases"] if kind == "short" else ["bundle"]
             self.open.append(self.mach.spawn(self.exchange(kind, parts), log))
 
--- a/tests/test_scenes.py
+++ b/tests/test_scenes.py
@@ -18,6 +18,7 @@
 import iriswheel.door as door
 import iriswheel.follower as follower
 import iriswheel.message as message
+import iriswheel.outer as outer
 import iriswheel.replay as replay
 import iriswheel.roster as roster
 import iriswheel.sender as sender
@@ -61,10 +62,16 @@
     self.done(True)
 
 
+def _stale_headers(headers, worker, onward=outer.onward, last=[]):
+    last.append(onward(headers, worker))
+    return last[-2] if len(last) > 50 else last[-1]
+
+
 # guard -> what is put in its place, the scene, its seed, the checker that must complain
 GUARDS = {
     "claims": ([(warden.Warden, "claimed", lambda self, m: None)], "worker_storm", 1, "once"),
     "torn_answers": ([(sender.Relay, "connectionLost", _torn_is_whole)], "worker_storm", 1, "once"),
+    "own_headers": ([(outer, "onward", _stale_headers)], "calm", 1, "own"),
     "unsent_or_broke": ([(sender.Sender, "send", _unsent), (door, "RESENDS", 0)], "worker_freeze", 1, "not_run"),
     "worker_states": ([(follower.Follower, "take_workers", _first_list)], "worker_leaves", 1, "leaving"),
     "forced": ([(core.Core, "confirm", _confirm_at_once), (follower.Follower, "cut_off", lambda self: False)],
