Blueprint: hosts, splits, limits, marks, labels; look-up by host and path; slices cut once

Routes may name a host, a split over pools and how exchanges repeat; pools may elect at each node. Labels stay with the core. Nodes parse only the items that changed and look routes up by path depth; a core cuts a slice once for all nodes of a zone. Tests compare the look-up with a walk over all routes.

--- a/iriswheel/blueprint.py
+++ b/iriswheel/blueprint.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import hashlib
 import json
 import re
@@ -27,21 +28,36 @@
     def __pre_deserialize__(cls, d):
         if not isinstance(d, dict):
             raise ValueError("not an object")
-        for f in dataclasses.fields(cls):
-            if f.name not in d:
+        for name, want in wanted(cls):
+            if name not in d:
                 continue
-            want = typing.get_origin(f.type) or f.type
-            if type(d[f.name]) is not want:
-                raise ValueError(f"{f.name}: wants {want.__name__}, not {type(d[f.name]).__name__}")
-            if want is int and not 0 <= d[f.name] < 1 << 53:
-                raise ValueError(f"{f.name}: out of range")
+            if type(d[name]) is not want:
+                raise ValueError(f"{name}: wants {want.__name__}, not {type(d[name]).__name__}")
+            if want is int and not 0 <= d[name] < 1 << 53:
+                raise ValueError(f"{name}: out of range")
         return d
 
 
+@functools.cache
+def wanted(cls):
+    """The fields of an item and the plain type that each one wants.
+
+    >>> wanted(Marks)
+    [('number', <class 'int'>), ('label', <class 'dict'>)]
+    """
+    return [(f.name, typing.get_origin(f.type) or f.type) for f in dataclasses.fields(cls)]
+
+
 @dataclasses.dataclass
 class Pool(Strict):
     """A pool: the workers that the platform lists under its name, and their seats.
 
+    `election` says where a worker is chosen: at the pool's warden, or at each node for
+    itself. `conns` is how many connections a worker takes from all nodes together (0: no
+    known bound), `probe` the path at which it says that it is well, `batch` how many
+    requests it runs at once, `memory_tokens` and `event_tokens` what its memory and an
+    event of its streams hold (0: unknown). `label` is the operator's own and stays with the core.
+
     >>> Pool.from_dict({"cap": 4}).cap
     4
     """
@@ -53,6 +69,13 @@
     long_wait_us: int = 10_000_000
     short_wait_us: int = 5_000_000
     waiting: int = 256
+    election: str = "warden"
+    conns: int = 0
+    probe: str = ""
+    batch: int = 0
+    memory_tokens: int = 0
+    event_tokens: int = 1
+    label: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass
@@ -80,7 +103,14 @@
 
 @dataclasses.dataclass
 class Route(Strict):
-    """Which exchanges go to which pool: a path prefix, in some zones or in all.
+    """Which exchanges go to which pool: a host and path prefix, in some zones or in all.
+
+    `split` shares the exchanges out over pools by weight; `pool` then names the first.
+    `repeat` says whether they may run more than once: "asked" (by the requester's word),
+    "may", "never"; `resume` whether a stream may be taken up at another worker; `sends` to
+    how many workers one try may go (0: no bound of its own). `cutoff_us` is the longest that
+    an exchange is held, `aim_us` the time to its first byte that the operator aims at,
+    `gap_us` the longest pause between events (0: none said). Urgency 0 goes first, 9 last.
 
     >>> Route.from_dict({"path": "/v1", "pool": "desk"}).zones
     []
@@ -91,9 +121,57 @@
     terms: str = "default"
     zones: list[str] = dataclasses.field(default_factory=list)
     requesters: dict[str, str] = dataclasses.field(default_factory=dict)
+    host: str = ""
+    split: list[dict[str, typing.Any]] = dataclasses.field(default_factory=list)
+    repeat: str = "asked"
+    resume: bool = False
+    sends: int = 0
+    cutoff_us: int = 0
+    aim_us: int = 0
+    gap_us: int = 0
+    urgency: int = 5
+    label: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+
+    def pools(self):
+        """The pools that this route's exchanges may go to.
+
+        >>> Route("/", "a", split=[{"pool": "a", "weight": 9}, {"pool": "b", "weight": 1}]).pools()
+        ['a', 'b']
+        """
+        return [s["pool"] for s in self.split] or [self.pool]
+
+
+@dataclasses.dataclass
+class Limits(Strict):
+    """What a requester may send, and how long it may take over it; the one item is `limits/door`.
+
+    >>> Limits().head_bytes
+    16384
+    """
+
+    head_bytes: int = 16384
+    body_bytes: int = 8 << 20
+    head_us: int = 10_000_000
+    idle_us: int = 75_000_000
+    label: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class Marks(Strict):
+    """The operator's own number of the blueprint; the one item is `marks/operator`.
+
+    >>> Marks(7).number
+    7
+    """
+
+    number: int = 0
+    label: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
 
 
-KINDS = {"pools": Pool, "routes": Route, "terms": Terms}
+KINDS = {"pools": Pool, "routes": Route, "terms": Terms, "limits": Limits, "marks": Marks}
+REPEATS = ("asked", "may", "never")
+ELECTIONS = ("warden", "node")
+ONLY = {"limits": "door", "marks": "operator"}  # kinds of which there is one item, by this name
 
 
 class BadBlueprint(ValueError):
@@ -131,7 +209,7 @@
             defects.append(f"{kind}: not an object")
             continue
         for name, item in part.items():
-            if not NAME.match(name):
+            if not NAME.match(name) or name != ONLY.get(kind, name):
                 defects.append(f"{kind}/{name}: bad name")
             items[f"{kind}/{name}"] = item
     check(items, defects)
@@ -164,30 +242,59 @@
             case Route():
                 if not item.path.startswith("/"):
                     defects.append(f"{key}: path must begin with '/'")
-                if f"pools/{item.pool}" not in items:
-                    defects.append(f"{key}: no pool '{item.pool}'")
+                shares(key, item, defects)
+                for pool in {item.pool: 1, **dict.fromkeys(s.get("pool") for s in item.split)}:
+                    if f"pools/{pool}" not in items:
+                        defects.append(f"{key}: no pool '{pool}'")
                 for t in [item.terms, *item.requesters.values()]:
                     if not isinstance(t, str) or f"terms/{t}" not in items:
                         defects.append(f"{key}: no terms '{t}'")
                 for zone in item.zones or [""]:
-                    other = paths.setdefault((item.path, zone), key)
+                    other = paths.setdefault((item.host.lower(), item.path, zone), key)
                     if other != key:
-                        defects.append(f"{key}: same path and zone as {other}")
+                        defects.append(f"{key}: same host, path and zone as {other}")
+                if item.repeat not in REPEATS:
+                    defects.append(f"{key}: repeat is none of {', '.join(REPEATS)}")
+                if item.urgency > 9:
+                    defects.append(f"{key}: urgency is above 9")
             case Terms(lifetime_us=0):
                 defects.append(f"{key}: lifetime_us must be above 0")
             case Pool():
-                for f in ("slots", "long_slots", "waiting"):
+                if item.election not in ELECTIONS:
+                    defects.append(f"{key}: election is none of {', '.join(ELECTIONS)}")
+                for f in ("slots", "long_slots", "waiting", "event_tokens"):
                     if getattr(item, f) < 1:
                         defects.append(f"{key}: {f} must be above 0")
                 if item.long_slots > item.slots:
                     defects.append(f"{key}: long_slots is above slots")
+            case Limits():
+                for f in ("head_bytes", "head_us", "idle_us"):
+                    if getattr(item, f) < 1:
+                        defects.append(f"{key}: {f} must be above 0")
+
+
+def shares(key, item, defects):
+    """Add what is wrong with a route's split to defects.
+
+    >>> found = []; shares("routes/r", Route("/", "p", split=[{"pool": "p", "weight": 0}]), found); found
+    ['routes/r: the weights sum to 0']
+    """
+    for s in item.split:
+        if set(s) != {"pool", "weight"} or type(s["pool"]) is not str or type(s["weight"]) not in (int, float) \
+                or not 0 <= s["weight"] < 1 << 53:
+            defects.append(f"{key}: split wants pools and weights")
+            return
+    if item.split and not sum(s["weight"] for s in item.split):
+        defects.append(f"{key}: the weights sum to 0")
+    if item.split and item.split[0]["pool"] != item.pool:
+        defects.append(f"{key}: pool is not the split's first")
 
 
 def unflatten(items):
     """Turn items back into a document.
 
     >>> unflatten({"pools/desk": {"cap": 3}})
-    {'pools': {'desk': {'cap': 3}}, 'routes': {}, 'terms': {}}
+    {'pools': {'desk': {'cap': 3}}, 'routes': {}, 'terms': {}, 'limits': {}, 'marks': {}}
     """
     doc = {kind: {} for kind in KINDS}
     for key in sorted(items):
@@ -250,33 +357,46 @@
             uses = {key, f"terms/{item.get('terms', 'default')}"}
             uses |= {f"terms/{t}" for t in item.get("requesters", {}).values()}
             if uses & touched:
-                pools.add(item["pool"])
+                pools |= {s["pool"] for s in item.get("split", [])} | {item["pool"]}
     gone = {k[6:] for k, v in changes if v is None and k.startswith("pools/")}
     out["pools"] = sorted(pools)
     out["closes_sessions_of"] = sorted(gone)
     return out
 
 
+def bare(item):
+    """An item as nodes get it: without the operator's label.
+
+    >>> bare({"cap": 3, "label": {"team": "night"}})
+    {'cap': 3}
+    """
+    return {k: v for k, v in item.items() if k != "label"} if "label" in item else item
+
+
 def carve(items, zone, pools=()):
-    """The slice that a node in a zone needs: its routes, their pools and terms.
+    """The slice that a node in a zone needs: its routes, their pools and terms, the limits.
 
     >>> carve({"routes/a": {"path": "/", "pool": "p", "zones": ["north"]}, "pools/p": {}}, "south")
     {}
+    >>> carve({"pools/p": {"label": {"a": 1}}, "limits/door": {}, "marks/operator": {}}, "south", ["p"])
+    {'limits/door': {}, 'pools/p': {}}
     """
     out = {}
+    needed = {f"pools/{p}" for p in pools} | {"limits/door"}
     for key, item in items.items():
         if not key.startswith("routes/"):
             continue
-        zones = item.get("zones", [])
+        zones = item.get("zones")
         if zones and zone not in zones:
             continue
-        names = [f"pools/{item['pool']}", f"terms/{item.get('terms', 'default')}"]
-        names += [f"terms/{t}" for t in item.get("requesters", {}).values()]
-        out[key] = item
-        for name in names:
-            if name in items:
-                out[name] = items[name]
-    for pool in pools:
-        if f"pools/{pool}" in items:
-            out[f"pools/{pool}"] = items[f"pools/{pool}"]
+        out[key] = bare(item)
+        needed.add(f"pools/{item['pool']}")
+        needed.add(f"terms/{item.get('terms', 'default')}")
+        if "split" in item:
+            needed.update(f"pools/{s['pool']}" for s in item["split"])
+        if "requesters" in item:
+            needed.update(f"terms/{t}" for t in item["requesters"].values())
+    for name in sorted(needed):
+        if name in items:
+            out[name] = bare(items[name])
     return out
--- a/iriswheel/chain.py
+++ b/iriswheel/chain.py
@@ -7,6 +7,7 @@
 import msgspec
 import twisted.internet.defer as defer
 
+import iriswheel.blueprint as blueprint
 import iriswheel.machine as machine
 import iriswheel.message as message
 import iriswheel.store as store
@@ -37,6 +38,8 @@
 class Ledger(typing.NamedTuple):
     """The state after entry n. Ledgers share what they have in common.
 
+    `fed` is `items` as nodes may have them: without the operator's labels.
+
     >>> one = Ledger().apply(message.Entry(1, 1, "plan", "0-a", 0, [("pools/p", {})]))
     >>> two = one.apply(message.Entry(2, 1, "confirm", "0-a"))
     >>> two.stamp, dict(two.items), two.plans["0-a"].stamp
@@ -48,6 +51,7 @@
     stamp: int = 0
     items: immutables.Map = immutables.Map()
     plans: immutables.Map = immutables.Map()
+    fed: immutables.Map = immutables.Map()
 
     def apply(self, e):
         """The state after one more entry.
@@ -61,15 +65,24 @@
                 return self._replace(n=e.n, made=e.made, plans=plans)
             case message.Entry(kind="confirm"):
                 plan = self.plans[e.plan]
-                with self.items.mutate() as items:
-                    for key, val in plan.changes:
-                        if val is None:
-                            items.pop(key, None)
-                        else:
-                            items[key] = val
-                    done = items.finish()
                 plans = forget(self.plans.set(e.plan, plan._replace(changes=[], stamp=e.n, n=e.n, size=0)))
-                return self._replace(n=e.n, made=e.made, stamp=e.n, items=done, plans=plans)
+                return self._replace(n=e.n, made=e.made, stamp=e.n, plans=plans).change(plan.changes)
+
+    def change(self, changes):
+        """The state with some items changed; None removes.
+
+        >>> Ledger().change([("pools/p", {"label": {"a": 1}})]).fed["pools/p"]
+        {}
+        """
+        with self.items.mutate() as items, self.fed.mutate() as fed:
+            for key, val in changes:
+                if val is None:
+                    items.pop(key, None)
+                    fed.pop(key, None)
+                else:
+                    items[key] = val
+                    fed[key] = blueprint.bare(val)
+            return self._replace(items=items.finish(), fed=fed.finish())
 
     def freeze(self):
         """The state as bytes.
@@ -89,7 +102,8 @@
         """
         n, made, stamp, items, plans = msgspec.msgpack.decode(raw)
         plans = immutables.Map({k: Plan(*p) for k, p in plans})
-        return cls(n, made, stamp, immutables.Map(items), plans)
+        fed = immutables.Map({k: blueprint.bare(v) for k, v in items.items()})
+        return cls(n, made, stamp, immutables.Map(items), plans, fed)
 
 
 def forget(plans):
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -37,7 +37,7 @@
         self.n = self.place = join.place  # what was sent, and what the node has taken
         link.post = self
         old = core.chain.history.get(join.place)
-        self.sent = None if old is None else blueprint.carve(old.items, self.member.zone)
+        self.sent = None if old is None else core.slices.slice(old, self.member.zone, ())
         self.roster = join.roster.stamp if join.roster is not None else (0, 0)
         self.told = 0
         self.sliced = None  # the state and roster that the last slice was cut from
@@ -51,7 +51,7 @@
         latest = self.core.issuer.latest
         duties = latest.duties if latest is not None else []
         pools = [d.key[5:] for d in duties if d.holder == self.member.id and d.key.startswith("pool/")]
-        return blueprint.carve(self.core.chain.base.items, self.member.zone, pools)
+        return self.core.slices.slice(self.core.chain.base, self.member.zone, tuple(pools))
 
     def flush(self):
         """Send what is new to this node.
@@ -67,7 +67,7 @@
             if self.sent is None:
                 self.link.tell(message.Frame(base.n, now))
             else:
-                delta = dict(blueprint.differ(self.sent, now))
+                delta = self.core.slices.delta(self.sent, now)
                 if delta or base.n > self.n:
                     self.link.tell(message.Change(base.n, delta))
             self.sent, self.n = now, base.n
@@ -96,6 +96,50 @@
             self.core.report_now.wake()
 
 
+class Slices:
+    """Slices and their differences, kept so that many nodes of a zone cost one carving.
+
+    >>> one, two = [chain.Ledger(n).change([("limits/door", {"head_us": n})]) for n in (1, 2)]
+    >>> slices = Slices()
+    >>> a, b = slices.slice(one, "north", ()), slices.slice(two, "north", ())
+    >>> slices.slice(one, "north", ()) is a, slices.delta(a, b)
+    (True, {'limits/door': {'head_us': 2}})
+    """
+
+    ROOM = 256
+
+    def __init__(self):
+        self.slices = {}
+        self.deltas = {}
+
+    def _keep(self, kept, key, val):
+        if len(kept) >= self.ROOM:
+            del kept[next(iter(kept))]
+        kept[key] = val
+        return val
+
+    def slice(self, ledger, zone, pools):
+        """What a node in a zone with these pools' duties needs of a state.
+
+        Example: `slices.slice(chain.base, "north", ("desk",))`
+        """
+        key = (ledger.n, ledger.made, zone, pools)
+        return self.slices.get(key) or self._keep(self.slices, key, blueprint.carve(ledger.fed, zone, pools))
+
+    def delta(self, old, new):
+        """The changes from one slice to another, as a map; None removes.
+
+        Example: `slices.delta(sent, now)`
+        """
+        if old is new:
+            return {}
+        key = (id(old), id(new))
+        kept = self.deltas.get(key)  # with the slices themselves, so that their ids stay theirs
+        if kept is None:
+            kept = self._keep(self.deltas, key, (old, new, dict(blueprint.differ(old, new))))
+        return kept[2]
+
+
 def freeze_shelf(shelf, now):
     """A shelf's sessions as bytes, with the time.
 
@@ -145,6 +189,8 @@
         self.chain.on_commit = self.wake_posts
         self.issuer = roster.Issuer(mach, self.council, self.pools)
         self.posts = {}
+        self.slices = Slices()
+        self.named = (-1, [])  # the pools that have wardens, and the state they were read from
         self.beaten = (0, 0)  # when the tail's last beat came, and its view
         self.beat_now = machine.Signal()
         self.listing = None
@@ -181,11 +227,16 @@
     # ---- state -----------------------------------------------------------------
 
     def pools(self):
-        """The names of the pools that stand.
+        """The names of the pools that stand and elect at a warden.
 
         Example: `core.pools()`
         """
-        return sorted(k[6:] for k in self.chain.base.items if k.startswith("pools/"))
+        base = self.chain.base
+        if self.named[0] != base.n:
+            self.named = (base.n, sorted(
+                k[6:] for k, v in base.items.items()
+                if k.startswith("pools/") and v.get("election", "warden") == "warden"))
+        return self.named[1]
 
     def seats(self):
         """The core machines as far as they are known.
--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -27,6 +27,23 @@
 log = loguru.logger.bind(part="follow")
 
 
+def above(path, longest):
+    """The paths of routes that would cover a path, the longest first.
+
+    >>> list(above("/v1/chat", 99)), list(above("/v1/chat", 4))
+    (['/v1/chat', '/v1/', '/v1', '/'], ['/v1/', '/v1', '/'])
+    """
+    if len(path) <= longest:
+        yield path
+    k = min(len(path) - 1, longest)
+    while (k := path.rfind("/", 0, k + 1)) >= 0:
+        if k + 1 < len(path) and k + 1 <= longest:
+            yield path[:k + 1]
+        if k:
+            yield path[:k]
+        k -= 1
+
+
 class Follower:
     """Keeps the node's session with the core, and what came through it.
 
@@ -43,6 +60,9 @@
         self.routes = {}
         self.pools = {}
         self.terms = {}
+        self.limits = blueprint.Limits()
+        self.index = {}  # (host, path) -> names of the routes there
+        self.longest = 0  # the longest path of a route
         self.roster = message.Roster((0, 0), [], [], [], [])
         self.workers = []
         self.states = {}  # worker -> message.Worker
@@ -181,22 +201,58 @@
         """
         if n < self.place or (self.items is None and not whole):
             return
-        had = {} if whole or self.items is None else self.items
-        now = {k: v for k, v in {**had, **items}.items() if v is not None}
-        self.items, self.place = now, n
-        self.routes, self.pools, self.terms = {}, {}, {}
-        for key, val in now.items():
-            kind, name = key.split("/", 1)
+        had = self.items or {}
+        changes = blueprint.differ(had, items) if whole else items.items()
+        parsed = [(*key.split("/", 1), None if val is None else blueprint.KINDS[key.split("/", 1)[0]].from_dict(val))
+                  for key, val in changes if key.split("/", 1)[0] in blueprint.KINDS]
+        self.items = dict(items) if whole else {k: v for k, v in {**had, **items}.items() if v is not None}
+        self.place = n
+        for kind, name, item in parsed:
             match kind:
                 case "routes":
-                    self.routes[name] = blueprint.Route.from_dict(val)
-                case "pools":
-                    self.pools[name] = blueprint.Pool.from_dict(val)
-                case "terms":
-                    self.terms[name] = blueprint.Terms.from_dict(val)
+                    self.put_route(name, item)
+                case "pools" | "terms":
+                    kept = self.pools if kind == "pools" else self.terms
+                    if item is None:
+                        kept.pop(name, None)
+                    else:
+                        kept[name] = item
+                case "limits":
+                    self.limits = item or blueprint.Limits()
         self.tell_core(message.Alive(self.place, self.roster.stamp))
         self.node.on_news()
 
+    def put_route(self, name, route):
+        """Put a route into the index, or take it out with None.
+
+        Example: `fol.put_route("clerk", blueprint.Route("/v1", "desk"))`
+        """
+        old = self.routes.pop(name, None)
+        if old is not None:
+            key = (old.host.lower(), old.path)
+            self.index[key].remove(name)
+            if not self.index[key]:
+                del self.index[key]
+        if route is not None:
+            self.routes[name] = route
+            self.index.setdefault((route.host.lower(), route.path), []).append(name)
+            self.longest = max(self.longest, len(route.path))
+
+    def find(self, host, path):
+        """The route for a host and a path, or None: the longest path that covers it.
+
+        A route for that host goes before those for any, one for some zones before one for all.
+
+        Example: `fol.find("desk.example", "/v1/complete").pool`
+        """
+        host = host.lower()
+        for h in dict.fromkeys((host, host.partition(":")[0], "")):
+            for p in above(path, self.longest):
+                names = self.index.get((h, p))
+                if names:
+                    return max((self.routes[i] for i in names), key=lambda r: bool(r.zones))
+        return None
+
     def take_roster(self, r):
         """Take a roster, unless a newer one is here.
 
--- /dev/null
+++ b/tests/test_blueprint.py
@@ -0,0 +1,105 @@
+"""Blueprint items, the slices of nodes, and a node's look-up of routes."""
+
+import random
+import types
+
+import testtools
+import twisted.internet.task as task
+
+import iriswheel.blueprint as blueprint
+import iriswheel.chain as chain
+import iriswheel.core as core
+import iriswheel.door as door
+import iriswheel.follower as follower
+import iriswheel.machine as machine
+import iriswheel.options as options
+
+
+def a_follower():
+    """A follower whose node only counts news."""
+    mach = machine.Machine(task.Clock(), now=lambda: 0, seed=1)
+    return follower.Follower(types.SimpleNamespace(mach=mach, on_news=lambda: None), options.Options("node"))
+
+
+def longest(routes, host, path):
+    """The look-up as it is meant, over all routes."""
+    for h in (host, ""):
+        fits = [r for r in routes.values() if r.host == h and door.covers(r.path, path)]
+        if fits:
+            return max(fits, key=lambda r: (len(r.path), bool(r.zones)))
+    return None
+
+
+class Items(testtools.TestCase):
+    def defects(self, routes, pools=("p", "q"), **more):
+        doc = {"routes": routes, "pools": {p: {} for p in pools}, "terms": {"default": {}}, **more}
+        try:
+            blueprint.flatten(doc)
+        except blueprint.BadBlueprint as e:
+            return e.defects
+        return []
+
+    def test_what_is_wrong_is_named(self):
+        route = {"path": "/a", "pool": "p"}
+        self.assertEqual([], self.defects({"r": route, "s": {**route, "host": "h"}}))
+        self.assertEqual(["routes/s: same host, path and zone as routes/r"], self.defects(
+            {"r": {**route, "host": "h"}, "s": {**route, "host": "H"}}))
+        for split, why in (
+                ([{"pool": "p", "weight": 0}, {"pool": "q", "weight": 0}], "the weights sum to 0"),
+                ([{"pool": "p", "weight": -1}], "split wants pools and weights"),
+                ([{"pool": "p", "weight": True}], "split wants pools and weights"),
+                ([{"pool": "q", "weight": 1}], "pool is not the split's first"),
+                ([{"pool": "p", "weight": 1}, {"pool": "x", "weight": 1}], "no pool 'x'")):
+            self.assertEqual([f"routes/r: {why}"], self.defects({"r": {**route, "split": split}}))
+        self.assertEqual(["routes/r: repeat is none of asked, may, never"], self.defects({"r": {**route, "repeat": "x"}}))
+        self.assertEqual(["marks/other: bad name"], self.defects({}, marks={"other": {}}))
+        self.assertEqual(["limits/door: idle_us must be above 0"], self.defects({}, limits={"door": {"idle_us": 0}}))
+
+    def test_a_slice_has_all_that_its_routes_use_and_no_label(self):
+        ledger = chain.Ledger().change([
+            ("routes/r", {"path": "/", "pool": "p", "split": [{"pool": "p", "weight": 1}, {"pool": "q", "weight": 1}],
+                          "label": {"a": 1}}),
+            ("pools/p", {"label": {"b": 2}}), ("pools/q", {}), ("pools/other", {}), ("terms/default", {}),
+            ("limits/door", {"label": {}}), ("marks/operator", {"number": 4})])
+        cut = core.Slices().slice(chain.Ledger.thaw(ledger.freeze()), "north", ())
+        self.assertEqual({"routes/r", "pools/p", "pools/q", "terms/default", "limits/door"}, set(cut))
+        self.assertNotIn("label", str(cut))
+        self.assertEqual({"a": 1}, ledger.items["routes/r"]["label"])
+
+
+class Lookup(testtools.TestCase):
+    def test_find_agrees_with_a_look_at_all_routes(self):
+        rng = random.Random(7)
+        part = lambda: "/" + "/".join(rng.choices(["a", "b", "ab"], k=rng.randrange(4))) + rng.choice(["", "/"])  # noqa: E731
+        fol, items = a_follower(), {}
+        for n in range(1, 200):
+            change = {}
+            for _ in range(rng.randrange(3)):
+                host, path = rng.choice(["", "x", "y"]), part().replace("//", "/")
+                change[f"routes/{host}-{path}"] = rng.choice(
+                    [None, {"path": path, "pool": "p", "host": host, "urgency": rng.randrange(9)}])
+            items = {k: v for k, v in {**items, **change}.items() if v is not None}
+            whole = rng.random() < 0.1 or n == 1
+            fol.take_items(n, items if whole else change, whole)
+            self.assertEqual({k[7:]: blueprint.Route.from_dict(v) for k, v in items.items()}, fol.routes)
+            for _ in range(20):
+                host, path = rng.choice(["x", "z"]), part()
+                self.assertEqual(longest(fol.routes, host, path), fol.find(host, path), (host, path))
+
+    def test_host_by_any_case_and_port(self):
+        fol = a_follower()
+        fol.take_items(1, {"routes/r": {"path": "/", "pool": "p", "host": "Desk.example"}}, True)
+        self.assertEqual("p", fol.find("desk.EXAMPLE:8080", "/x").pool)
+        self.assertIsNone(fol.find("other", "/x"))
+
+    def test_only_what_changed_is_parsed(self):
+        fol = a_follower()
+        items = {f"routes/r{k}": {"path": f"/{k}", "pool": "p"} for k in range(50)}
+        fol.take_items(1, items, True)
+        had = dict(fol.routes)
+        fol.take_items(2, {"routes/r7": {"path": "/7", "pool": "q"}, "limits/door": {"head_us": 5}}, False)
+        self.assertEqual(["r7"], [k for k in had if fol.routes[k] is not had[k]])
+        self.assertEqual(5, fol.limits.head_us)
+        fol.take_items(3, items, True)
+        self.assertEqual(["r7"], [k for k in had if fol.routes[k] is not had[k]])
+        self.assertEqual(blueprint.Limits(), fol.limits)
