--- a/iriswheel/command.py
+++ b/iriswheel/command.py
@@ -70,8 +70,8 @@
     return reactor
 
 
-def run(reactor, o, stop):
-    """Run the reactor until a signal; SIGTERM and SIGINT stop it in good order.
+def run(reactor, o, stop, again=lambda: None):
+    """Run the reactor until a signal; SIGTERM and SIGINT stop it in good order, SIGHUP has the options read again.
 
     Example: `run(reactor, o, node.stop)`
     """
@@ -82,23 +82,75 @@
             stopping.append(True)
             reactor.callFromThread(lambda: defer.ensureDeferred(stop()).addBoth(lambda _: reactor.stop()))
 
+    def on_hangup(*_):
+        reactor.callFromThread(again)
+
     reactor.callWhenRunning(lambda: [signal.signal(s, on_signal) for s in (signal.SIGTERM, signal.SIGINT)])
-    log.info("{} {} listens on {}:{}, HTTP on {}.", o.role, o.name, o.host, o.port, o.http_port)
+    reactor.callWhenRunning(lambda: signal.signal(signal.SIGHUP, on_hangup))
+    log.info("{} {} listens on {}:{}, HTTP on {}:{}.", o.role, o.name, o.host, o.port, *o.front_address())
     reactor.run(installSignalHandlers=False)
 
 
-def bind(reactor, o, peers, http):
-    """Bind both ports; the options then hold the real ones.
+def bind(reactor, o, peers, http, ready=None):
+    """Bind the ports; the options then hold the real ones.
 
     Example: `bind(reactor, o, listener, server)`
     """
     try:
         o.port = reactor.listenTCP(o.port, peers, interface=o.host, backlog=512).getHost().port
-        o.http_port = reactor.listenTCP(o.http_port, http, interface=o.host, backlog=1024).getHost().port
+        host, port = o.front_address()
+        got = reactor.listenTCP(port, http, interface=host, backlog=1024).getHost().port
+        if not o.front:
+            o.http_port = got
+        if o.ready and ready is not None:
+            host, port = options_reader.address(o.ready)
+            reactor.listenTCP(port, ready, interface=host, backlog=128)
     except error.CannotListenError as e:
         fail(NO_START, [f"The port can't be had: {e}"])
 
 
+def run_core(o, path, reread, door=lambda proc: proc.handle):
+    """Run a core machine with these options; reread() reads them again from the file at path.
+
+    Example: `run_core(o, "core.toml", lambda: options.read("core", "core.toml", {}))`
+    """
+    set_logs(o.log_level)
+    reactor = the_reactor()
+    disk = store.Disk(o.data, reactor)
+    try:
+        disk.open()
+        mach = machine.Machine(reactor)
+        proc = core_process.Core(mach, disk, o)
+    except store.DiskDefect as e:
+        fail(NO_START, [str(e)])
+    bind(reactor, o, wire.Listener(mach, proc.serve, log), web.Server(mach, door(proc), room=o.connections))
+    proc.start()
+    watch = options_reader.Watch(mach, path, reread, proc.renew)
+    mach.spawn(watch.run(), log)
+    run(reactor, o, proc.stop, watch.again)
+    disk.close()
+
+
+def run_node(o, path, reread, ready=None, **parts):
+    """Run a light node with these options; reread() reads them again from the file at path.
+
+    `ready(proc)` makes the handler of the address at which only readiness is told.
+
+    Example: `run_node(o, "node.toml", lambda: options.read("node", "node.toml", {}))`
+    """
+    set_logs(o.log_level)
+    reactor = the_reactor()
+    mach = machine.Machine(reactor)
+    proc = node_process.Node(mach, o, **parts)
+    handle = proc.door.handle if ready is None else ready(proc)
+    bind(reactor, o, wire.Listener(mach, proc.serve, log), web.Server(mach, proc.door.handle, room=o.connections),
+         web.Server(mach, handle, room=64))
+    proc.start(o.port, o.front_address()[1])
+    watch = options_reader.Watch(mach, path, reread, proc.renew)
+    mach.spawn(watch.run(), log)
+    run(reactor, o, proc.stop, watch.again)
+
+
 def core(
     *,
     options: str = "",
@@ -127,20 +179,7 @@
     """
     flags = dict(name=name, host=host, port=port, http_port=http_port, zone=zone, seeds=seeds, data=data,
                  log_level=log_level)
-    o = settle("core", options, flags)
-    set_logs(o.log_level)
-    reactor = the_reactor()
-    disk = store.Disk(o.data, reactor)
-    try:
-        disk.open()
-        mach = machine.Machine(reactor)
-        proc = core_process.Core(mach, disk, o)
-    except store.DiskDefect as e:
-        fail(NO_START, [str(e)])
-    bind(reactor, o, wire.Listener(mach, proc.serve, log), web.Server(mach, proc.handle))
-    proc.start()
-    run(reactor, o, proc.stop)
-    disk.close()
+    run_core(settle("core", options, flags), options, lambda: options_reader.read("core", options, flags))
 
 
 def node(
@@ -171,14 +210,7 @@
     """
     flags = dict(name=name, host=host, port=port, http_port=http_port, zone=zone, seeds=seeds, platform=platform,
                  log_level=log_level)
-    o = settle("node", options, flags)
-    set_logs(o.log_level)
-    reactor = the_reactor()
-    mach = machine.Machine(reactor)
-    proc = node_process.Node(mach, o)
-    bind(reactor, o, wire.Listener(mach, proc.serve, log), web.Server(mach, proc.door.handle))
-    proc.start(o.port, o.http_port)
-    run(reactor, o, proc.stop)
+    run_node(settle("node", options, flags), options, lambda: options_reader.read("node", options, flags))
 
 
 async def ask(mach, cores, method, path, doc=None):
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -183,7 +183,8 @@
         self.neighbours = wire.Neighbours(mach, self.serve, log)
         self.chain = chain.Chain(mach, self.disk, state, self.neighbours)
         self.council = view.Council(
-            mach, self.disk, record, me, options.seed_list(), self.neighbours, self.installed)
+            mach, self.disk, record, me, options.seed_list() if options.found else [], self.neighbours, self.installed)
+        self.council.learn_seeds(options.seed_list())
         self.chain.council = self.council
         self.council.tip = lambda: (self.chain.tip.made, self.chain.tip.n)
         self.chain.on_commit = self.wake_posts
@@ -224,6 +225,14 @@
         else:
             log.info("Core {} starts blank.", self.council.me.id)
 
+    def renew(self, options):
+        """Take in options that were read again: further seeds.
+
+        Example: `core.renew(options.read("core", path, {}))`
+        """
+        self.council.learn_seeds(options.seed_list())
+        log.info("The options were read again.")
+
     # ---- state -----------------------------------------------------------------
 
     def pools(self):
--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -332,9 +332,16 @@
 
         Example: `fol.learn_seeds(roster.cores)`
         """
-        for s in cores:
-            if (s.host, s.port) not in self.seeds:
-                self.seeds.append((s.host, s.port))
+        self.learn_places((s.host, s.port) for s in cores)
+
+    def learn_places(self, places):
+        """Remember further addresses of core machines.
+
+        Example: `fol.learn_places([("127.0.0.1", 7001)])`
+        """
+        for p in places:
+            if p not in self.seeds:
+                self.seeds.append(p)
 
     async def follow(self):
         """Keep a session with some core machine; one task.
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -59,6 +59,15 @@
             self.mach.spawn(coro, log)
         log.info("Node {} starts in zone {}.", self.me.id, o.zone)
 
+    def renew(self, options):
+        """Take in options that were read again: seeds, and where the platform is.
+
+        Example: `node.renew(options.read("node", path, {}))`
+        """
+        self.options.platform = options.platform
+        self.follower.learn_places(options.seed_list())
+        log.info("The options were read again.")
+
     # ---- state ---------------------------------------------------------------------
 
     def ready(self):
--- a/iriswheel/options.py
+++ b/iriswheel/options.py
@@ -2,8 +2,15 @@
 
 import dataclasses
 import ipaddress
+import os
 import tomllib
 
+import loguru
+
+WATCH_US = 2_000_000
+
+log = loguru.logger.bind(part="options")
+
 
 class BadOptions(ValueError):
     """All mistakes in the options, by name.
@@ -36,6 +43,13 @@
 class Options:
     """The options of a process.
 
+    `front` is where HTTP is served where that isn't host:http_port, `ready` a further place
+    at which a node tells only whether it is ready. `grace_us` is the time from a signal to
+    the process's end. `copies` synced copies are kept of a change before it is answered, on
+    `seats` core machines once so many are there; only with `found` may a blank core make a
+    new fleet. With `serve_on` a node that lost the core goes on by what it has. The
+    platform takes `call_rate` calls a second from all nodes together.
+
     >>> o = Options(role="node", name="n1", host="127.0.0.1", zone="north",
     ...             seeds=["127.0.0.1:7001"], platform="127.0.0.1:9000")
     >>> o.check() or o.seed_list()
@@ -52,6 +66,28 @@
     platform: str = ""
     data: str = ""
     log_level: str = "INFO"
+    front: str = ""
+    ready: str = ""
+    grace_us: int = 30_000_000
+    connections: int = 2048
+    copies: int = 2
+    seats: int = 3
+    found: bool = True
+    serve_on: bool = False
+    call_rate: float = 40.0
+    drain_us: int = 0  # of a worker, where the platform's list doesn't say
+    hold_us: int = 0  # how long a gone worker's address is kept from another pool's use
+    retry_ratio: float = 0.2
+    retry_window_us: int = 10_000_000
+    retry_slack: int = 0
+
+    def front_address(self):
+        """Where HTTP is served, as a pair.
+
+        >>> Options("node", host="127.0.0.1", http_port=8101).front_address()
+        ('127.0.0.1', 8101)
+        """
+        return address(self.front) if self.front else (self.host, self.http_port)
 
     def seed_list(self):
         """The seeds as pairs.
@@ -80,6 +116,9 @@
         bad = []
         for f in dataclasses.fields(self):
             val, want = getattr(self, f.name), f.type
+            if want is float and type(val) is int:
+                val = float(val)
+                setattr(self, f.name, val)
             if type(val) is not want:
                 bad.append(f"{f.name}: wants {want.__name__}, not {type(val).__name__}")
         if bad:
@@ -103,6 +142,17 @@
             self._address("seeds", s, bad)
         if self.role == "node":
             self._address("platform", self.platform, bad)
+        for n in ("front", "ready"):
+            if getattr(self, n):
+                self._address(n, getattr(self, n), bad)
+        for n in ("grace_us", "connections", "copies", "seats", "call_rate", "retry_window_us"):
+            if getattr(self, n) <= 0:
+                bad.append(f"{n}: must be above 0")
+        for n in ("drain_us", "hold_us", "retry_ratio", "retry_slack"):
+            if getattr(self, n) < 0:
+                bad.append(f"{n}: must not be below 0")
+        if self.copies > self.seats:
+            bad.append("copies: is above seats")
         if self.log_level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
             bad.append(f"log_level: {self.log_level!r} is none of DEBUG, INFO, WARNING, ERROR")
         if bad:
@@ -142,3 +192,52 @@
     if unknown:
         raise BadOptions(unknown)
     return out
+
+
+class Watch:
+    """Reads a process's options again when their file has changed, or when told to.
+
+    Example: `watch = Watch(mach, path, lambda: read("node", path, {}), node.renew)`; `mach.spawn(watch.run())`.
+    """
+
+    def __init__(self, mach, path, reread, renew):
+        self.mach = mach
+        self.path = path
+        self.reread = reread
+        self.renew = renew
+        self.seen = self.stamp()
+
+    def stamp(self):
+        """What tells one state of the file from another.
+
+        Example: `watch.stamp()`
+        """
+        try:
+            s = os.stat(self.path)
+            return s.st_mtime_ns, s.st_size, s.st_ino
+        except OSError:
+            return None
+
+    def again(self):
+        """Read the options now; what can't be read leaves the old ones.
+
+        Example: `watch.again()`
+        """
+        self.seen = self.stamp()
+        try:
+            o = self.reread()
+        except BadOptions as e:
+            log.warning("The options can't be read again: {}", e)
+            return
+        self.renew(o)
+
+    async def run(self):
+        """Look at the file now and then.
+
+        Example: `mach.spawn(watch.run())`
+        """
+        while True:
+            await self.mach.sleep(WATCH_US)
+            now = self.stamp()
+            if now is not None and now != self.seen:
+                self.again()
--- a/iriswheel/view.py
+++ b/iriswheel/view.py
@@ -93,7 +93,8 @@
         self.disk = disk  # store.Guard
         self.record = record
         self.me = me  # message.Seat
-        self.seeds = seeds  # [(host, port)]
+        self.founders = list(seeds)  # [(host, port)]; the first may found the fleet
+        self.seeds = list(seeds)  # and where else core machines are looked for
         self.neighbours = neighbours
         self.on_view = on_view
         self.tip = lambda: (0, 0)  # the newest entry here: the view it was made in, its number
@@ -338,6 +339,13 @@
                 pass
             await self.mach.sleep(PULSE_US)
 
+    def learn_seeds(self, seeds):
+        """Look for core machines at further addresses; nobody founds a fleet by them.
+
+        Example: `council.learn_seeds([("127.0.0.1", 7004)])`
+        """
+        self.seeds += [s for s in seeds if s not in self.seeds]
+
     def addresses(self):
         """All addresses at which core machines are looked for, but this one's.
 
@@ -411,11 +419,11 @@
         now = self.mach.now()
         fresh = {k for k, heard in self.blank.items() if now - heard < DEAD_US}
         mine = (self.me.host, self.me.port)
-        if not self.seeds or self.seeds[0] != mine or not set(self.seeds) <= fresh | {mine}:
+        if not self.founders or self.founders[0] != mine or not set(self.founders) <= fresh | {mine}:
             return
         by_addr = {(p.host, p.port): p for heard, p in self.pulses.values() if now - heard < DEAD_US}
         by_addr[mine] = self.pulse()
-        ps = [by_addr[k] for k in self.seeds]
+        ps = [by_addr[k] for k in self.founders]
         seats = [message.Seat(p.id, p.host, p.port, p.zone) for p in ps]
         await self.adopt(message.View(1, seats, [message.ChainLink(p.id, p.boot) for p in ps]))
 
