--- a/bench/town.py
+++ b/bench/town.py
@@ -475,6 +475,29 @@
                 await self.mach.sleep(300 * machine.MILLI)
         return 0
 
+    async def number(self, number, built_on, what, tries=60, patience_us=S):
+        """Have a numbered change taken as the users' operators do: by 5xx or silence on to another core.
+
+        Returns the last status: 200, a 4xx that ended the call, or 0 where it never got clear.
+
+        Example: `status = await operator.number(9, 7, {"remove": {"routes": ["old"]}})`
+        """
+        doc = {"number": number, "built_on": built_on, **what}
+        places = [f"{self.town.options[c][0]}:{HTTP}" for c in self.town.cores]
+        self.mach.rng.shuffle(places)
+        for k in range(tries):
+            try:
+                status, _ = await self.mach.within(defer.ensureDeferred(command.ask(
+                    self.mach, [places[k % len(places)]], "POST", "/changes", doc)), patience_us)
+            except Exception:
+                status = 504
+            if status < 500:
+                self.town.tape.put(self.mach.now(), "numbered", number=number, built_on=built_on, status=status,
+                                   who=self.name)
+                return status
+            await self.mach.sleep(100 * machine.MILLI)
+        return 0
+
     async def read(self, tries=60):
         """Read the blueprint back.
 
--- a/iriswheel/blueprint.py
+++ b/iriswheel/blueprint.py
@@ -324,6 +324,45 @@
         raise BadBlueprint([f"The patch does not apply: {e}"])
 
 
+def amend(doc, upsert, remove):
+    """A document with items put in or replaced, and others removed, both by kind and name.
+
+    >>> amend({"pools": {"a": {}, "b": {}}}, {"pools": {"c": {"cap": 3}}}, {"pools": ["a"]})
+    {'pools': {'b': {}, 'c': {'cap': 3}}}
+    """
+    if not isinstance(upsert, dict) or not all(isinstance(v, dict) for v in upsert.values()):
+        raise BadBlueprint(["upsert: wants items by kind and name"])
+    if not isinstance(remove, dict) or not all(
+            isinstance(v, list) and all(isinstance(n, str) for n in v) for v in remove.values()):
+        raise BadBlueprint(["remove: wants lists of names by kind"])
+    out = {kind: dict(part) for kind, part in doc.items()}
+    for kind, names in remove.items():
+        for name in names:
+            out.get(kind, {}).pop(name, None)
+    for kind, part in upsert.items():
+        out.setdefault(kind, {}).update(part)
+    return out
+
+
+def number(items):
+    """The operator's own number of the blueprint; 0 where there is none yet.
+
+    >>> number({"marks/operator": {"number": 7}}), number({})
+    (7, 0)
+    """
+    return items.get("marks/operator", {}).get("number", 0)
+
+
+def change_id(number, built_on, content):
+    """The id of a change: the same content under the same number on the same one, the same id.
+
+    >>> change_id(7, 5, {"remove": {}})
+    'c5-7-2f63a8da44f9e5d5'
+    """
+    raw = json.dumps(content, sort_keys=True).encode()
+    return f"c{built_on}-{number}-{hashlib.sha256(raw).hexdigest()[:16]}"
+
+
 def plan_id(base, changes):
     """The id of a plan names its base: the same changes on the same base, the same id.
 
--- a/iriswheel/chain.py
+++ b/iriswheel/chain.py
@@ -67,6 +67,9 @@
                 plan = self.plans[e.plan]
                 plans = forget(self.plans.set(e.plan, plan._replace(changes=[], stamp=e.n, n=e.n, size=0)))
                 return self._replace(n=e.n, made=e.made, stamp=e.n, plans=plans).change(plan.changes)
+            case message.Entry(kind="apply"):
+                plans = forget(self.plans.set(e.plan, Plan(e.n, e.base, [], e.n)))
+                return self._replace(n=e.n, made=e.made, stamp=e.n, plans=plans).change(e.changes)
 
     def change(self, changes):
         """The state with some items changed; None removes.
@@ -149,7 +152,7 @@
             if e.n > self.tip.n:
                 self.tip = self.tip.apply(e)
         self.framed = self.base.n
-        self.grew = 0  # bytes of plans since the frame
+        self.grew = 0  # bytes of changes since the frame
         self.history = {self.base.n: self.base}
         self.synced = self.tip.n
         self.lock = defer.DeferredLock()
@@ -217,7 +220,7 @@
         while self.base.n < min(n, self.synced):
             e = self.log[self.base.n + 1]
             self.base = self.base.apply(e)
-            self.grew += self.base.plans[e.plan].size if e.kind == "plan" and e.plan in self.base.plans else 0
+            self.grew += len(pack(e.changes)) if e.changes else 0
             self.history[self.base.n] = self.base
         for old in [k for k in self.history if k <= self.base.n - KEEP]:
             del self.history[old]
@@ -386,6 +389,10 @@
             match m:
                 case message.Propose(kind="plan") if plan is not None:
                     n = plan.n
+                case message.Propose(kind="apply") if plan is not None and plan.stamp:
+                    n = plan.stamp
+                case message.Propose(kind="apply") if m.base != self.tip.stamp:
+                    return self.refuse("base_moved", f"The blueprint is at {self.tip.stamp}, the change's base is {m.base}.")
                 case message.Propose(kind="plan") if m.base != self.tip.stamp:
                     return self.refuse("base_moved", f"The blueprint is at {self.tip.stamp}, the plan's base is {m.base}.")
                 case message.Propose(kind="confirm") if plan is None:
@@ -414,7 +421,7 @@
             await self.committed.wait()
             if self.place(number) is None and self.base.n < n:
                 return message.Proposed("unknown_outcome", "may_have_run", "The chain changed meanwhile.")
-        return message.Proposed("", "ran", "", n if m.kind == "confirm" else m.base)
+        return message.Proposed("", "ran", "", m.base if m.kind == "plan" else n)
 
     def look(self, m):
         """Answer a read, at the tail and under its lease only.
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -18,8 +18,11 @@
 BEAT_US = 250 * machine.MILLI
 FRESH_US = 1_100 * machine.MILLI
 ANSWER_US = 3 * machine.SECOND
-FORMAT = 1  # of what stands on the disk
+FORMAT = 2  # of what stands on the disk
 FORCE_US = 3 * machine.SECOND
+CHANGE_US = 900 * machine.MILLI  # a change is answered within this, known or not
+SHOW_US = 500 * machine.MILLI  # of it, how long nodes that don't have it yet are waited for
+AGAIN_US = 30 * machine.MILLI
 
 log = loguru.logger.bind(part="core")
 
@@ -178,6 +181,8 @@
             ident = mach.rng.getrandbits(64).to_bytes(8, "big").hex().encode()
             disk.write([(b"identity", ident), (b"format", b"%d" % FORMAT)])
             state[b"identity"] = ident
+        elif int(state.get(b"format", b"0")) < FORMAT:
+            disk.write([(b"format", b"%d" % FORMAT)])
         me = message.Seat(state[b"identity"].decode(), options.host, options.port, options.zone)
         record = msgspec.msgpack.decode(state[b"council"], type=view.Record) if b"council" in state else view.Record()
         self.neighbours = wire.Neighbours(mach, self.serve, log)
@@ -206,7 +211,7 @@
         self.forced = 0  # every node has come at least this far
         self.forced_on = machine.Signal()
         self.sessions = 0  # members that have a session, as the tail counts them
-        self.counts = {"plans": 0, "confirms": 0, "refused": 0, "joins": 0, "views": 0}
+        self.counts = {"plans": 0, "confirms": 0, "changes": 0, "refused": 0, "joins": 0, "views": 0}
         self.spread = None  # the stamp of the roster last spread from here
         self.stopping = False
 
@@ -524,12 +529,15 @@
                 self.counts["confirms"] += 1
                 res = await self.confirm(ident)
                 req.answer_json(200, {"id": ident, "stamp": res.stamp, "verdict": "ran"})
+            case (b"POST", ["changes"]):
+                number, stamp = await self.take_change(req.json())
+                req.answer_json(200, {"number": number, "stamp": stamp, "verdict": "ran"})
             case (b"GET", ["state"]):
                 req.answer_json(200, self.state())
             case (b"GET", ["ready"]):
                 ok = self.serving()
                 req.answer_json(200 if ok else 503, {"ready": ok})
-            case (_, ["blueprint" | "plans" | "state" | "ready", *_]):
+            case (_, ["blueprint" | "plans" | "changes" | "state" | "ready", *_]):
                 raise verdict.Defect("bad_method", "This path does not take that method.")
             case _:
                 raise verdict.Defect("not_found", "There is no such path.")
@@ -554,7 +562,7 @@
             "counts": self.counts,
         }
 
-    async def ask_link(self, k, make):
+    async def ask_link(self, k, make, us=ANSWER_US):
         """Put a message to the chain's link k (0 the head, -1 the tail).
 
         Example: `res = await core.ask_link(-1, lambda number: message.Look(number))`
@@ -566,33 +574,48 @@
         msg = make(v.number)
         try:
             if seat.id == self.council.me.id:
-                return await self.mach.within(defer.ensureDeferred(self.chain.answer(msg)), ANSWER_US)
-            return await self.neighbours.call(seat.host, seat.port, msg, ANSWER_US)
+                return await self.mach.within(defer.ensureDeferred(self.chain.answer(msg)), us)
+            return await self.mach.within(
+                defer.ensureDeferred(self.neighbours.call(seat.host, seat.port, msg, us)), us)
         except (wire.Broken, machine.Late) as e:
             if isinstance(e, wire.Broken) and not e.sent:
                 raise verdict.Defect("no_chain", "The chain's machine can't be reached.")
             raise verdict.Defect("unknown_outcome", "No answer came in time.", verdict.Verdict.MAY_HAVE_RUN)
 
-    async def look(self, ident):
+    async def look(self, ident, us=ANSWER_US):
         """Read at the tail.
 
         Example: `seen = await core.look("")`
         """
         try:
-            seen = await self.ask_link(-1, lambda number: message.Look(number, ident))
+            seen = await self.ask_link(-1, lambda number: message.Look(number, ident), us)
         except verdict.Defect:
             raise verdict.Defect("no_chain", "The tail does not answer now.")
         if not seen.ok:
             raise verdict.Defect("no_chain", "The tail holds no lease now.")
         return seen
 
-    async def propose(self, kind, ident, base=0, changes=()):
+    async def read(self):
+        """The items that stand, read at the tail; asked for again for a moment where it has no lease.
+
+        Example: `items = await core.read()`
+        """
+        until = self.mach.now() + CHANGE_US
+        while True:
+            try:
+                return (await self.look("", max(1, until - self.mach.now()))).items
+            except verdict.Defect:
+                if self.mach.now() >= until:
+                    raise
+            await self.mach.sleep(AGAIN_US)
+
+    async def propose(self, kind, ident, base=0, changes=(), us=ANSWER_US):
         """Bring a change to the head.
 
         Example: `res = await core.propose("confirm", "3-ab")`
         """
         make = lambda number: message.Propose(number, kind, ident, base, list(changes))  # noqa: E731
-        res = await self.ask_link(0, make)
+        res = await self.ask_link(0, make, us)
         if res.code:
             self.counts["refused"] += 1
             raise verdict.Defect(res.code, res.text, verdict.Verdict(res.verdict))
@@ -617,6 +640,104 @@
             await self.mach.pause(self.forced_on, left)
         return res
 
+    async def take_change(self, doc):
+        """Take a numbered change: a whole blueprint, or items to put in and to remove.
+
+        Example: `await core.take_change({"number": 9, "built_on": 7, "remove": {"routes": ["old"]}})`
+        """
+        match doc:
+            case {"blueprint": _, "upsert": _} | {"blueprint": _, "remove": _}:
+                raise verdict.Defect("bad_request", "Send a blueprint, or items to put in and remove.", field="blueprint")
+            case {"number": int(number), "built_on": int(built_on), "blueprint": _} | {
+                    "number": int(number), "built_on": int(built_on), "upsert": _} | {
+                    "number": int(number), "built_on": int(built_on), "remove": _}:
+                pass
+            case _:
+                raise verdict.Defect("bad_request", "A change wants number, built_on, and what it changes.", field="number")
+        for name in doc:
+            if name not in ("number", "built_on", "blueprint", "upsert", "remove"):
+                raise verdict.Defect("bad_request", "Unknown field.", field=name)
+
+        def make(items):
+            whole = blueprint.unflatten(items)
+            return blueprint.flatten(doc["blueprint"] if "blueprint" in doc else blueprint.amend(
+                whole, doc.get("upsert", {}), doc.get("remove", {})))
+
+        ident = blueprint.change_id(number, built_on, doc)
+        return number, await self.change(ident, number, built_on, make)
+
+    async def change(self, ident, number, built_on, make):
+        """Bring a numbered change into force, built on the operator's number `built_on`.
+
+        make(items) gives the new items, or raises BadBlueprint. The same change (the same
+        id) said again finds itself taken, also when later ones were taken since. The head
+        compares stamps, so of two changes on one base just one is taken. "base_moved" is
+        said only after a read at the tail, under its lease, that shows another number and
+        does not know this change: numbers rise, so it can't be taken any more. Answers
+        within CHANGE_US; once it stands, it waits a little for nodes that don't have it yet.
+
+        Example: `stamp = await core.change("c5-7-0a", 7, 5, lambda items: {**items, "pools/p": {}})`
+        """
+        until = self.mach.now() + CHANGE_US
+        self.counts["changes"] += 1
+        base = self.chain.base
+        plan = base.plans.get(ident)
+        known = (base.stamp, base.items, plan.stamp if plan is not None else 0)
+        sure, maybe, why = False, False, None
+        while True:
+            left = until - self.mach.now()
+            if left <= 0:
+                break
+            try:
+                if known is None:
+                    seen = await self.look(ident, left)
+                    known, sure = (seen.stamp, seen.items, seen.plan["stamp"] if seen.plan else 0), True
+                stamp, items, done = known
+                if not done and blueprint.number(items) != built_on:
+                    if not sure:
+                        known = None
+                        continue
+                    raise verdict.Defect("base_moved", f"The blueprint is at number {blueprint.number(items)}.")
+                if not done:
+                    changes = blueprint.differ(items, self.renumber(number, built_on, make, items))
+                    done = (await self.propose("apply", ident, stamp, changes, max(0, until - self.mach.now()))).stamp
+                await self.show(done, until)
+                return done
+            except verdict.Defect as d:
+                moved = d.code == "base_moved" and not (known and sure and blueprint.number(known[1]) != built_on)
+                if not moved and d.status < 500:
+                    raise
+                maybe = maybe or d.verdict is verdict.Verdict.MAY_HAVE_RUN
+                known, why = None, d
+            await self.mach.sleep(AGAIN_US)
+        if maybe or why is None:
+            raise verdict.Defect("unknown_outcome", "Nobody can say yet whether the change stands.",
+                                 verdict.Verdict.MAY_HAVE_RUN)
+        raise verdict.Defect("no_chain", f"The change can't be taken now: {why.text}")
+
+    def renumber(self, number, built_on, make, items):
+        """The items that a change makes, under its number; raises Defect.
+
+        Example: `core.renumber(7, 5, make, items)`
+        """
+        defects = [] if number > built_on else [f"marks/operator: number {number} is not above {built_on}"]
+        try:
+            new = make(items)
+        except blueprint.BadBlueprint as e:
+            defects += e.defects
+        if defects:
+            raise verdict.Defect("bad_blueprint", "; ".join(defects[:50]), field="blueprint")
+        return {**new, "marks/operator": {**new.get("marks/operator", {}), "number": number}}
+
+    async def show(self, stamp, until):
+        """Wait a little until every member has come as far as a stamp.
+
+        Example: `await core.show(17, until)`
+        """
+        until = min(until, self.mach.now() + SHOW_US)
+        while self.forced < stamp and self.sessions and self.mach.now() < until:
+            await self.mach.pause(self.forced_on, until - self.mach.now())
+
     async def plan(self, doc):
         """Make a plan of an operator's intent: a whole blueprint, or a JSON Patch.
 
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -9,7 +9,7 @@
 import msgspec
 
 
-VERSION = 2  # of these messages; a process talks to those of its own and of the two beside it
+VERSION = 3  # of these messages; a process talks to those of its own and of the two beside it
 
 
 class Message(msgspec.Struct, tag=True, array_like=True, frozen=True):
@@ -62,7 +62,7 @@
 
     n: int
     made: int
-    kind: str  # "plan" or "confirm"
+    kind: str  # "plan", "confirm", or "apply": both in one
     plan: str
     base: int = 0
     changes: list[tuple[str, typing.Any]] = []
