Core of three or five; seats pass on at once when a machine leaves or is replaced

A stopping core says so and goes when a chain without it stands; a newcomer takes a seat silent for 1.5 s. Seats grow to the option seats; a change needs the option copies. Where the only whole link can't go on, no chain starts without it. Nodes with serve_on go on when cut off; a node's stop keeps to its grace.

--- a/bench/scenes.py
+++ b/bench/scenes.py
@@ -1169,6 +1169,93 @@
     t.go(14)
 
 
+# ---- sizes of the core, and losses with no pause between them ------------------------------------
+
+
+def blackout(t, wiped):
+    """All core machines lose power at once, some of them their disks too, and come back within a second.
+
+    Example: `blackout(t, ["c2"])`
+    """
+    names = sorted(t.cores)
+    for name in names:
+        t.fault("disk lost" if name in wiped else "power", name, True)
+        t.cores[name].proc.host.fail()
+        if name in wiped:
+            t.cores[name].proc.host.synced.clear()
+    t.go(0.3 + t.rng.random())
+    for name in names:
+        restart(t, name)
+
+
+def closing_wipe(t):
+    """Right after a change was acknowledged all core machines lose power, one of them its disk as well."""
+    for _ in range(4):
+        t.go(5)
+        edited(t, lambda doc: None)
+        blackout(t, t.rng.sample(sorted(t.cores), 1))
+        t.go(9)
+
+
+def five_cores(t):
+    """Five core machines, of which any two may be lost: kills, lost disks, a blackout right after a change."""
+    changes(t, 6, 4)
+    t.until(lambda: t.tail() is not None and len(t.tail().council.view.chain) == 5, 10)
+    t.go(4)
+    for c in t.rng.sample(sorted(t.cores), 2):
+        kill(t, t.cores[c], c, back=4)
+    t.go(14)
+    for c in t.rng.sample(sorted(t.cores), 2):
+        t.fault("disk lost", c)
+        t.cores[c].proc.host.fail()
+        t.cores[c].proc.host.synced.clear()
+        t.go(t.rng.random())
+        later(t, 2, "start", c, lambda c=c: t.start_core(c, *t.options[c]))
+    t.go(12)
+    for _ in range(2):
+        edited(t, lambda doc: None)
+        blackout(t, t.rng.sample(sorted(t.cores), 2))
+        t.go(10)
+
+
+five_cores.town = {"cores": 5, "seats": 5, "copies": 3}
+
+
+def planned_replace(t):
+    """A core machine is replaced as planned, the new one first; soon after, all lose power and one its disk."""
+    for k in (4, 5):
+        t.go(4)
+        name = t.rng.choice(sorted(t.cores))
+        c = t.cores[name]
+        t.start_core(f"c{k}", f"10.0.1.{k}", c.options.zone)
+        t.go(1 + t.rng.random() * 3)
+        t.fault("stop", name)
+        done = c.mach.spawn(c.stop(), town.log)
+        t.until(lambda: done.called, 10)
+        c.proc.kill()
+        del t.cores[name]
+        t.mend("stop", name)
+        edited(t, lambda doc: None)
+        blackout(t, t.rng.sample(sorted(t.cores), 1))
+        t.go(10)
+
+
+def seeds_turned(t):
+    """Core machines are replaced one after the other, and the seeds named anew; then all processes start again."""
+    changes(t, 8, 3)
+    for k in (4, 5, 6):
+        t.go(4)
+        replace(t, t.cores[sorted(t.cores)[0]], f"c{k}", f"10.0.1.{k}")
+        t.seeds = [f"{t.options[c][0]}:{town.PEER}" for c in sorted(t.cores)]
+        t.go(6)
+    for name in sorted(t.nodes)[:3]:
+        kill(t, t.nodes[name], name, back=0.5)
+        t.go(2)
+    for c in sorted(t.cores):
+        kill(t, t.cores[c], c, back=0.6, large=True)
+    t.go(14)
+
+
 SCENES = {f.__name__: f for f in (
     calm, kill_node, kill_warden, kill_pair, kill_core, power_after_ack, kill_many, roll_nodes, roll_cores, upgrade,
     kill_hall, kill_all_cores, kill_all,
@@ -1181,7 +1268,8 @@
     wake_without_core, freeze_many, power_steps, empty_while_down, disk_old, cut_sides, flap, cut_hall, platform_bad,
     worker_release, worker_returns, worker_garbles,
     rush, bad_requesters, retriers, twice_at_once, claim_then_death,
-    last_fault, last_faults, mixed)}
+    last_fault, last_faults, mixed,
+    closing_wipe, five_cores, planned_replace, seeds_turned)}
 
 
 def play(scene, seed, shape="magnolia"):
@@ -1189,7 +1277,7 @@
 
     Example: `t = play("kill_warden", 7)`; `replay.judge(t.tape.rows)`.
     """
-    t = town.Town(seed, shape)
+    t = town.Town(seed, shape, **getattr(SCENES[scene], "town", {}))
     t.begin()
     SCENES[scene](t)
     t.load.end()  # no new exchanges; those under way end
--- a/bench/town.py
+++ b/bench/town.py
@@ -78,7 +78,7 @@
     """
 
     def __init__(self, seed, shape="magnolia", long_rate=1.5, short_rate=8.0, talks=6, seconds=600, blueprint=None,
-                 halls=None):
+                 halls=None, cores=3, **more):
         self.seed = seed
         self.world = sim.World(seed)
         self.rng = self.world.rng
@@ -89,6 +89,7 @@
             self.blueprint = blueprint or json.load(f)
         self.rates = (long_rate, short_rate, talks)
         self.seconds = seconds
+        self.core_count, self.more = cores, more  # and options that all processes get
         self.cores, self.nodes, self.workers = {}, {}, {}
         self.options = {}
         self.seeds = []
@@ -119,7 +120,7 @@
         self.listen(self.platform_proc, 9000, web.Server(self.platform.mach, self.platform.handle))
         for k in range(1, self.worker_count + 1):
             self.start_worker(f"w{k}", f"10.0.3.{k}")
-        for k in (1, 2, 3):
+        for k in range(1, self.core_count + 1):  # the seeds name three, however many there are
             self.start_core(f"c{k}", f"10.0.1.{k}", zones[(k - 1) % len(zones)])
         for k, hall in enumerate(self.halls, 1):
             self.start_node(f"n{k}", f"10.0.2.{k}", hall)
@@ -156,7 +157,7 @@
         proc = sim.Proc(self.world, name, m)
         self.options[name] = (host, zone)
         o = options.Options(role, name=name, host=host, port=PEER, http_port=HTTP, zone=zone,
-                            seeds=list(self.seeds), **more)
+                            seeds=list(self.seeds), **{**self.more, **more})
         mach = proc.mach()
         mach.version = self.versions.get(name, mach.version)
         return proc, mach, o
--- a/iriswheel/chain.py
+++ b/iriswheel/chain.py
@@ -207,7 +207,7 @@
         Example: `chain.settle_tail(4)`
         """
         v = self.council.view
-        if self.place(number) == len(v.chain) - 1 and self.whole() and len(v.chain) > 1:
+        if self.place(number) == len(v.chain) - 1 and self.whole() and len(v.chain) >= self.council.copies:
             self.commit(self.synced)
 
     def commit(self, n):
@@ -276,7 +276,7 @@
                     res = await self.neighbours.call(seat.host, seat.port, msg, CALL_US)
                     if res.ok:
                         sent = res.n
-                        if self.place(view.number) is not None and len(view.chain) > 1:
+                        if self.place(view.number) is not None and len(view.chain) >= self.council.copies:
                             self.commit(sent)
                         continue
                 sent = None
@@ -381,8 +381,9 @@
             number = m.view
             if self.place(number) != 0 or not self.whole():
                 return self.refuse("no_chain", "This machine is not the head of the chain now.")
-            if len(self.council.view.chain) < 2:
-                return self.refuse("too_few_copies", "Only one machine with a disk is there; two must keep a change.")
+            here, copies = len(self.council.view.chain), self.council.copies
+            if here < copies:
+                return self.refuse("too_few_copies", f"Machines with a disk: {here} are there, {copies} must keep a change.")
             if not self.disk.ok:
                 return self.refuse("no_chain", "The head's disk does not work.")
             plan = self.tip.plans.get(m.plan)
@@ -415,6 +416,7 @@
                     self.tip = self.tip.apply(e)
                     self.synced = n
                     self.grown.wake()
+                    self.settle_tail(number)  # where one copy is enough, the head may be the tail
         finally:
             self.lock.release()
         while self.base.n < n:
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -23,6 +23,7 @@
 CHANGE_US = 900 * machine.MILLI  # a change is answered within this, known or not
 SHOW_US = 500 * machine.MILLI  # of it, how long nodes that don't have it yet are waited for
 AGAIN_US = 30 * machine.MILLI
+LEAVE_US = 3 * machine.SECOND  # how long a core machine that stops waits for a chain without it
 
 log = loguru.logger.bind(part="core")
 
@@ -188,7 +189,8 @@
         self.neighbours = wire.Neighbours(mach, self.serve, log)
         self.chain = chain.Chain(mach, self.disk, state, self.neighbours)
         self.council = view.Council(
-            mach, self.disk, record, me, options.seed_list() if options.found else [], self.neighbours, self.installed)
+            mach, self.disk, record, me, options.seed_list() if options.found else [], self.neighbours, self.installed,
+            options.seats, options.copies)
         self.council.learn_seeds(options.seed_list())
         self.chain.council = self.council
         self.council.tip = lambda: (self.chain.tip.made, self.chain.tip.n)
@@ -775,10 +777,14 @@
         return {"id": ident, "base": base, **told, "open_sessions": held}
 
     async def stop(self):
-        """Send the nodes elsewhere and finish.
+        """Send the nodes elsewhere, let the others agree on a chain without this machine, finish.
 
         Example: `await core.stop()`
         """
         self.stopping = True
         self.wake_posts()
+        self.council.leave()
+        until = self.mach.now() + min(LEAVE_US, self.options.grace_us // 2)
         await self.mach.sleep(100 * machine.MILLI)
+        while self.council.needed() and self.mach.now() < until:
+            await self.mach.sleep(50 * machine.MILLI)
--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -173,6 +173,8 @@
 
         Example: `fol.worker_news()`
         """
+        if self.options.serve_on:
+            return self.news_at is not None
         return self.news_at is not None and self.mach.now() - self.news_at < STALE_US
 
     def cut_off(self):
@@ -183,9 +185,11 @@
         reached may be with a core that takes changes; one whose blueprint is ahead shows that
         this node missed a change.
 
+        A node that is told to serve on (option `serve_on`) never counts itself as cut off.
+
         Example: `fol.cut_off()`
         """
-        if self.core_stands():
+        if self.core_stands() or self.options.serve_on:
             return False
         now = self.mach.now()
         without = {i for i, (at, g) in self.goes.items()
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -153,6 +153,7 @@
     view: View | None
     whole: int
     disk_ok: bool
+    leaving: bool = False
 
 
 class Prepare(Message):
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -16,9 +16,7 @@
 import iriswheel.wire as wire
 
 RUNNING_US = 1 * machine.SECOND
-DRAIN_US = 30 * machine.SECOND
 NOTICE_US = 3 * machine.SECOND  # the longest wait for the platform's question
-HAND_US = 700 * machine.MILLI  # after its answer
 
 log = loguru.logger.bind(part="node")
 
@@ -271,22 +269,26 @@
     # ---- stopping -------------------------------------------------------------------------
 
     async def stop(self):
-        """Say not ready, hand the duties over, let streams end, leave.
+        """Say not ready, hand the duties over, let streams end, leave; all of it within the grace.
 
         Newcomers are served until the platform has heard that this node is not ready and
-        has had a moment to hand requesters elsewhere.
+        has had a moment to hand requesters elsewhere, and while exchanges are open up to
+        half of the grace; a last eighth of it is kept back.
 
         Example: `await node.stop()`
         """
         self.stopping = True
         log.info("Stopping; {} exchanges are open.", self.door.open)
         self.follower.tell_core(message.Leave(self.me.id))
-        until = self.mach.now() + NOTICE_US
-        while self.mach.now() < until and not (self.asked_at and self.mach.now() - self.asked_at > HAND_US):
-            await self.mach.sleep(100 * machine.MILLI)
+        began, grace = self.mach.now(), self.options.grace_us
+        notice = began + min(NOTICE_US, grace // 2)
+        ends = began + grace - min(grace // 8, machine.SECOND)
+        while (now := self.mach.now()) < ends:
+            heard = now >= notice or (self.asked_at and now - self.asked_at > self.options.notice_us)
+            if heard and not self.door.open:
+                break
+            self.closing = heard and now >= began + grace // 2
+            await self.mach.pause(self.door.closed, 100 * machine.MILLI)
         self.closing = True
-        until = self.mach.now() + DRAIN_US
-        while self.door.open and self.mach.now() < until:
-            await self.mach.pause(self.door.closed, until - self.mach.now())
         self.left = True
         log.info("Left with {} exchanges open.", self.door.open)
--- a/iriswheel/options.py
+++ b/iriswheel/options.py
@@ -69,6 +69,7 @@
     front: str = ""
     ready: str = ""
     grace_us: int = 30_000_000
+    notice_us: int = 700_000  # after the platform first heard that a node is not ready, newcomers still come
     connections: int = 2048
     copies: int = 2
     seats: int = 3
@@ -148,7 +149,7 @@
         for n in ("grace_us", "connections", "copies", "seats", "call_rate", "retry_window_us"):
             if getattr(self, n) <= 0:
                 bad.append(f"{n}: must be above 0")
-        for n in ("drain_us", "hold_us", "retry_ratio", "retry_slack"):
+        for n in ("drain_us", "hold_us", "retry_ratio", "retry_slack", "notice_us"):
             if getattr(self, n) < 0:
                 bad.append(f"{n}: must not be below 0")
         if self.copies > self.seats:
--- a/iriswheel/view.py
+++ b/iriswheel/view.py
@@ -21,7 +21,7 @@
 PULSE_US = 250 * machine.MILLI
 DEAD_US = 1_300 * machine.MILLI
 RANK_US = 300 * machine.MILLI
-REPLACE_US = 5 * machine.SECOND
+REPLACE_US = 1_500 * machine.MILLI  # a newcomer takes the seat of one that is silent for so long
 CALL_US = 1 * machine.SECOND
 
 log = loguru.logger.bind(part="view")
@@ -52,6 +52,10 @@
     holds all that was acknowledged. Where none of the old links that answer was whole,
     nothing was acknowledged in the view, and one that was whole in the view before leads.
 
+    A link that was whole but can't go on (its disk is bad, or it leaves) still shows that
+    something may have been acknowledged: where it is the only whole one, there is no chain
+    without it.
+
     A link holds all that those behind it hold. One that holds less came back with an older
     disk, and counts as a newcomer.
 
@@ -72,7 +76,8 @@
     lead = [i for i in able if promises[i].whole == view.number]
     lead = [i for k, i in enumerate(lead) if all(promises[j].tip <= promises[i].tip for j in lead[k + 1:])]
     if not lead:
-        if not [i for i in old if i in promises]:
+        answered = [promises[i].whole for i in old if i in promises]
+        if not answered or view.number in answered:
             return None
         lead = [i for i in sorted(promises) if promises[i].whole == view.number - 1 and i in alive][:1]
     if not lead:
@@ -85,10 +90,11 @@
     """One core machine's part in agreeing on views.
 
     Example: `council = Council(mach, disk, record, me, seeds, neighbours, on_view)`,
-    where on_view(view) installs a view that was agreed.
+    where on_view(view) installs a view that was agreed. The seats grow up to `size` as
+    further machines appear; `copies` links must keep a change before it stands.
     """
 
-    def __init__(self, mach, disk, record, me, seeds, neighbours, on_view):
+    def __init__(self, mach, disk, record, me, seeds, neighbours, on_view, size=3, copies=2):
         self.mach = mach
         self.disk = disk  # store.Guard
         self.record = record
@@ -103,6 +109,10 @@
         self.grant = ("", mach.now() + LEASE_US)  # after a restart, an old grant may stand
         self.lease = 0
         self.pulses = {}  # id -> (heard, Pulse)
+        self.size = max(size, len(self.founders))
+        self.copies = copies
+        self.leaving = False
+        self.pulse_now = machine.Signal()
         self.blank = {}  # seed address -> heard, of seeds that know no view
         self.wanted_since = None
         self.seen_ballot = 0
@@ -162,7 +172,7 @@
         """
         return message.Pulse(
             self.me.id, self.mach.boot, self.me.zone, self.me.host, self.me.port,
-            self.view, self.record.whole, self.disk.ok,
+            self.view, self.record.whole, self.disk.ok, self.leaving,
         )
 
     def seat(self, ident):
@@ -176,13 +186,13 @@
         return None
 
     def alive(self):
-        """The cores that live and whose disk works, with their boots.
+        """The cores that live and stay, and whose disk works, with their boots.
 
         Example: `council.alive()["c0ffee"]`
         """
         now = self.mach.now()
-        out = {i: p.boot for i, (heard, p) in self.pulses.items() if now - heard < DEAD_US and p.disk_ok}
-        if self.disk.ok:
+        out = {i: p.boot for i, (heard, p) in self.pulses.items() if now - heard < DEAD_US and p.disk_ok and not p.leaving}
+        if self.disk.ok and not self.leaving:
             out[self.me.id] = self.mach.boot
         return out
 
@@ -337,7 +347,25 @@
                 self.hear(res)
             except (wire.Broken, machine.Late):
                 pass
-            await self.mach.sleep(PULSE_US)
+            await self.mach.pause(self.pulse_now, PULSE_US)
+
+    def leave(self):
+        """Tell the others that this machine leaves: the next chain goes on without it.
+
+        Example: `council.leave()`
+        """
+        self.leaving = True
+        self.pulse_now.wake()
+
+    def needed(self):
+        """Whether the present chain has this life of this machine, and others that could go on.
+
+        Example: `while council.needed(): await mach.sleep(50_000)`
+        """
+        v = self.view
+        if v is None or message.ChainLink(self.me.id, self.mach.boot) not in v.chain:
+            return False
+        return len([s for s in v.seats if s.id in self.alive()]) >= majority(len(v.seats))
 
     def learn_seeds(self, seeds):
         """Look for core machines at further addresses; nobody founds a fleet by them.
@@ -428,26 +456,37 @@
         await self.adopt(message.View(1, seats, [message.ChainLink(p.id, p.boot) for p in ps]))
 
     def seats_wanted(self):
-        """The seats of the next view: a newcomer takes the place of a lost machine.
+        """The seats of the next view.
+
+        A newcomer takes the place of a machine that is lost, that leaves, or that came
+        back blank at the newcomer's address; else a place of its own up to `size`.
 
         Example: `council.seats_wanted()`
         """
         now = self.mach.now()
         known = {s.id for s in self.view.seats}
         fresh = sorted(
-            (p for heard, p in self.pulses.values() if now - heard < DEAD_US and p.id not in known and p.disk_ok),
+            (p for heard, p in self.pulses.values() if now - heard < DEAD_US and p.id not in known and p.disk_ok and not p.leaving),
             key=lambda p: p.id,
         )
         seats = list(self.view.seats)
         for p in fresh:
             for k, s in enumerate(seats):
-                if s.id not in known or s.id == self.me.id:
+                if s.id not in known or (s.id == self.me.id and not self.leaving):
                     continue
-                heard = self.pulses[s.id][0] if s.id in self.pulses else self.began
+                if s.id == self.me.id:
+                    seats[k] = message.Seat(p.id, p.host, p.port, p.zone)
+                    break
+                heard, last = self.pulses.get(s.id, (self.began, None))
                 same_place = (s.host, s.port) == (p.host, p.port)
-                if now - heard > REPLACE_US or (same_place and now - heard > DEAD_US):
+                if same_place and now - heard <= DEAD_US:
+                    break  # it may be an old sign of life
+                if now - heard > REPLACE_US or (same_place and now - heard > DEAD_US) or (last and last.leaving):
                     seats[k] = message.Seat(p.id, p.host, p.port, p.zone)
                     break
+            else:
+                if len(seats) < self.size:
+                    seats.append(message.Seat(p.id, p.host, p.port, p.zone))
         return seats
 
     def due(self):
