--- a/iriswheel/budget.py
+++ b/iriswheel/budget.py
@@ -13,6 +13,10 @@
 class Budget:
     """The first and repeat sends over the last ten seconds.
 
+    A node that keeps its own share of a fleet's budget adds its part of the fleet's `slack`.
+    >>> b = Budget(slack=2); [b.spend(0) for _ in range(3)]
+    [True, True, False]
+
     Where there were fewer than five first sends, one repeat in ten seconds is free: else a
     lone requester whose node died could never come back.
 
@@ -24,7 +28,8 @@
     (True, False)
     """
 
-    def __init__(self):
+    def __init__(self, slack=0):
+        self.slack = slack  # repeats in ten seconds that are free
         self.firsts = {}  # exchange -> when it was first seen, oldest first
         self.repeats = []
 
@@ -44,7 +49,7 @@
         True
         """
         self._trim(now)
-        return not self.repeats or (len(self.repeats) + 1) * SHARE <= len(self.firsts)
+        return not self.repeats or (len(self.repeats) + 1 - self.slack) * SHARE <= len(self.firsts)
 
     def spend(self, now):
         """Take a repeat send from the budget; False where there is none left.
--- /dev/null
+++ b/iriswheel/carry.py
@@ -0,0 +1,452 @@
+"""The way of an exchange whose worker is elected at the node: place, send, stream, take up again.
+
+Nothing waits here. An exchange goes to a worker at once, or is refused at once; what is known of
+it decides which: a promise that it did not run, or none.
+"""
+
+import enum
+import re
+
+import loguru
+import twisted.internet.defer as defer
+
+import iriswheel.client as client
+import iriswheel.machine as machine
+import iriswheel.placement as placement
+import iriswheel.verdict as verdict
+
+FRESH_US = 2 * machine.SECOND  # a connection idle for longer carries nothing that may not be repeated
+FRESH_REPEAT_US = 60 * machine.SECOND
+LOOK_US = 100 * machine.MILLI
+MUTE_US = 700 * machine.MILLI  # silence after which a stream that may be taken up again is
+FIRST_MUTE_US = 1_200 * machine.MILLI  # and before the first event
+EARLY_US = 30 * machine.MILLI  # the final answer goes out so long before the requester's time is over
+CONNECTS = 3  # workers tried that give no connection
+BACK_US = 150 * machine.MILLI  # a refused requester may come back after so long
+SWEEP_US = 1 * machine.SECOND
+
+ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+END = re.compile(rb"\r?\n\r?\n")
+
+log = loguru.logger.bind(part="carry")
+
+
+class Outcome(enum.Enum):
+    """How a send ended.
+
+    >>> Outcome.WHOLE.name
+    'WHOLE'
+    """
+
+    WHOLE = 1  # the worker's whole answer went to the requester
+    UNRUN = 2  # the worker said that it did not run it
+    FAILED = 3  # the worker's own answer is a failure; nothing went to the requester
+    BROKE = 4  # it may have run; nothing went to the requester
+    TORN = 5  # it broke off after something had gone to the requester
+    LATE = 6  # the time is over
+
+
+class Flow:
+    """One send: takes what the worker's connection brings, and hands it to the requester.
+
+    Example: `flow = Flow(carrier, x, worker, "")`; `line.start(raw, flow)`; `out = await flow.done`.
+    """
+
+    def __init__(self, carrier, x, worker):
+        self.carrier = carrier
+        self.x = x
+        self.worker = worker
+        self.mach = carrier.mach
+        self.line = None
+        self.done = defer.Deferred(lambda _: self.stop())
+        self.began = self.last = self.mach.now()
+        self.tokens = 0  # of the prompt, not read yet as far as is known
+        self.status = 0
+        self.heads = []
+        self.seen = False  # whether the answer's own bytes have come
+        self.rest = b""  # the piece of an event that has no end yet
+        self.small = []  # an answer that is kept back: a refusal or a failure
+
+    def owns(self, status, low, used):
+        """Whether an answer is this exchange's; None where that can't be told.
+
+        Example: `flow.owns(200, {"x-attempt-id": "a1"}, 1)`
+        """
+        mine = self.carrier.outer.mine(self.x.ask.tag, status, low)
+        return used <= 1 and self.carrier.outer.unrun(status, low) or None if mine is None else mine
+
+    def head(self, status, heads, low):
+        """The answer's head came.
+
+        Example: `flow.head(200, heads, low)`
+        """
+        self.hear()
+        self.status, self.heads, self.low = status, list(heads), low
+
+    def hear(self):
+        """The worker said something.
+
+        Example: `flow.hear()`
+        """
+        self.last = self.mach.now()
+        self.x.placement.hear(self.worker)
+
+    def data(self, data):
+        """A piece of the answer came.
+
+        Example: `flow.data(b"id: 1\\ndata: x\\n\\n")`
+        """
+        self.hear()
+        if not 200 <= self.status < 300 or not self.carrier.outer.sound(self.status, self.low):
+            self.small.append(data)
+            return
+        if not self.seen:
+            self.seen = True
+            self.x.placement.first(self.worker, self.tokens)
+            self.tokens = 0
+        if self.x.resume:
+            data, self.rest = whole_events(self.rest + data)
+            if not data:
+                return
+            ids = ID.findall(data)
+            if ids:
+                self.x.after = ids[-1].decode("latin-1")
+        self.x.pass_on(self, data)
+
+    def end(self):
+        """The whole answer has come.
+
+        Example: `flow.end()`
+        """
+        if not 200 <= self.status < 300:
+            self.finish(Outcome.UNRUN if self.carrier.outer.unrun(self.status, self.low) else Outcome.FAILED)
+        elif not self.carrier.outer.sound(self.status, self.low):
+            self.finish(Outcome.BROKE)
+        else:
+            if self.rest:
+                self.x.pass_on(self, self.rest)
+            elif not self.x.begun:
+                self.x.pass_on(self, b"")
+            self.finish(Outcome.WHOLE)
+
+    def hand_over(self):
+        """Give the worker's own failure to the requester, as it is.
+
+        Example: `flow.hand_over()`
+        """
+        body, req = b"".join(self.small), self.x.req
+        if req.gone:
+            return
+        req.setResponseCode(self.status)
+        for name, val in self.carrier.outer.home(self.heads, self.worker):
+            req.responseHeaders.addRawHeader(name, val)
+        req.setHeader("Content-Length", str(len(body)))
+        req.write(body)
+        req.finish()
+
+    def lost(self, why):
+        """The connection broke off, or brought what is no answer.
+
+        Example: `flow.lost("closed")`
+        """
+        self.carrier.counts["broke"] += 1
+        self.x.placement.pain(self.worker)
+        self.finish(Outcome.TORN if self.x.begun else Outcome.BROKE)
+
+    def stop(self, outcome=None):
+        """End the send from this side; the worker's connection is broken off.
+
+        Example: `flow.stop(Outcome.LATE)`
+        """
+        if self.line is not None:
+            self.line.drop()
+        if outcome is not None:
+            self.finish(outcome)
+
+    def finish(self, outcome):
+        """The send is over.
+
+        Example: `flow.finish(Outcome.WHOLE)`
+        """
+        if not self.done.called:
+            self.done.callback(outcome)
+
+    def pauseProducing(self):
+        if self.line is not None and self.line.flow is self:
+            self.line.transport.pauseProducing()
+
+    def resumeProducing(self):
+        self.last = self.mach.now()
+        if self.line is not None and self.line.flow is self:
+            self.line.transport.resumeProducing()
+
+    def stopProducing(self):
+        pass  # the requester's going away is noticed by the door
+
+
+def whole_events(raw):
+    """What of a stream's bytes makes whole events, and the rest.
+
+    >>> whole_events(b"id: 1\\n\\nid: 2\\n\\nid:")
+    (b'id: 1\\n\\nid: 2\\n\\n', b'id:')
+    >>> whole_events(b"id: 1\\n")
+    (b'', b'id: 1\\n')
+    """
+    last = None
+    for last in END.finditer(raw):
+        pass
+    cut = last.end() if last is not None else 0
+    return raw[:cut], raw[cut:]
+
+
+class Passage:
+    """One exchange on this way; what is kept over its sends.
+
+    Example: `x = Passage(exchange, placement)`
+    """
+
+    def __init__(self, exchange, place):
+        self.req = exchange.req
+        self.ask = exchange.said
+        self.raw = exchange.raw
+        self.route, self.pool, self.terms = exchange.route, exchange.pool, exchange.terms
+        self.pool_name = exchange.pool_name
+        self.placement = place
+        self.repeatable = exchange.repeatable
+        self.resume = exchange.route.resume
+        self.until = exchange.until
+        self.keys = placement.chain(self.ask.parts)
+        self.loose = max(0, self.ask.tokens_in - sum(self.ask.sizes))  # tokens that no part names
+        self.own = self.loose + (self.ask.sizes[-1] if self.ask.sizes else 0)
+        self.after = self.ask.after
+        self.begun = False  # whether a byte went to the requester
+        self.ran = False  # whether a worker may have run it
+        self.sends = 0
+
+    def pass_on(self, flow, data):
+        """Hand a piece to the requester; the first one takes the answer's head along.
+
+        Example: `x.pass_on(flow, b"data: x\\n\\n")`
+        """
+        if self.req.gone or self.req.finished:
+            return
+        if not self.begun:
+            self.begun = True
+            self.req.setResponseCode(flow.status)
+            for name, val in flow.carrier.outer.home(flow.heads, flow.worker):
+                self.req.responseHeaders.addRawHeader(name, val)
+            length = flow.low.get("content-length")
+            if length is not None:
+                self.req.setHeader("Content-Length", length)
+            if flow.carrier.node.stopping:
+                self.req.setHeader("Connection", "close")
+        if data:
+            self.req.write(data)
+
+
+class Carrier:
+    """A node's carrier of exchanges to workers that it elects itself.
+
+    Example: `carrier = Carrier(node)`; `await carrier.carry(exchange)`.
+    """
+
+    def __init__(self, node):
+        self.node = node
+        self.mach = node.mach
+        self.outer = node.outer
+        self.lines = client.Lines(node.mach)
+        self.places = {}  # pool -> placement.Placement
+        self.flows = set()
+        self.counts = {"sends": 0, "whole": 0, "resumed": 0, "again": 0, "broke": 0, "unrun": 0, "unreached": 0,
+                       "mute": 0, "gone": 0, "late": 0}
+
+    def place(self, pool):
+        """The placement over a pool.
+
+        Example: `carrier.place("desk")`
+        """
+        if pool not in self.places:
+            self.places[pool] = placement.Placement(self.mach, pool)
+        return self.places[pool]
+
+    async def look(self):
+        """Look after streams that fell silent, idle connections and sessions; one task.
+
+        Example: `mach.spawn(carrier.look())`
+        """
+        swept = 0
+        while not self.node.left:
+            await self.mach.sleep(LOOK_US)
+            now = self.mach.now()
+            for f in list(self.flows):
+                if f.x.resume and f.x.repeatable and not f.done.called:
+                    quiet = now - f.last
+                    if (quiet > (MUTE_US if f.seen else FIRST_MUTE_US) and f.x.placement.mute(f.worker, now)
+                            and self.may_repeat(f.x)):
+                        self.counts["mute"] += 1
+                        f.x.placement.pain(f.worker)
+                        f.stop(Outcome.TORN if f.x.begun else Outcome.BROKE)
+            if now - swept > SWEEP_US:
+                swept = now
+                fol = self.node.follower
+                self.lines.sweep({w.id for w in fol.workers if w.state != "gone"})
+                for pool, p in self.places.items():
+                    p.sweep({w.id for w in fol.workers if w.pool == pool and w.state == "ready"})
+
+    def may_repeat(self, x):
+        """Whether an exchange may be sent once more, by its route and this node's share of the budget.
+
+        Example: `carrier.may_repeat(x)`
+        """
+        return ((not x.route.sends or x.sends < x.route.sends)
+                and self.node.door.tally(x).room(self.mach.now()))
+
+    def ready(self, pool):
+        """The workers of a pool that may be sent to.
+
+        Example: `carrier.ready("desk")`
+        """
+        return [w.id for w in self.node.follower.workers if w.pool == pool and w.state == "ready"]
+
+    async def carry(self, exchange):
+        """Carry one exchange to its end; raises verdict.Defect where it is refused.
+
+        Example: `await carrier.carry(exchange)`
+        """
+        x = Passage(exchange, self.place(exchange.pool_name))
+        work = defer.ensureDeferred(self.run(x))
+        lost = x.req.lost.wait()
+        lost.addCallback(lambda _: work.cancel())
+        try:
+            await work
+        except defer.CancelledError:
+            self.counts["gone"] += 1
+        finally:
+            lost.addErrback(lambda _: None)
+            lost.cancel()
+
+    async def run(self, x):
+        """Send until an answer stands or the exchange must be given up.
+
+        Example: `await carrier.run(x)`
+        """
+        shun, unreached = set(), 0
+        while True:
+            name, wait = x.placement.pick(x.ask, x.keys, x.own, self.ready(x.pool_name), x.pool, shun)
+            now = self.mach.now()
+            if not name:
+                raise self.give_up(x, "no_worker", "No worker can be reached now.")
+            if now >= x.until:
+                raise self.give_up(x, "busy", "The time is over.")
+            if not x.sends and wait > x.until - now:
+                raise self.give_up(x, "busy", "No worker would begin in time.", wait // 2)
+            w = self.node.follower.states[name]
+            outcome, flow = await self.send(x, w)
+            match outcome:
+                case None:
+                    unreached += 1
+                    shun.add(name)
+                    if unreached >= CONNECTS:
+                        raise self.give_up(x, "no_worker", "No worker can be reached now.")
+                    continue
+                case Outcome.WHOLE:
+                    self.counts["whole"] += 1
+                    if not x.req.gone:
+                        x.req.finish()
+                    return
+                case Outcome.LATE:
+                    self.counts["late"] += 1
+                    if x.begun:
+                        x.req.break_off()
+                        return
+                    raise verdict.Defect("too_late", "No answer came in time.", self.known(x))
+                case Outcome.UNRUN:
+                    self.counts["unrun"] += 1
+                    shun.add(name)
+                    if flow.status == 421:
+                        x.placement.pain(name)
+                case Outcome.FAILED | Outcome.BROKE | Outcome.TORN:
+                    x.ran = True
+                    shun.add(name)
+            again = (x.repeatable if x.ran else True) and (not x.begun or x.resume) and self.may_repeat(x)
+            if again and self.mach.now() < x.until and [n for n in self.ready(x.pool_name) if n not in shun]:
+                self.node.door.tally(x).spend(self.mach.now())
+                self.counts["resumed" if x.begun else "again"] += 1
+                continue
+            if x.begun:
+                x.req.break_off()
+                return
+            match outcome:
+                case Outcome.FAILED:
+                    flow.hand_over()
+                    return
+                case Outcome.UNRUN:
+                    raise self.give_up(x, "busy", "The worker turned it away.")
+            raise self.give_up(x, "worker_broke", f"Worker {name} gave no answer.")
+
+    def known(self, x):
+        """What may be said of an exchange that is given up now.
+
+        Example: `carrier.known(x)`
+        """
+        return verdict.Verdict.MAY_HAVE_RUN if x.ran else verdict.Verdict.NOT_RUN
+
+    def give_up(self, x, code, text, back_us=0):
+        """The final answer to an exchange that is given up.
+
+        Example: `raise carrier.give_up(x, "busy", "The worker turned it away.")`
+        """
+        if x.ran:
+            return verdict.Defect("worker_broke", text, verdict.Verdict.MAY_HAVE_RUN)
+        return verdict.Defect(code, text, retry_us=max(BACK_US, back_us))
+
+    async def send(self, x, w):
+        """Send to one worker: (Outcome, Flow), or (None, None) where it was not reached.
+
+        Example: `outcome, flow = await carrier.send(x, worker)`
+        """
+        place = x.placement
+        flow = Flow(self, x, w.id)
+        flow.tokens = place.begin(w.id, x.keys, x.ask.sizes, x.loose)
+        late = None
+        try:
+            try:
+                line = await self.lines.get(w, FRESH_REPEAT_US if x.repeatable else FRESH_US)
+            except client.Unreached:
+                place.pain(w.id)
+                self.counts["unreached"] += 1
+                return None, None
+            left = x.until - self.mach.now()
+            if left <= 0 or self.node.follower.state(w.id) != "ready":
+                line.drop()
+                return None, None
+            raw = self.outer.head(x.req, len(x.raw), w, left, x.route.urgency, x.after)
+            x.sends += 1
+            self.counts["sends"] += 1
+            flow.line = line
+            flow.began = flow.last = self.mach.now()
+            self.flows.add(flow)
+            if x.keys:
+                place.turn(x.keys[-1], w.id, x.terms, x.pool.cap)
+            x.ran_before, x.ran = x.ran, True  # until the worker says that it did not
+            x.req.registerProducer(flow, True)
+            line.start(raw + x.raw, flow)
+            late = self.mach.later(left, flow.stop, Outcome.LATE)
+            outcome = await flow.done
+            x.ran = x.ran_before if outcome is Outcome.UNRUN else True
+            return outcome, flow
+        finally:
+            if late is not None and late.active():
+                late.cancel()
+            self.flows.discard(flow)
+            place.end(w.id, flow.tokens)
+            if flow.line is not None and not x.req.gone and not x.req.finished:
+                x.req.unregisterProducer()
+
+    def state(self):
+        """What this carrier shows of itself.
+
+        Example: `carrier.state()["counts"]`
+        """
+        return {"counts": self.counts, "places": [p.state() for _, p in sorted(self.places.items())],
+                "lines": sum(self.lines.open.values())}
--- /dev/null
+++ b/iriswheel/client.py
@@ -0,0 +1,284 @@
+"""Connections to workers: one exchange at a time on each, kept for the next one.
+
+The library's own agent reads one answer for each request and knows no other; a worker in
+trouble may send another's answer first, or more than one. So the connections are ours, and
+the parser is `httptools`.
+"""
+
+import socket
+
+import httptools
+import loguru
+import twisted.internet.defer as defer
+import twisted.internet.endpoints as endpoints
+import twisted.internet.protocol as protocol
+
+import iriswheel.machine as machine
+
+CONNECT_US = 350 * machine.MILLI
+KEEP_US = 4 * machine.SECOND  # an idle connection, where the worker does not say how long it keeps one
+MARGIN_US = 400 * machine.MILLI  # dropped so long before the worker would
+STALE_MS = 2_000  # sent bytes that nobody acknowledged: the connection is dead
+SKIPS = 3  # answers of others that are passed over on one connection
+
+log = loguru.logger.bind(part="client")
+
+
+class Unreached(Exception):
+    """No connection to a worker could be had: nothing was sent."""
+
+    code = "unreached"
+
+
+class Line(protocol.Protocol):
+    """One connection to a worker.
+
+    Example: `line.start(head + body, flow)`, where flow has head(), data(), end() and lost().
+    """
+
+    def __init__(self, mach, worker):
+        self.mach = mach
+        self.worker = worker  # the worker's id
+        self.flow = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.heads = []
+        self.up = False
+        self.used = 0  # exchanges that went over it
+        self.skips = 0
+        self.skipping = False
+        self.spoiled = False  # it is not to be used again
+        self.keep_us = KEEP_US
+        self.until = 0  # when an idle one is dropped
+        self.idle_since = 0
+        self.on_free = lambda line: None
+        self.on_gone = lambda line: None
+
+    def connectionMade(self):
+        self.up = True
+        self.transport.setTcpNoDelay(True)
+        sock = getattr(self.transport, "getHandle", lambda: None)()
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, STALE_MS)
+
+    def start(self, raw, flow):
+        """Send a request; its answer goes to the flow.
+
+        Example: `line.start(raw, flow)`
+        """
+        self.flow = flow
+        self.used += 1
+        self.skips = 0
+        self.skipping = False
+        self.transport.write(raw)
+
+    def drop(self):
+        """Break the connection off; its flow, if any, hears no more.
+
+        Example: `line.drop()`
+        """
+        self.spoiled = True
+        self.flow = None
+        if self.up:
+            self.transport.abortConnection()
+
+    def dataReceived(self, data):
+        if self.flow is None:
+            self.drop()  # nobody asked
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.fail("garbled")
+        except httptools.HttpParserUpgrade:
+            self.fail("garbled")
+
+    def fail(self, why):
+        """What came is no answer: end the flow and the connection.
+
+        Example: `line.fail("garbled")`
+        """
+        flow, self.flow = self.flow, None
+        self.drop()
+        if flow is not None:
+            flow.lost(why)
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self.up = False
+        self.spoiled = True
+        flow, self.flow = self.flow, None
+        self.on_gone(self)
+        if flow is not None:
+            flow.lost("closed")
+
+    # ---- what the parser calls -------------------------------------------------------
+
+    def on_message_begin(self):
+        self.heads = []
+        if self.flow is None:
+            self.spoiled = True  # more after a whole answer
+
+    def on_header(self, name, value):
+        self.heads.append((name, value))
+
+    def on_headers_complete(self):
+        if self.flow is None:
+            return
+        status = self.parser.get_status_code()
+        if 100 <= status < 200:
+            self.skipping = True
+            return
+        low = {k.decode("latin-1").lower(): v.decode("latin-1") for k, v in self.heads}
+        match self.flow.owns(status, low, self.used):
+            case True:
+                self.skipping = False
+                self.keep(low)
+                self.flow.head(status, self.heads, low)
+            case False:
+                self.skipping = True  # another's answer, come late
+                self.skips += 1
+            case None:
+                raise ValueError("whose answer it is can't be told")
+
+    def keep(self, low):
+        """Note how long the worker keeps the connection.
+
+        Example: `line.keep({"keep-alive": "timeout=5"})`
+        """
+        self.keep_us = KEEP_US
+        if "close" in low.get("connection", "").lower():
+            self.spoiled = True
+        for word in low.get("keep-alive", "").split(","):
+            name, _, val = word.strip().partition("=")
+            if name.lower() == "timeout" and val.strip().isdigit():
+                self.keep_us = min(KEEP_US, int(val) * machine.SECOND - MARGIN_US)
+
+    def on_body(self, body):
+        if self.flow is not None and not self.skipping:
+            self.flow.data(body)
+
+    def on_message_complete(self):
+        if self.flow is None:
+            return
+        if self.skipping:
+            self.skipping = False
+            if self.skips > SKIPS:
+                raise ValueError("too many answers of others")
+            return
+        flow, self.flow = self.flow, None
+        if not self.parser.should_keep_alive():
+            self.spoiled = True
+        flow.end()
+        self.free()
+
+    def free(self):
+        """The exchange is over; the connection is kept for the next, if it is sound.
+
+        Example: `line.free()`
+        """
+        if self.spoiled or self.keep_us <= 0 or not self.up:
+            self.drop()
+            return
+        self.idle_since = self.mach.now()
+        self.until = self.idle_since + self.keep_us
+        self.on_free(self)
+
+
+class Lines:
+    """All connections of this process to workers.
+
+    >>> Lines(None).count("w1")
+    0
+    """
+
+    def __init__(self, mach):
+        self.mach = mach
+        self.idle = {}  # worker -> [Line], the latest used last
+        self.open = {}  # worker -> how many there are
+
+    def count(self, worker):
+        """How many connections to a worker are open.
+
+        >>> Lines(None).count("w1")
+        0
+        """
+        return self.open.get(worker, 0)
+
+    def take(self, worker, fresh_us):
+        """An idle connection that was used within fresh_us, or None.
+
+        >>> Lines(machine.Machine(None, now=lambda: 0)).take("w1", 1) is None
+        True
+        """
+        now = self.mach.now()
+        kept = self.idle.get(worker, [])
+        while kept:
+            line = kept[-1]
+            if now >= line.until or not line.up or line.spoiled:
+                kept.pop()
+                line.drop()
+            elif now - line.idle_since > fresh_us:
+                return None
+            else:
+                return kept.pop()
+        return None
+
+    async def get(self, w, fresh_us):
+        """A connection to a worker, an idle one if it was used within fresh_us; raises Unreached.
+
+        Example: `line = await lines.get(worker, 1_000_000)`
+        """
+        line = self.take(w.id, fresh_us)
+        if line is not None:
+            return line
+        point = endpoints.TCP4ClientEndpoint(self.mach.reactor, w.host, w.port, timeout=CONNECT_US / machine.SECOND)
+        factory = protocol.Factory()
+        factory.noisy = False
+        factory.buildProtocol = lambda addr: Line(self.mach, w.id)
+        self.open[w.id] = self.open.get(w.id, 0) + 1
+        try:
+            line = await point.connect(factory)
+        except defer.CancelledError:
+            self.gone(w.id)
+            raise
+        except Exception as e:
+            self.gone(w.id)
+            raise Unreached(type(e).__name__)
+        line.on_free = self.free
+        line.on_gone = lambda line: self.gone(line.worker)
+        if not line.up:
+            self.gone(w.id)
+            raise Unreached("closed")
+        return line
+
+    def gone(self, worker):
+        """A connection is no more.
+
+        Example: `lines.gone("w1")`
+        """
+        self.open[worker] -= 1
+        if not self.open[worker]:
+            del self.open[worker]
+
+    def free(self, line):
+        """Keep a connection that has come free.
+
+        Example: `lines.free(line)`
+        """
+        self.idle.setdefault(line.worker, []).append(line)
+
+    def sweep(self, listed):
+        """Drop idle connections past their time, and those to workers that are listed no more.
+
+        >>> Lines(machine.Machine(None, now=lambda: 0)).sweep({"w1"})
+        """
+        now = self.mach.now()
+        for worker, kept in list(self.idle.items()):
+            good = [x for x in kept if x.up and not x.spoiled and now < x.until and worker in listed]
+            for x in kept:
+                if x not in good:
+                    x.drop()
+            if good:
+                self.idle[worker] = good
+            else:
+                del self.idle[worker]
--- a/iriswheel/command.py
+++ b/iriswheel/command.py
@@ -143,7 +143,7 @@
     mach = machine.Machine(reactor)
     proc = node_process.Node(mach, o, **parts)
     handle = proc.door.handle if ready is None else ready(proc)
-    bind(reactor, o, wire.Listener(mach, proc.serve, log), web.Server(mach, proc.door.handle, room=o.connections),
+    bind(reactor, o, wire.Listener(mach, proc.serve, log), web.Server(mach, proc.door.handle, room=o.connections, formats=proc.outer),
          web.Server(mach, handle, room=64))
     proc.start(o.port, o.front_address()[1])
     watch = options_reader.Watch(mach, path, reread, proc.renew)
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -6,6 +6,7 @@
 
 import iriswheel.blueprint as blueprint
 import iriswheel.chain as chain
+import iriswheel.loads as loads
 import iriswheel.machine as machine
 import iriswheel.message as message
 import iriswheel.roster as roster
@@ -216,6 +217,7 @@
         self.counts = {"plans": 0, "confirms": 0, "changes": 0, "refused": 0, "joins": 0, "views": 0}
         self.spread = None  # the stamp of the roster last spread from here
         self.stopping = False
+        self.loads = loads.CoreSide(self)
 
     def start(self):
         """Start all tasks.
@@ -225,6 +227,7 @@
         for coro in (
             self.disk.watch(), self.council.pulse_all(), self.council.renew(),
             self.council.mend(), self.report(), self.beat(), self.issue(), self.keep_shelves(),
+            self.loads.run(),
         ):
             self.mach.spawn(coro, log)
         if self.council.view is not None:
@@ -318,6 +321,8 @@
                 if link.post is not None and n > link.post.place:
                     link.post.place = n
                     self.report_now.wake()
+            case message.Loads():
+                self.loads.take(link, msg)
             case message.Listing():
                 if self.listing is None or msg.stamp > self.listing.stamp:
                     self.listing = msg
--- a/iriswheel/door.py
+++ b/iriswheel/door.py
@@ -4,6 +4,7 @@
 import twisted.internet.defer as defer
 
 import iriswheel.budget as budget
+import iriswheel.carry as carry
 import iriswheel.machine as machine
 import iriswheel.message as message
 import iriswheel.outer as outer
@@ -35,6 +36,7 @@
         self.ask = ask
         self.arrived = now
         self.raw = b""
+        self.said = None  # outer.Ask
         self.parts = []
         self.exchange = ""
         self.send = 0
@@ -102,6 +104,7 @@
             False: Lane(self.mach, room=512, hands=256, work=self.carry),
             True: Lane(self.mach, room=64, hands=48, work=self.carry),
         }
+        self.carrier = carry.Carrier(node)
         self.filters = [self.parse, self.route, self.terms, self.admit]
         self.count = 0
         self.open = 0
@@ -122,7 +125,7 @@
             case (b"GET", outer.READY_PATH):
                 if self.node.stopping:
                     self.node.asked_at = self.node.asked_at or self.mach.now()
-                req.answer_json(*outer.ready(*self.node.ready()))
+                req.answer_json(*self.node.outer.ready(*self.node.ready()))
                 return
             case (b"GET", "/state"):
                 req.answer_json(200, self.node.state())
@@ -150,6 +153,9 @@
         x = Exchange(req, f"{self.node.me.id}-{self.count}/0", self.mach.now())
         for f in self.filters:
             f(x)
+        if x.pool.election == "node":
+            await self.carrier.carry(x)
+            return
         x.done = defer.Deferred()
         if not self.lanes[x.long].put(x):
             raise verdict.Defect("busy", "This node holds as many exchanges as it can.")
@@ -163,14 +169,13 @@
         Example: `door.parse(x)`
         """
         req, heads = x.req, x.req.requestHeaders
-        if req.method != b"POST":
+        if req.method != b"POST" and not self.node.outer.any_method:
             raise verdict.Defect("bad_method", "Exchanges are sent with POST.")
-        if not heads.hasHeader("content-length") and not heads.hasHeader("transfer-encoding"):
+        if req.method == b"POST" and not heads.hasHeader("content-length") and not heads.hasHeader("transfer-encoding"):
             raise verdict.Defect("length_required", "The body's length is not said.", field="Content-Length")
-        x.parts = outer.prefix(heads)
-        x.exchange = outer.ident(heads, outer.EXCHANGE)
-        x.send = outer.send_number(heads)
-        x.repeatable = outer.repeatable(heads)
+        x.said = self.node.outer.ask(req)
+        x.parts, x.exchange, x.send = x.said.parts, x.said.exchange, x.said.send
+        x.repeatable = x.said.repeatable
         x.raw = req.content.read()
 
     def route(self, x):
@@ -181,24 +186,44 @@
         fol = self.node.follower
         if fol.items is None:
             raise verdict.Defect("not_ready", "This node has no blueprint yet.")
-        path = x.req.path.decode("latin-1")
-        fits = [r for r in fol.routes.values() if covers(r.path, path)]
-        if not fits and (fol.stale() or not fol.settled()):
+        x.route = fol.find(x.said.host, x.req.path.decode("latin-1"))
+        if x.route is None and (fol.stale() or not fol.settled()):
             raise verdict.Defect("not_ready", "This node is cut off for now.", self.known(x))
-        if not fits:
+        if x.route is None:
             raise verdict.Defect("no_route", "No route fits this path.", self.known(x), field="path")
-        x.route = max(fits, key=lambda r: (len(r.path), bool(r.zones)))
-        x.pool_name = x.route.pool
+        match x.route.repeat:
+            case "may":
+                x.repeatable = True
+            case "never":
+                x.repeatable = False
+        x.pool_name = self.share(x.route)
         x.pool = fol.pools[x.pool_name]
         x.place = fol.place
 
+    def share(self, route):
+        """The pool of a route; where the route is split, one by the weights.
+
+        Example: `name = door.share(route)`
+        """
+        if not route.split:
+            return route.pool
+        at = self.mach.rng.random() * sum(s["weight"] for s in route.split)
+        for s in route.split:
+            at -= s["weight"]
+            if at < 0:
+                break
+        return s["pool"]
+
     def terms(self, x):
         """Find the conversation's terms and its session's id.
 
         Example: `door.terms(x)`
         """
-        who = outer.header(x.req.requestHeaders, outer.REQUESTER) or ""
-        x.terms = self.node.follower.terms[x.route.requesters.get(who, x.route.terms)]
+        x.terms = self.node.follower.terms[x.route.requesters.get(x.said.requester, x.route.terms)]
+        if x.pool.election == "node":
+            spans = [us for us in (x.said.left_us, x.route.cutoff_us or None) if us is not None]
+            x.until = x.arrived + min(spans, default=x.pool.long_wait_us)
+            return
         x.session = session.derive(x.parts, x.terms.session_part)
         x.long = len(x.raw) >= x.pool.long_bytes
         x.work = WORK_LEAST + len(x.raw) // WORK_BYTES
@@ -228,7 +253,10 @@
 
         Example: `door.tally(x).first(now, "x1")`
         """
-        return self.tallies.setdefault(x.pool_name, budget.Budget())
+        t = self.tallies.setdefault(x.pool_name, budget.Budget())
+        if x.pool.election == "node":  # no warden keeps the fleet's budget: this node has its part of the slack
+            t.slack = self.node.options.retry_slack // (len(self.node.follower.roster.members) + 1)
+        return t
 
     # ---- elect and send ----------------------------------------------------------------
 
--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -10,7 +10,6 @@
 import iriswheel.blueprint as blueprint
 import iriswheel.machine as machine
 import iriswheel.message as message
-import iriswheel.outer as outer
 import iriswheel.wire as wire
 
 FROZEN_US = 1 * machine.SECOND
@@ -22,6 +21,7 @@
 ASK_US = 500 * machine.MILLI  # between questions to the platform
 ORPHAN_US = 1_500 * machine.MILLI  # without news for this long, a node asks for itself
 POLL_US = 1 * machine.SECOND
+PAGES = 200  # of the platform's list
 SILENT_US = 800 * machine.MILLI  # the core tells four times a second that all is well
 
 log = loguru.logger.bind(part="follow")
@@ -68,6 +68,8 @@
         self.states = {}  # worker -> message.Worker
         self.drains = {}  # worker that is not ready -> when its streams must have ended
         self.listed = (0, 0, 0)
+        self.of = (0, 0, 0)  # under which stamp the list that is known here was told
+        self.told = None  # message.Listing, where this node asks the platform
         self.missed = {}  # worker -> how many answers of the platform in a row did not list it
         self.news_at = None  # when worker news last came
         self.link = None
@@ -103,6 +105,13 @@
         """
         return self.pools.get(name)
 
+    def by_warden(self, name):
+        """Whether a pool's workers are elected by its warden.
+
+        Example: `fol.by_warden("desk")`
+        """
+        return name in self.pools and self.pools[name].election == "warden"
+
     def state(self, worker):
         """A worker's state: "ready", "leaving" or "gone".
 
@@ -276,9 +285,20 @@
         """
         if m.stamp < self.listed:
             return
-        self.listed = m.stamp
+        self.listed = self.of = m.stamp
         self.take_workers(m.workers)
 
+    def take_same(self, m):
+        """The platform's list is as it was when it was last told whole; False where that is not known here.
+
+        Example: `if not fol.take_same(message.Same((1, 2, 9), (1, 2, 3))): link.tell(message.Relist())`
+        """
+        if m.of != self.of:
+            return self.of > m.of
+        self.listed = max(self.listed, m.stamp)
+        self.news_at = self.mach.now()
+        return True
+
     def take_workers(self, workers):
         """Note the workers and their states as they are now.
 
@@ -320,6 +340,8 @@
                 self.take_items(n, items, False)
             case message.News(roster=r):
                 self.take_roster(r)
+            case message.Loads():
+                self.node.loads.take(msg)
             case message.Alive():
                 pass
             case message.Elsewhere(cores=cores):
@@ -441,6 +463,20 @@
         kept = [w for w in missing if self.missed[w.id] < enough]
         return sorted(workers + kept, key=lambda w: w.id)
 
+    async def pages(self, host, port):
+        """The platform's whole list, page by page; raises ValueError and what fetch raises.
+
+        Example: `workers = await fol.pages("127.0.0.1", 9000)`
+        """
+        out, token = [], ""
+        for _ in range(PAGES):
+            raw = await self.node.sender.fetch(host, port, self.node.outer.list_path(token), POLL_US)
+            more, token = self.node.outer.page(raw)
+            out += more
+            if not token:
+                return sorted(out, key=lambda w: w.id)
+        raise ValueError("The platform's list has no end.")
+
     async def list(self):
         """Ask the platform for its workers, where that is this node's duty.
 
@@ -449,6 +485,7 @@
         Example: `mach.spawn(fol.list())`
         """
         count = 0
+        told = None  # the last list that the others were told whole
         host, port = self.options.platform_address()
         while not self.node.left:
             d = self.duty("list")
@@ -457,8 +494,7 @@
                 self.news_at is None or self.mach.now() - self.news_at > ORPHAN_US)
             if mine or orphan:
                 try:
-                    raw = await self.node.sender.fetch(host, port, outer.WORKERS_PATH, POLL_US)
-                    workers = self.believe(outer.workers(raw))
+                    workers = self.believe(await self.pages(host, port))
                 except defer.CancelledError:
                     raise
                 except Exception as e:
@@ -470,11 +506,15 @@
                 if mine:
                     count += 1
                     msg = message.Listing(workers, (d.term[0], d.term[1], count))
+                    if told is None or told.workers != workers or told.stamp[:2] != msg.stamp[:2]:
+                        told = msg
                     self.take_listing(msg)
+                    self.told = told
                     self.tell_core(msg)
+                    news = message.Spread(msg) if told is msg else message.Same(msg.stamp, told.stamp)
                     for m in self.roster.members:
                         if m.id != self.node.me.id:
-                            self.mach.spawn(self.node.neighbours.tell(m.host, m.port, message.Spread(msg)), log)
+                            self.mach.spawn(self.node.neighbours.tell(m.host, m.port, news), log)
                 else:
                     self.take_workers(workers)
-            await self.mach.sleep(ASK_US)
+            await self.mach.sleep(self.options.list_us)
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -473,6 +473,28 @@
     listing: Listing
 
 
+class Same(Message):
+    """The worker list is as it was when it was told whole under the stamp `of`."""
+
+    stamp: tuple[int, int, int]
+    of: tuple[int, int, int]
+
+
+class Relist(Message):
+    """That list is not known here: tell it whole."""
+
+
+class Loads(Message):
+    """Load in flight, by pool: rows of a worker, exchanges running there, prompt tokens not read yet.
+
+    From a node to its core: its own. Between cores: the sum of a core's nodes. From a core to a
+    node: the sum of all other nodes.
+    """
+
+    sender: str
+    rows: dict[str, list[tuple[str, int, int]]]
+
+
 class Probe(Message):
     """A warden asks for a witness: does this worker answer you?"""
 
@@ -526,6 +548,6 @@
     Refill, Append, Stored, Propose, Proposed, Look, Seen, Sessions, Beat, Join, Elsewhere,
     Frame, Change, News, Alive, Listing, Seated, Leave, Elect, Granted, Denied, Done, Running,
     Gather, Gathered, Copy, Copied, Unpin, Spread, HowGoes, Goes, Ping, Entry, Roster, Hello,
-    Contested,
+    Contested, Same, Relist, Loads,
     Probe, Probed, Dark, Pass, Passed, Forbid, Forbidden,
 ]
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -7,8 +7,10 @@
 
 import iriswheel.door as door
 import iriswheel.follower as follower
+import iriswheel.loads as loads
 import iriswheel.machine as machine
 import iriswheel.message as message
+import iriswheel.outer as outer
 import iriswheel.reach as reach
 import iriswheel.sender as sender
 import iriswheel.verdict as verdict
@@ -27,15 +29,17 @@
     Example: `node = Node(mach, options)`; `node.start(peer_port, http_port)`.
     """
 
-    def __init__(self, mach, options):
+    def __init__(self, mach, options, formats=None):
         self.mach = mach
         self.options = options
+        self.outer = formats or outer.Outer()
         self.me = None
         self.neighbours = wire.Neighbours(mach, self.serve, log)
         self.reach = reach.Reach(self)
         self.sender = sender.Sender(mach, self.reach.hear)
         self.follower = follower.Follower(self, options)
         self.door = door.Door(self)
+        self.loads = loads.NodeSide(self)
         self.wardens = {}  # pool -> Warden, where the duty is here
         self.shelves = {}  # pool -> Shelf, copies of others' records
         self.grants = {}  # ask -> Grant, of sends under way here
@@ -53,7 +57,8 @@
         o = self.options
         self.me = message.Member(f"{o.name}-{self.mach.boot}", o.name, o.zone, o.host, port, http)
         for coro in (self.follower.follow(), self.follower.watch(), self.follower.list(), self.tell_running(),
-                     self.door.look_for_hangs(), self.reach.walk()):
+                     self.door.look_for_hangs(), self.reach.walk(), self.door.carrier.look(),
+                     self.loads.run()):
             self.mach.spawn(coro, log)
         log.info("Node {} starts in zone {}.", self.me.id, o.zone)
 
@@ -100,7 +105,7 @@
             "routes": sorted(fol.routes), "pools": sorted(fol.pools),
             "duties": message.plain(fol.roster.duties),
             "wardens": [w.state() for _, w in sorted(self.wardens.items())],
-            "open": self.door.open, "counts": self.door.counts, "refused": self.door.refused,
+            "carrier": self.door.carrier.state(), "open": self.door.open, "counts": self.door.counts, "refused": self.door.refused,
         }
 
     # ---- controllers -----------------------------------------------------------------
@@ -236,6 +241,12 @@
                 return message.Passed(self.door.let_pass(w))
             case message.Spread(listing=listing):
                 self.follower.take_listing(listing)
+            case message.Same():
+                if not self.follower.take_same(msg) and link is not None:
+                    link.tell(message.Relist())
+            case message.Relist():
+                if self.follower.told is not None and link is not None:
+                    link.tell(message.Spread(self.follower.told))
             case message.HowGoes():
                 fol = self.follower
                 ok = fol.core_heard() and fol.settled()
--- a/iriswheel/options.py
+++ b/iriswheel/options.py
@@ -81,6 +81,7 @@
     retry_ratio: float = 0.2
     retry_window_us: int = 10_000_000
     retry_slack: int = 0
+    list_us: int = 500_000  # between two questions for the platform's list
 
     def front_address(self):
         """Where HTTP is served, as a pair.
@@ -146,7 +147,7 @@
         for n in ("front", "ready"):
             if getattr(self, n):
                 self._address(n, getattr(self, n), bad)
-        for n in ("grace_us", "connections", "copies", "seats", "call_rate", "retry_window_us"):
+        for n in ("grace_us", "connections", "copies", "seats", "call_rate", "retry_window_us", "list_us"):
             if getattr(self, n) <= 0:
                 bad.append(f"{n}: must be above 0")
         for n in ("drain_us", "hold_us", "retry_ratio", "retry_slack", "notice_us"):
--- a/iriswheel/outer.py
+++ b/iriswheel/outer.py
@@ -4,6 +4,7 @@
 in prose.
 """
 
+import dataclasses
 import json
 import re
 
@@ -184,3 +185,156 @@
     (200, {'ready': True})
     """
     return (200, {"ready": True}) if ok else (503, {"ready": False, "why": why})
+
+
+# ---- the seam ---------------------------------------------------------------------
+
+
+@dataclasses.dataclass
+class Ask:
+    """What a requester says of its exchange.
+
+    >>> Ask().left_us is None
+    True
+    """
+
+    parts: list = dataclasses.field(default_factory=list)  # ids of the prompt's parts, outermost first
+    sizes: list = dataclasses.field(default_factory=list)  # their tokens, where told
+    tokens_in: int = 0
+    tokens_out: int = 0
+    exchange: str = ""
+    send: int = 0
+    repeatable: bool = False
+    requester: str = ""
+    left_us: int | None = None  # how long the requester will wait
+    tag: str = ""  # what the worker's answer carries back
+    host: str = ""
+    model: str = ""
+    after: str = ""  # the last event that the requester has, where it takes a stream up again
+
+
+class Outer:
+    """The formats towards requesters, workers and platform; this class has iriswheel's own.
+
+    A site whose formats differ hands in a subclass; nothing else changes.
+
+    >>> Outer().ready(True)
+    (200, {'ready': True})
+    """
+
+    ready_path = READY_PATH
+    load_path = LOAD_PATH
+    any_method = False  # whether exchanges come by other methods than POST
+
+    def ask(self, req):
+        """What a request says of its exchange; raises verdict.Defect where it is malformed.
+
+        Example: `ask = outer.ask(req)`
+        """
+        heads = req.requestHeaders
+        parts = prefix(heads)
+        return Ask(
+            parts=parts, sizes=[0] * len(parts), exchange=ident(heads, EXCHANGE), send=send_number(heads),
+            repeatable=repeatable(heads), requester=header(heads, REQUESTER) or "", host=header(heads, "host") or "",
+            tag=ident(heads, EXCHANGE))
+
+    def head(self, req, size, worker, left_us, urgency, after=""):
+        """The head of the request to a worker, as bytes; `size` is the body's length in bytes.
+
+        Example: `raw = outer.head(req, len(body), worker, 5_000_000, 5)`
+        """
+        more = [(TARGET.encode(), worker.id.encode())]
+        return self.lines(req, size, HOP | OWN | {"last-event-id"}, [
+            (b"Host", f"{worker.host}:{worker.port}".encode()), *more,
+            *([(b"Last-Event-ID", after.encode())] if after else [])])
+
+    def lines(self, req, size, drop, more):
+        """A request's head with some headers dropped and others put in.
+
+        Example: `raw = outer.lines(req, 3, {"host"}, [(b"Host", b"10.0.0.1:80")])`
+        """
+        drop = drop | {n.strip().lower() for v in req.requestHeaders.getRawHeaders("connection", [])
+                       for n in v.split(",")}
+        out = [b"%s %s HTTP/1.1" % (req.method, req.uri)]
+        for name, vals in req.requestHeaders.getAllRawHeaders():
+            if name.decode("latin-1").lower() not in drop:
+                out += [b"%s: %s" % (name, v) for v in vals]
+        out += [b"%s: %s" % pair for pair in more]
+        out.append(b"Content-Length: %d" % size)
+        return b"\r\n".join(out) + b"\r\n\r\n"
+
+    def mine(self, tag, status, heads):
+        """Whether an answer is the one to this exchange: True, False, or None where it does not say.
+
+        >>> Outer().mine("x1", 200, {})
+        True
+        """
+        return True
+
+    def unrun(self, status, heads):
+        """Whether the worker says that it did not run the request.
+
+        >>> Outer().unrun(503, {}), Outer().unrun(200, {})
+        (True, False)
+        """
+        return status in (421, 429, 503)
+
+    def sound(self, status, heads):
+        """Whether the head can be a worker's.
+
+        >>> Outer().sound(200, {})
+        True
+        """
+        return True
+
+    def home(self, heads, worker):
+        """The headers of a worker's answer that go to the requester, as pairs of bytes.
+
+        >>> Outer().home([(b"Keep-Alive", b"5"), (b"X-A", b"b")], "w1")
+        [(b'X-A', b'b'), (b'X-Target-Worker', b'w1')]
+        """
+        named = {n.strip().lower() for k, v in heads if k.lower() == b"connection"
+                 for n in v.decode("latin-1").split(",")}
+        drop = HOP | OWN | named
+        return [(k, v) for k, v in heads if k.decode("latin-1").lower() not in drop] + [
+            (TARGET.encode(), worker.encode())]
+
+    def refusal(self, d):
+        """The answer to a defect: status, pairs of headers, body.
+
+        >>> Outer().refusal(verdict.Defect("busy", "Full."))[:2]
+        (503, [('Retry-After', '1')])
+        """
+        return d.status, [] if d.retry_after is None else [("Retry-After", str(d.retry_after))], d.body()
+
+    def list_path(self, token):
+        """Where the platform's list, or its page of that token, is asked for.
+
+        >>> Outer().list_path("")
+        '/workers'
+        """
+        return WORKERS_PATH
+
+    def page(self, raw):
+        """A page of the platform's list: workers, and the next page's token or "".
+
+        >>> Outer().page(b'{"workers": []}')
+        ([], '')
+        """
+        return workers(raw), ""
+
+    def load(self, raw):
+        """A worker's load report: exchanges that run there, and that wait.
+
+        >>> Outer().load(b'{"running": 3, "queued": 2}')
+        (3, 2)
+        """
+        return load(raw)
+
+    def ready(self, ok, why=""):
+        """The answer to the platform's question whether a node is ready.
+
+        >>> Outer().ready(False, "stopping")
+        (503, {'ready': False, 'why': 'stopping'})
+        """
+        return ready(ok, why)
--- /dev/null
+++ b/iriswheel/placement.py
@@ -0,0 +1,335 @@
+"""Placement: a node elects the worker itself, for pools whose election is "node".
+
+What decides is the time to the first event: the tokens that wait to be read at a worker, the
+batch that runs there, and how much of the prompt its cache is likely to hold. A node knows its
+own sends at once, those of the others from the load exchange; which worker keeps a shared part
+needs no message: all nodes rank the workers alike for it (rendezvous hashing).
+"""
+
+import collections
+import hashlib
+
+import loguru
+
+import iriswheel.machine as machine
+import iriswheel.session as session
+
+READ_RATE = 50  # tokens that a worker reads in a millisecond, until measured
+BATCH = 64  # exchanges that a worker runs at once, where the blueprint does not say
+STEP_US = 6_000  # a step of a worker's batch
+SLOT_US = 60  # what one more running exchange costs a new one, in time to its first event
+TURN_US = 700 * machine.MILLI  # how long an exchange holds its place in a full batch
+TRIALS = 16_384  # first turns remembered
+KEPT = 512  # parts remembered per worker
+SHARED = 1_000  # tokens from which on a shared part is worth to be kept in one place
+DEAR = 1.5  # reading anew also holds up others, and makes other parts give way
+JITTER_US = 3_000  # workers nearer than this are alike
+OLD_US = 1_500 * machine.MILLI  # others' sums older than this count for nothing
+PAIN_US = 200 * machine.MILLI  # a worker that failed is left alone for so long, doubling
+PAIN_MOST_US = 2 * machine.SECOND
+MUTE_US = 700 * machine.MILLI  # a worker with sends under way that says nothing for so long
+COST = 100  # an open session's cost that counts like one exchange
+
+log = loguru.logger.bind(part="place")
+
+
+class Worker:
+    """What this node knows of one worker.
+
+    >>> w = Worker(); w.running, w.unread
+    (0, 0)
+    """
+
+    __slots__ = ("running", "unread", "kept", "heard", "asked", "pains", "bad_until")
+
+    def __init__(self):
+        self.running = 0  # own exchanges there
+        self.unread = 0  # own prompt tokens that it has still to read
+        self.kept = collections.OrderedDict()  # chain key of a part -> tokens, the latest used last
+        self.heard = 0  # when it last said anything to this node
+        self.asked = 0  # when the first of the sends now under way went out
+        self.pains = 0  # failures in a row
+        self.bad_until = 0
+
+    def note(self, keys, sizes):
+        """Note the parts that a prompt brings there.
+
+        >>> w = Worker(); w.note([7], [100]); list(w.kept.items())
+        [(7, 100)]
+        """
+        for key, size in zip(keys, sizes):
+            self.kept.pop(key, None)
+            self.kept[key] = size
+        while len(self.kept) > KEPT:
+            self.kept.popitem(last=False)
+
+
+def chain(parts):
+    """A key for each part that stands for all parts up to it.
+
+    >>> a, b = chain(["x", "y"]), chain(["z", "y"]); a[1] == b[1], chain(["x"])[0] == a[0]
+    (False, True)
+    """
+    out, key = [], b""
+    for part in parts:
+        key = hashlib.blake2b(key + part.encode(), digest_size=8).digest()
+        out.append(key)
+    return out
+
+
+def weigh(key, worker):
+    """The weight of a worker for a key; the same on every node.
+
+    >>> weigh(b"k", "w1") == weigh(b"k", "w1"), weigh(b"k", "w1") == weigh(b"k", "w2")
+    (True, False)
+    """
+    return hashlib.blake2b(worker.encode(), digest_size=8, key=key).digest()
+
+
+class Placement:
+    """One node's placement over one pool.
+
+    Example: `p = Placement(mach, "desk")`; `name = p.pick(x, workers, pool)`; `p.begin(...)`.
+    """
+
+    def __init__(self, mach, pool):
+        self.mach = mach
+        self.pool = pool
+        self.workers = {}  # id -> Worker
+        self.others = {}  # id -> (running, unread) of all other nodes together
+        self.others_at = 0
+        self.book = session.Book()
+        self.trials = collections.OrderedDict()  # last part's key -> (worker, until): may yet be a session
+        self.ranks = collections.OrderedDict()  # key -> workers by weight
+        self.ranked = ()
+
+    def at(self, name):
+        """What is known of a worker.
+
+        >>> Placement(machine.Machine(None, now=lambda: 0), "p").at("w1").running
+        0
+        """
+        w = self.workers.get(name)
+        if w is None:
+            w = self.workers[name] = Worker()
+        return w
+
+    def rank(self, key, names):
+        """The workers by weight for a key, the heaviest first.
+
+        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p")
+        >>> sorted(p.rank(b"k", ("w1", "w2")))
+        ['w1', 'w2']
+        """
+        if names != self.ranked:
+            self.ranks.clear()
+            self.ranked = names
+        out = self.ranks.get(key)
+        if out is None:
+            out = self.ranks[key] = sorted(names, key=lambda n: weigh(key, n), reverse=True)
+            if len(self.ranks) > 4096:
+                self.ranks.popitem(last=False)
+        return out
+
+    def wait_us(self, name, pool, now):
+        """How long a new exchange would wait at a worker before its own prompt is read.
+
+        Only real exchanges in flight count here: this is what admission looks at.
+
+        Example: `us = placement.wait_us("w1", pool, now)`
+        """
+        w = self.at(name)
+        running, unread = self.others.get(name, (0, 0)) if now - self.others_at < OLD_US else (0, 0)
+        running += w.running
+        unread += w.unread
+        batch = pool.batch or BATCH
+        us = unread * 1000 // READ_RATE + running * SLOT_US
+        if running >= batch:
+            us += TURN_US * (running - batch + 1) // batch
+        return us
+
+    def read_us(self, name, keys, sizes, own, names):
+        """How long a worker would read at a prompt, less what its cache is likely to hold.
+
+        Example: `us = placement.read_us("w1", keys, [13300], 3720, names)`
+        """
+        kept = self.at(name).kept
+        left = own
+        missing = False
+        for key, size in zip(keys, sizes):
+            if not missing and (key in kept or size >= SHARED and self.rank(key, names)[0] == name):
+                continue
+            missing = True
+            left += size
+        return int(left * 1000 // READ_RATE * DEAR)
+
+    def sick(self, name, now):
+        """Whether a worker failed just now, or says nothing although it was asked.
+
+        Example: `placement.sick("w1", now)`
+        """
+        w = self.workers.get(name)
+        if w is None:
+            return False
+        return now < w.bad_until or self.mute(name, now)
+
+    def mute(self, name, now):
+        """Whether a worker that has sends of this node says nothing to any of them.
+
+        >>> Placement(machine.Machine(None, now=lambda: 0), "p").mute("w1", 0)
+        False
+        """
+        w = self.workers.get(name)
+        return w is not None and bool(w.running) and now - max(w.asked, w.heard) > MUTE_US
+
+    def pick(self, ask, keys, own, ready, pool, shun):
+        """The worker for an exchange, or "" where there is none; (name, time it waits there).
+
+        Example: `name, us = placement.pick(ask, keys, 291, ["w1", "w2"], pool, set())`
+        """
+        now = self.mach.now()
+        names = tuple(ready)
+        r = self.book.pinned(keys[-1]) if keys else None
+        if r is not None and r.worker in ready and r.worker not in shun:
+            return r.worker, self.wait_us(r.worker, pool, now)
+        fit = [n for n in names if n not in shun]
+        fit = [n for n in fit if not self.sick(n, now)] or fit
+        if not fit:
+            return "", 0
+        if keys:
+            worker, until = self.trials.get(keys[-1], ("", 0))
+            if worker in fit and until > now:
+                return worker, self.wait_us(worker, pool, now)  # a second turn: its prefix is held there
+        best, least = "", None
+        for n in fit:
+            wait = self.wait_us(n, pool, now)
+            us = wait + self.read_us(n, keys[:-1], ask.sizes[:-1], own, names)
+            us += self.book.load(n) * SLOT_US // COST  # reserved cost of open sessions
+            us += self.mach.rng.randrange(JITTER_US)
+            if least is None or us < least:
+                best, least, its_wait = n, us, wait
+        return best, its_wait
+
+    # ---- sends ------------------------------------------------------------------------
+
+    def begin(self, name, keys, sizes, own):
+        """A send goes out; the tokens that the worker will likely read for it.
+
+        Example: `tokens = placement.begin("w1", keys, sizes, 291)`
+        """
+        w = self.at(name)
+        tokens = own
+        for key, size in zip(keys, sizes):
+            if key not in w.kept:
+                tokens += size
+        w.note(keys, sizes)
+        if not w.running:
+            w.asked = self.mach.now()
+        w.running += 1
+        w.unread += tokens
+        return tokens
+
+    def first(self, name, tokens):
+        """The first event came: the prompt is read.
+
+        Example: `placement.first("w1", 291)`
+        """
+        self.at(name).unread -= tokens
+
+    def hear(self, name):
+        """A worker said something.
+
+        Example: `placement.hear("w1")`
+        """
+        w = self.at(name)
+        w.heard = self.mach.now()
+        w.pains = w.bad_until = 0
+
+    def end(self, name, tokens):
+        """A send is over; `tokens` are those that were never read.
+
+        Example: `placement.end("w1", 0)`
+        """
+        w = self.at(name)
+        w.running -= 1
+        w.unread -= tokens
+
+    def pain(self, name):
+        """A worker failed: leave it alone for a while.
+
+        >>> p = Placement(machine.Machine(None, now=lambda: 5), "p"); p.pain("w1"); p.sick("w1", 6)
+        True
+        """
+        w = self.at(name)
+        w.bad_until = self.mach.now() + min(PAIN_MOST_US, PAIN_US << min(w.pains, 8))
+        w.pains += 1
+
+    # ---- sessions ---------------------------------------------------------------------
+
+    def turn(self, key, name, terms, cap):
+        """Note a turn: the second one with the same last part opens a session, if the cap allows.
+
+        Nobody says whether a prompt's last part is a conversation's or one exchange's own, and a
+        record for each of the latter would fill every cap. So the first turn leaves a trial, which
+        counts for nothing but placement.
+
+        Example: `placement.turn(keys[-1], "w1", terms, pool.cap)`
+        """
+        now = self.mach.now()
+        r = self.book.pinned(key)
+        if r is not None and r.worker != name:
+            self.book.close(key)
+            r = None
+        if r is not None:
+            r.lifetime_us, r.cost = terms.lifetime_us, terms.cost
+            self.book.extend(r, now)
+            return
+        worker, until = self.trials.pop(key, ("", 0))
+        if until > now and (not cap or self.book.count(name) < cap):
+            self.book.open(key, name, now, terms.lifetime_us, terms.cost)
+            return
+        self.trials[key] = (name, now + terms.lifetime_us)
+        if len(self.trials) > TRIALS:
+            self.trials.popitem(last=False)
+
+    def sweep(self, ready):
+        """Close sessions past their lease, and those of workers that are ready no more.
+
+        >>> Placement(machine.Machine(None, now=lambda: 0), "p").sweep({"w1"})
+        """
+        now = self.mach.now()
+        self.book.sweep(now)
+        for name in [n for n in self.book.at if n not in ready]:
+            self.book.evict(name)
+        while self.trials and next(iter(self.trials.values()))[1] < now:
+            self.trials.popitem(last=False)
+        for name in [n for n, w in self.workers.items() if n not in ready and not w.running]:
+            del self.workers[name]
+
+    def told(self):
+        """This node's own load, for the load exchange: rows of worker, running, unread tokens.
+
+        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.told()
+        []
+        """
+        return [(n, w.running, max(0, w.unread)) for n, w in sorted(self.workers.items()) if w.running]
+
+    def take(self, rows):
+        """Take the other nodes' sums.
+
+        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.take([("w1", 3, 900)]); p.others["w1"]
+        (3, 900)
+        """
+        self.others = {n: (running, unread) for n, running, unread in rows}
+        self.others_at = self.mach.now()
+
+    def state(self):
+        """What this placement shows of itself.
+
+        >>> Placement(machine.Machine(None, now=lambda: 0), "p").state()["sessions"]
+        {}
+        """
+        return {
+            "pool": self.pool, "sessions": {w: len(rs) for w, rs in sorted(self.book.at.items()) if rs},
+            "trials": len(self.trials), "running": {n: w.running for n, w in sorted(self.workers.items())},
+        }
--- a/iriswheel/reach.py
+++ b/iriswheel/reach.py
@@ -9,7 +9,6 @@
 
 import iriswheel.machine as machine
 import iriswheel.message as message
-import iriswheel.outer as outer
 
 PROBE_US = 500 * machine.MILLI
 KNOCK_US = 300 * machine.MILLI  # for a bare connection
@@ -70,6 +69,8 @@
         while not self.node.left:
             await self.mach.sleep(WALK_US)
             for w in self.node.follower.workers:
+                if not self.node.follower.by_warden(w.pool):
+                    continue  # it is heard of from what is sent there
                 if w.state == "ready" and w.id not in self.lost and w.id not in self.heard:
                     self.mach.spawn(self.knock(w), log)
 
@@ -114,7 +115,7 @@
         Example: `res = await reach.ask(worker)`
         """
         try:
-            raw = await self.node.sender.fetch(w.host, w.port, outer.LOAD_PATH, PROBE_US)
+            raw = await self.node.sender.fetch(w.host, w.port, self.node.outer.load_path, PROBE_US)
         except defer.CancelledError:
             raise
         except Exception as e:
@@ -123,7 +124,7 @@
             got = await self.node.sender.knock(w.host, w.port, KNOCK_US)
             return message.Probed("mute" if got else "none", None)
         try:
-            return message.Probed("answer", outer.load(raw))
+            return message.Probed("answer", self.node.outer.load(raw))
         except ValueError:
             return message.Probed("answer", None)
 
--- a/iriswheel/verdict.py
+++ b/iriswheel/verdict.py
@@ -42,6 +42,7 @@
     "no_nodes": (503, True),
     "unknown_outcome": (504, True),
     "worker_broke": (502, True),
+    "too_late": (504, False),
     "stopping": (503, True),
 }
 
@@ -61,6 +62,7 @@
         self.verdict = verdict
         self.field = field
         self.status, waits = CODES[code]
+        self.retry_us = retry_us if waits else None
         self.retry_after = max(1, -(-retry_us // 1_000_000)) if waits else None
 
     def body(self):
--- a/iriswheel/web.py
+++ b/iriswheel/web.py
@@ -1,6 +1,7 @@
 """HTTP as iriswheel's processes serve it: twisted.web, bounded, one task per exchange."""
 
 import http as status
+import io
 import json
 
 import loguru
@@ -8,6 +9,7 @@
 import twisted.web.http as http
 
 import iriswheel.machine as machine
+import iriswheel.outer as outer
 import iriswheel.verdict as verdict
 
 BODY_BYTES = 8 << 20
@@ -28,6 +30,7 @@
 
     def gotLength(self, length):
         super().gotLength(length)
+        self.content = io.BytesIO()  # bounded by body_bytes; never a file
         if length is not None and length > self.channel.factory.body_bytes:
             self.refuse_early("too_large", "The body is too large.")
 
@@ -78,8 +81,8 @@
 
         Example: `request.answer_defect(verdict.Defect("busy", "All seats are taken."))`
         """
-        heads = {} if d.retry_after is None else {"Retry-After": str(d.retry_after)}
-        self.answer(d.status, d.body(), heads)
+        status, heads, body = self.channel.factory.outer.refusal(d)
+        self.answer(status, body, dict(heads))
 
     def answer_json(self, code, val):
         """Give a JSON answer.
@@ -156,10 +159,11 @@
     noisy = False
     protocol = Channel
 
-    def __init__(self, mach, handle, body_bytes=BODY_BYTES, room=2048):
+    def __init__(self, mach, handle, body_bytes=BODY_BYTES, room=2048, formats=None):
         super().__init__(timeout=IDLE_S, reactor=mach.reactor)
         self.mach = mach
         self.handle = handle
+        self.outer = formats or outer.Outer()
         self.body_bytes = body_bytes
         self.room = room
         self.open = 0
