--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -29,7 +29,7 @@
     "swan": (["yard", "yard", "yard", "mill", "mill", "mill", "office", "office"], 6, "reviews", "swan.json"),
 }
 HOST = "127.0.0.1"
-LISTENS = re.compile(r"listens on [0-9.]+:([0-9]+), HTTP on ([0-9]+)")
+LISTENS = re.compile(r"listens on [0-9.]+:([0-9]+), HTTP on [0-9.]+:([0-9]+)")
 EXAMPLES = os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "examples")
 
 
