--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -25,7 +25,6 @@
 import msgspec
 import twisted.internet.task as task
 
-import bench.fleet
 import bench.sim as sim
 import bench.stand as stand
 import bench.town as town
@@ -552,9 +551,8 @@
 
             lines.put("a change of one route taken at a node", "routes", "loops", r, ratio(take))
             lines.put("a slice held at a node", "routes", "B", r, held(lambda: _sliced(slice)))
-            req = types.SimpleNamespace(path=f"/{r - 1:06x}/{(r - 1) % 97:02x}/x".encode())
-            x = types.SimpleNamespace(req=req)
-            lines.put("a request's route found", "routes", "loops", r, ratio(lambda: n.door.route(x)))
+            path = f"/{r - 1:06x}/{(r - 1) % 97:02x}/x"
+            lines.put("a request's route found", "routes", "loops", r, ratio(lambda: n.follower.find("host.example", path)))
     end(lines, out)
 
 
@@ -798,6 +796,30 @@
             f.until(lambda: all(len(names(y)) == len(f.nodes) and y.follower.core_stands() for y in live()), 60)
 
 
+def everything(*, small: bool = False):
+    """All of them, one after the other.
+
+    :param small: a few sizes only
+    """
+    loguru.logger.remove()
+    print("lists")
+    lists(**dict(sizes=[8, 32], listed=[36, 260], pools=[1, 8], repeats=2) if small else {})
+    print("tail")
+    tail(**dict(sizes=[8, 32], pools=[1, 8], repeats=2) if small else {})
+    print("records")
+    records(**dict(sizes=[1_000, 10_000], repeats=2) if small else {})
+    print("elects")
+    elects(**dict(listed=[9, 90], sizes=[1_000, 10_000], repeats=2) if small else {})
+    print("prefixes")
+    prefixes(**dict(sizes=[15_000, 150_000], repeats=2) if small else {})
+    print("routes")
+    routes(**dict(sizes=[100, 500], repeats=2) if small else {})
+    print("fleet")
+    fleet(**dict(sizes=[8, 16], listed=[36, 72], pools=[1, 2]) if small else {})
+    print("losses")
+    losses(**dict(sizes=[8, 16]) if small else dict(sizes=[8, 32, 128]))
+
+
 if __name__ == "__main__":
     loguru.logger.remove()
-    defopt.run([lists, tail, records, elects, prefixes, routes, fleet, losses])
+    defopt.run([lists, tail, records, elects, prefixes, routes, fleet, losses, everything])
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -5,6 +5,7 @@
     python -m bench.measure elects
     python -m bench.measure slices
     python -m bench.measure recovery
+    python -m bench.measure capacity
 """
 
 import contextlib
@@ -298,5 +299,15 @@
     }
 
 
+def capacity(*, small: bool = False):
+    """The slopes of docs/CAPACITY.md, one after the other; bench/capacity.py has them singly.
+
+    :param small: a few sizes only
+    """
+    import bench.capacity as slopes
+
+    slopes.everything(small=small)
+
+
 if __name__ == "__main__":
-    defopt.run([hop, saturate, elects, slices, recovery, scale, sizes])
+    defopt.run([hop, saturate, elects, slices, recovery, scale, sizes, capacity])
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,89 @@
+"""The slopes of docs/CAPACITY.md at a small size: the bytes repeat, so they are held to what the page says."""
+
+import contextlib
+import io
+import os
+import re
+
+import loguru
+import testtools
+
+import bench.capacity as capacity
+
+PAGE = os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "docs", "CAPACITY.md")
+
+
+def rows(text):
+    """A printed table's lines: (line, grows with) -> (slope, unit).
+
+    >>> rows("| a | members | 73.1 B | 73.1 to 73.1 | 2,390 | 1.000 | 8 (3,030) |")
+    {('a', 'members'): (73.1, 'B')}
+    """
+    found = re.findall(r"^\| ([^|]+) \| ([^|]+) \| ([-0-9.,e]+) ([A-Za-z/]+) \|", text, re.M)
+    return {(line, by): (float(slope.replace(",", "")), unit) for line, by, slope, unit in found}
+
+
+class Slopes(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        loguru.logger.remove()
+        with open(PAGE) as f:
+            self.page = rows(f.read())
+
+    def ran(self, f, **more):
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            f(**more)
+        return rows(out.getvalue())
+
+    def hold(self, got, rel):
+        """Every line with bytes on the page has that slope; every line is on the page."""
+        self.assertTrue(got)
+        for key, (slope, unit) in got.items():
+            self.assertIn(key, self.page)
+            if unit == "B" and "held" not in key[0] and "memory" not in key[0]:
+                self.assertTrue(abs(slope - self.page[key][0]) <= rel * abs(slope), f"{key}: {slope}, {self.page[key]}")
+
+    def test_rosters_and_lists_are_as_long_as_the_page_says(self):
+        self.hold(self.ran(capacity.lists, sizes=[8, 32], listed=[36, 260], pools=[1, 8], repeats=1), 0.05)
+
+    def test_a_core_s_word_is_as_long_as_the_page_says(self):
+        self.hold(self.ran(capacity.tail, sizes=[8, 32], pools=[1], repeats=1), 0.05)
+
+    def test_session_records_are_as_long_as_the_page_says(self):
+        self.hold(self.ran(capacity.records, sizes=[1000, 2000], repeats=1), 0.05)
+
+    def test_elections_and_parts_run(self):
+        self.hold(self.ran(capacity.elects, listed=[9, 18], sizes=[100, 1000], repeats=1), 0.05)
+        self.hold(self.ran(capacity.prefixes, sizes=[2600, 26_000], repeats=1), 0.05)
+
+    def test_blueprints_are_as_long_as_the_page_says(self):
+        self.hold(self.ran(capacity.routes, sizes=[500, 2000], repeats=1), 0.1)
+
+
+class Hollow(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        loguru.logger.remove()
+
+    def quiet(self, **more):
+        f = capacity.Fleet(1, routes=10, **more)
+        f.begin()
+        f.go(2)
+        return f.by_role(f.metered(4))
+
+    def test_worker_lists_go_to_every_node_and_the_meter_counts_them(self):
+        few = self.quiet(nodes=6, listed=9)
+        more = self.quiet(nodes=6, listed=90)
+        grown = more["node"]["in_bytes"] - few["node"]["in_bytes"]
+        self.assertTrue(81 * 53 < grown < 81 * 54.5 * 2, grown)
+        told = more["lister"]["out_bytes"] - few["lister"]["out_bytes"]
+        self.assertTrue(5.5 * grown < told < 6.5 * grown, told / grown)  # five other nodes and the core
+        self.assertTrue(0 < more["node"]["loops"] < more["warden"]["loops"])
+
+    def test_a_lost_node_is_told_to_all(self):
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            capacity.losses(sizes=[6], only=["restart", "zone"], routes=10)
+        self.assertIn("| 6 | restart |", out.getvalue())
+        self.assertIn("| 6 | zone |", out.getvalue())
