--- a/bench/serving.py
+++ b/bench/serving.py
@@ -262,7 +262,7 @@
         self.way = ""  # how this one goes wrong
         self.job = None
         self.events = 0
-        self.raw = []
+        self.raw, self.times = [], []
 
 
 class Worker(Server):
@@ -463,7 +463,7 @@
         if run.tick is not None and run.tick.active():
             run.tick.cancel()
         if run.began:
-            self.put("ran", attempt=run.attempt, seal=run.seal, how=how, events=run.events,
+            self.put("ran", attempt=run.attempt, seal=run.seal, how=how, events=run.events, times=run.times,
                      body=digest(b"".join(run.raw)))
 
     def heads(self, run, close):
@@ -515,6 +515,7 @@
         run.events += 1
         piece = f"id: {k}\ndata: {run.seal} {run.attempt} {k}{' last' if last else ''}\n\n".encode()
         run.raw.append(piece)
+        run.times.append(self.mach.now())
         if run.way == "break" and run.events >= 2:
             talk.send(b"%x\r\n%s" % (len(piece), piece[: len(piece) // 2]))
             self.engine.cancel(run.job)
--- /dev/null
+++ b/bench/users.py
@@ -0,0 +1,643 @@
+"""Stand-ins for who calls the fleet on the users' platform: clients, their virtual address, and operators.
+
+Each try of a client is one row `tried` of the event log, with everything that came back and when.
+"""
+
+import dataclasses
+import json
+import math
+import zlib
+
+import httptools
+import loguru
+import twisted.internet.defer as defer
+import twisted.internet.protocol as protocol
+
+import bench.serving as serving
+import bench.words as words
+import iriswheel.machine as machine
+
+MS, S = machine.MILLI, machine.SECOND
+PROMISES = (408, 421, 429, 503)  # the request has not run and never will
+FINAL = (400, 401, 404, 413, 431)
+
+log = loguru.logger.bind(part="users")
+
+
+@dataclasses.dataclass
+class Kind:
+    """A kind of request. Times in ms; parts are (mean tokens, spread, things, skew), from the outermost on.
+
+    >>> Kind("desk").sort
+    'stream'
+    """
+
+    name: str
+    host: str = "desk.example"
+    path: str = "/desk/"
+    sort: str = "stream"  # or may, once: what may be repeated
+    resumable: bool = False
+    urgency: int = 0
+    aim_ms: int = 400
+    pause_ms: int = 200
+    deadline_ms: int = 5_000
+    sends: int = 2
+    more_tries: int = 1
+    worth: float = 3.0
+    late_worth: float = 0.9
+    share: float = 1.0  # of all requests
+    parts: tuple = ((55, 0.4, 40, 0.0), (37, 0.7, 1400, 0.3))
+    own: tuple = (290, 1.4, 1800)  # mean, spread, most
+    events: tuple = (11, 1.4, 45)
+    body_bytes: int = 770
+    pool: str = "pool"
+
+
+def draw(rng, mean, spread, most=1e9):
+    """A size by chance: log-normal round a mean, at least 1.
+
+    >>> import random
+    >>> draw(random.Random(1), 50, 0)
+    50
+    """
+    if not spread:
+        return max(1, round(mean))
+    return max(1, min(round(most), round(rng.lognormvariate(math.log(mean) - spread ** 2 / 2, spread))))
+
+
+def some_thing(rng, things, skew):
+    """One of so many things, the first ones more often.
+
+    >>> import random
+    >>> some_thing(random.Random(1), 1, 0.3)
+    0
+    """
+    return min(things - 1, int(things * rng.random() ** (1 / (1 - skew)))) if skew < 1 else 0
+
+
+class Call:
+    """One request on a connection, and what came back. `ended(call)` is told once.
+
+    Example: `Call(["a", "bc"], done)`
+    """
+
+    def __init__(self, ended):
+        self.ended = ended
+        self.over = False
+        self.how = ""  # whole, closed, garbage, or a word of who gave up
+        self.code, self.heads, self.body = 0, {}, b""
+        self.events = []  # [id, seal, when, last]
+        self.rest = b""
+        self.bad_events = 0
+        self.first = self.last = None
+        self.pause = 0
+
+    def end(self, how):
+        """It is over.
+
+        Example: `call.end("whole")`
+        """
+        if not self.over:
+            self.over, self.how = True, how
+            self.ended(self)
+
+    def head(self, name):
+        """A header of the answer, or None.
+
+        Example: `call.head("Retry-After")`
+        """
+        return self.heads.get(name.lower())
+
+    def take(self, data, now):
+        """Bytes of the body.
+
+        Example: `call.take(b"id: 1\\n", now)`
+        """
+        if self.first is None:
+            self.first = now
+        else:
+            self.pause = max(self.pause, now - self.last)
+        self.last = now
+        self.body += data
+        if not (self.head("content-type") or "").startswith("text/event-stream"):
+            return
+        self.rest += data
+        *pieces, self.rest = self.rest.split(b"\n\n")
+        for p in pieces:
+            try:
+                fields = dict(line.split(": ", 1) for line in p.decode().split("\n"))
+                seal, attempt, k, *last = fields["data"].split(" ")
+                if k != fields["id"]:
+                    raise ValueError(k)
+                self.events.append([int(k), seal, now, bool(last), attempt])
+            except (ValueError, KeyError, UnicodeDecodeError):
+                self.bad_events += 1
+
+
+class Line(protocol.Protocol):
+    """A client's connection: one call at a time, kept for the next one if both sides like.
+
+    Example: `line.start(call, raw)`
+    """
+
+    def __init__(self, mach, stray=lambda line, data: None):
+        self.mach, self.stray = mach, stray
+        self.parser = httptools.HttpResponseParser(self)
+        self.call = None
+        self.up = False
+        self.keep = True
+        self.until = None  # when the other side ends it if idle
+        self.heads = {}
+        self.passing = False  # what comes is no final answer
+
+    def connectionMade(self):
+        self.up = True
+
+    def start(self, call, raw):
+        """Send a request.
+
+        Example: `line.start(call, b"GET / HTTP/1.1\\r\\n\\r\\n")`
+        """
+        self.call = call
+        self.transport.write(raw)
+
+    def unread(self):
+        """Whether the other side has not read all that was sent.
+
+        Example: `line.unread()`
+        """
+        return getattr(self.transport, "flying", 0) > 0
+
+    def drop(self, how):
+        """Give the call up, and the connection with it.
+
+        Example: `line.drop("silent")`
+        """
+        call, self.call, self.keep = self.call, None, False
+        if self.up:
+            self.transport.abortConnection()
+        if call is not None:
+            call.end(how)
+
+    def dataReceived(self, data):
+        if self.call is None:
+            if self.keep:
+                self.stray(self, data)
+            self.keep = False
+            self.transport.abortConnection()
+            return
+        call = self.call
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self.call is None and call.how == "whole":
+                self.stray(self, data)  # more bytes in one piece with a whole answer
+                self.keep = False
+                self.transport.abortConnection()
+            else:
+                self.drop("garbage")
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self.up = self.keep = False
+        call, self.call = self.call, None
+        if call is not None:
+            call.end("closed")
+
+    def on_message_begin(self):
+        self.heads = {}
+        if self.call is None:
+            raise ValueError("an answer that nobody asked for")
+
+    def on_header(self, name, value):
+        self.heads[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self):
+        code = self.parser.get_status_code()
+        self.passing = 100 <= code < 200
+        if not self.passing:
+            self.call.code, self.call.heads = code, self.heads
+
+    def on_body(self, data):
+        self.call.take(data, self.mach.now())
+
+    def on_message_complete(self):
+        if self.passing:
+            return
+        call, self.call = self.call, None
+        self.keep = self.keep and self.parser.should_keep_alive()
+        told = self.heads.get("keep-alive", "")
+        self.until = self.mach.now() + int(told.split("timeout=")[1].split(",")[0]) * S if "timeout=" in told else None
+        call.whole_at = self.mach.now()
+        call.end("whole")
+
+
+def connect(mach, host, port, timeout_us, stray=lambda line, data: None):
+    """Open a connection: a Deferred of a Line; it fails as the network says.
+
+    Example: `line = await connect(mach, "10.0.2.1", 80, S)`
+    """
+    d = defer.Deferred()
+
+    class Factory(protocol.ClientFactory):
+        noisy = False
+
+        def buildProtocol(self, addr):
+            line = Line(mach, stray)
+            mach.later(0, lambda: d.called or d.callback(line))
+            return line
+
+        def clientConnectionFailed(self, connector, reason):
+            if not d.called:
+                d.errback(reason)
+
+    mach.reactor.connectTCP(host, port, Factory(), timeout=timeout_us / S)
+    return d
+
+
+class Entry:
+    """The platform's virtual address: asks nodes whether they are ready, and picks one for a new connection.
+
+    Example: `e = Entry(mach, tape)`; `e.nodes["n1"] = ("a", ("10.0.2.1", 8263), ("10.0.2.1", 8268))`
+    """
+
+    def __init__(self, mach, tape, near=lambda zone: []):
+        self.mach, self.tape, self.near = mach, tape, near
+        self.nodes = {}  # name -> (zone, front, ready)
+        self.misses = {}  # name -> misses in a row
+
+    async def run(self):
+        """Ask all nodes each second.
+
+        Example: `mach.spawn(entry.run())`
+        """
+        while True:
+            for name in sorted(self.nodes):
+                self.mach.spawn(self.ask(name, *self.nodes[name][2]), log)
+            await self.mach.sleep(S)
+
+    async def ask(self, name, host, port):
+        """Ask one node whether it is ready.
+
+        Example: `await entry.ask("n1", "10.0.2.1", 8268)`
+        """
+        was = self.into(name)
+        ok = False
+        try:
+            line = await connect(self.mach, host, port, 900 * MS)
+            d = defer.Deferred()
+            line.start(Call(d.callback), f"GET {words.PATH['ready']} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+            self.mach.later(900 * MS, line.drop, "silent")
+            call = await d
+            ok = call.how == "whole" and call.code == 200
+            line.drop("done")
+        except defer.CancelledError:
+            raise
+        except Exception:
+            pass
+        if name not in self.nodes:
+            return
+        self.misses[name] = 0 if ok else self.misses.get(name, 2) + 1
+        self.tape.put(self.mach.now(), "asked", node=name, ok=ok)
+        if self.into(name) != was:
+            self.tape.put(self.mach.now(), "entry", node=name, into=not was)
+
+    def into(self, name):
+        """Whether a node gets new connections.
+
+        Example: `entry.into("n1")`
+        """
+        return self.misses.get(name, 2) < 2
+
+    def zone_nodes(self, zone):
+        """The nodes that a zone's clients are passed to.
+
+        Example: `entry.zone_nodes("a")`
+        """
+        mine = [n for n in sorted(self.nodes) if self.nodes[n][0] == zone]
+        ready = [n for n in mine if self.into(n)]
+        return ready if 2 * len(ready) >= len(mine) and ready else mine if ready else []
+
+    def pick(self, zone, client, tries):
+        """The node of a new connection.
+
+        Example: `name, address = entry.pick("a", "c7", 0)`
+        """
+        zones = [zone, *[z for z in sorted({v[0] for v in self.nodes.values()}) if z != zone]]
+        names = next((got for z in zones if (got := self.zone_nodes(z))), sorted(self.nodes))
+        at = zlib.crc32(f"{client}".encode()) + tries
+        name = names[at % len(names)]
+        return name, self.nodes[name][1]
+
+
+class Client:
+    """One client, with its own connections.
+
+    Example: `c = Client(site, "c1", "a")`; `await c.ask(kind)`
+    """
+
+    def __init__(self, mach, tape, entry, name, zone, keeps=True, chunked=False, hasty=False):
+        self.mach, self.tape, self.entry = mach, tape, entry
+        self.name, self.zone = name, zone
+        self.keeps, self.chunked, self.hasty = keeps, chunked, hasty
+        self.spare = {}  # node -> lines
+        self.made = 0
+
+    def stray(self, node):
+        """What to do with bytes that nobody asked for.
+
+        Example: `connect(..., client.stray("n1"))`
+        """
+        return lambda line, data: self.tape.put(self.mach.now(), "stray", node=node, client=self.name,
+                                                data=data[:80].decode("latin-1"))
+
+    def content(self, kind, hot=None):
+        """A request by chance: headers, body, tokens in and out. `hot` (kind, share) makes one key popular.
+
+        Example: `heads, body = client.content(kind)`
+        """
+        rng = self.mach.rng
+        parts = []
+        for level, (mean, spread, things, skew) in enumerate(kind.parts):
+            hit = hot is not None and hot[0] == kind.name and rng.random() < hot[1]
+            thing = 0 if hit else some_thing(rng, things, skew)
+            ident = zlib.crc32(f"{kind.name} {level} {thing}".encode())
+            sizes = machine.random.Random(ident)
+            parts.append((f"{ident:08x}", draw(sizes, mean, spread, 3 * mean)))
+        parts.append((f"{rng.getrandbits(32):08x}", draw(rng, *kind.own)))
+        out = 4 * draw(rng, *kind.events)
+        h = words.HEAD
+        tokens = sum(n for _, n in parts)
+        heads = [(h["model"], "m"), (h["tokens"], f"{tokens},{out}"),
+                 (h["parts"], ",".join(f"{p}:{n}" for p, n in parts))]
+        body = b"%08x" % rng.getrandbits(32) + b"." * max(0, draw(rng, kind.body_bytes, 0.3, 200_000) - 8)
+        return heads if kind.sort == "stream" else [], body
+
+    async def ask(self, kind, path="", hot=None, heads=None, body=None):
+        """One request through all its tries.
+
+        Example: `await client.ask(kind)`
+        """
+        mach, rng = self.mach, self.mach.rng
+        made, made_body = self.content(kind, hot)
+        heads, body = heads if heads is not None else made, body if body is not None else made_body
+        self.made += 1
+        ident = f"{self.name}-{self.made}"
+        began = mach.now()
+        until = began + kind.deadline_ms * MS
+        path = path or f"{kind.path}{rng.getrandbits(8):02x}"
+        after, tries = 0, 0
+        self.tape.put(began, "asked_for", request=ident, sort=kind.name, zone=self.zone)
+        while True:
+            row = await self.once(kind, ident, tries, path, heads, body, until, after)
+            tries += 1
+            code, how, now = row["code"], row["how"], mach.now()
+            got = [e[0] for e in row["events"]]
+            after = max([after, *got]) if kind.resumable else 0
+            if how == "whole" and 200 <= code < 300 or how == "whole" and code in FINAL or now >= until:
+                break
+            repeatable = kind.sort == "may" or kind.resumable
+            if not (repeatable or how == "unconnected" or how == "whole" and code in PROMISES):
+                break
+            if tries > kind.more_tries * (3 if self.hasty else 1):
+                break
+            wait = 50 * MS
+            if row["retry_after"] is not None and not self.hasty:
+                wait = min(int(row["retry_after"] * S), (until - now) // 3)
+            if self.hasty:
+                wait = 1
+            await mach.sleep(wait)
+            if mach.now() >= until:
+                break
+        self.tape.put(mach.now(), "answered", request=ident, sort=kind.name, zone=self.zone, began=began, tries=tries,
+                      ok=how == "whole" and 200 <= code < 300, code=code, how=how)
+
+    async def once(self, kind, ident, tries, path, heads, body, until, after, node=None):
+        """One try: its row of the log.
+
+        Example: `row = await client.once(kind, "r1", 0, "/desk/1", heads, body, until, 0)`
+        """
+        mach, h = self.mach, words.HEAD
+        attempt = f"{mach.rng.getrandbits(64):016x}"
+        name, (host, port) = (node, self.entry.nodes[node][1]) if node else self.entry.pick(self.zone, self.name, tries)
+        began = mach.now()
+        left = max(1, (until - began) // MS)
+        lines = [("Host", kind.host), (h["attempt"], attempt), *heads, (h["left"], str(left))]
+        if after:
+            lines.append((h["after"], str(after)))
+        if self.chunked and body:
+            cut = len(body) // 2
+            pieces = [p for p in (body[:cut], body[cut:]) if p]
+            raw = b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in pieces) + b"0\r\n\r\n"
+            lines.append(("Transfer-Encoding", "chunked"))
+        else:
+            raw = body
+            lines.append(("Content-Length", str(len(body))))
+        if not self.keeps:
+            lines.append(("Connection", "close"))
+        raw = (f"POST {path} HTTP/1.1\r\n" + "".join(f"{k}: {v}\r\n" for k, v in lines) + "\r\n").encode() + raw
+        ended = defer.Deferred()
+        call = Call(lambda c: ended.callback(None))
+        line = None
+        spare = self.spare.setdefault(name, [])
+        while spare and line is None:
+            line = spare.pop()
+            if not line.up or not line.keep or (line.until is not None and line.until - 200 * MS < began):
+                line.drop("idle")
+                line = None
+        row = dict(attempt=attempt, request=ident, tries=tries, sort=kind.name, repeat=kind.sort == "may" or kind.resumable,
+                   stream=kind.sort == "stream", host=kind.host, url=path, method="POST", body=serving.digest(body),
+                   node=name, zone=self.zone, sent=began, until=until, after=after, direct=node is not None)
+        if line is None:
+            try:
+                line = await connect(mach, host, port, min(S, max(1, until - began)), self.stray(name))
+            except defer.CancelledError:
+                raise
+            except Exception:
+                call.end("unconnected")
+        kept_silent = max(2 * S, 4 * kind.aim_ms * MS, 8 * kind.pause_ms * MS) if kind.sort == "stream" else 10**12
+        if line is not None:
+            row["sent"] = mach.now()
+            line.start(call, raw)
+            limit = min(S, (until - began) // 3)
+            while not call.over:
+                now = mach.now()
+                last = call.last or row["sent"]
+                if now >= until + 50 * MS:
+                    line.drop("deadline")
+                elif now - last >= kept_silent:
+                    line.drop("silent")
+                elif now - row["sent"] >= limit and line.unread() and row["repeat"]:
+                    line.drop("unread")
+                else:
+                    nexts = [until + 50 * MS, last + kept_silent]
+                    if now - row["sent"] < limit:
+                        nexts.append(row["sent"] + limit)
+                    await self.either(ended, min(nexts) - now)
+            if line.up and line.keep and self.keeps and call.how == "whole":
+                spare.append(line)
+            else:
+                line.drop("used")
+        retry = call.head("retry-after")
+        row.update(code=call.code, how=call.how, seal=call.head(h["seal"]), echo=call.head(h["attempt"]),
+                   retry_after=float(retry) if retry else None, got=serving.digest(call.body), events=call.events,
+                   bad_events=call.bad_events, rest=bool(call.rest), first=call.first, pause=call.pause,
+                   encoding=call.head("content-encoding"), done=mach.now(), text=call.body[:120].decode("latin-1")
+                   if not 200 <= call.code < 300 else "")
+        self.tape.put(mach.now(), "tried", **row)
+        return row
+
+    def either(self, ended, us):
+        """A Deferred that fires when `ended` has, or after a time.
+
+        Example: `await client.either(d, 5 * S)`
+        """
+        out = defer.Deferred()
+        tick = self.mach.later(max(1, us), lambda: out.called or out.callback(None))
+
+        def end(res):
+            if tick.active():
+                tick.cancel()
+            if not out.called:
+                out.callback(None)
+            return res
+
+        ended.addCallback(end)
+        return out
+
+
+class Traffic:
+    """All clients of a zone.
+
+    Example: `Traffic(clients, kinds, 20, rng)`; `mach.spawn(traffic.run(until))`
+    """
+
+    def __init__(self, mach, clients, kinds, rate, phase=0.0):
+        self.mach, self.clients, self.kinds, self.rate, self.phase = mach, clients, kinds, rate, phase
+        self.factor = {}  # kind -> how many times as much
+        self.hot = None
+        self.open = 0
+
+    async def run(self, until):
+        """Ask and ask until a time.
+
+        Example: `mach.spawn(traffic.run(30 * S))`
+        """
+        mach, rng = self.mach, self.mach.rng
+        while mach.now() < until:
+            weights = [k.share * self.factor.get(k.name, 1) for k in self.kinds]
+            wave = 1 + 0.15 * math.sin(2 * math.pi * (mach.now() / (11 * S) + self.phase))
+            await mach.sleep(int(rng.expovariate(self.rate * sum(weights) / sum(k.share for k in self.kinds) * wave) * S))
+            kind = rng.choices(self.kinds, weights)[0]
+            mach.spawn(self.one(rng.choice(self.clients), kind), log)
+
+    async def one(self, client, kind):
+        """One request, counted while it is open.
+
+        Example: `await traffic.one(client, kind)`
+        """
+        self.open += 1
+        try:
+            await client.ask(kind, hot=self.hot)
+        finally:
+            self.open -= 1
+
+
+class Operator:
+    """Sends configurations, and reads them back.
+
+    Example: `o = Operator(mach, tape, lambda: [("10.0.1.1", 8262)], "boss")`; `await o.put(doc, 0)`
+    """
+
+    def __init__(self, mach, tape, places, name):
+        self.mach, self.tape, self.places, self.name = mach, tape, places, name
+        self.calls = 0
+
+    async def call(self, method, heads, raw, host, port):
+        """One call at one place, which may send it on twice: (status, body), or (0, b"") without a clear answer.
+
+        Example: `status, body = await operator.call("GET", [], b"", "10.0.1.1", 8262)`
+        """
+        path = words.PATH["blueprint"]
+        for _ in range(3):
+            self.calls += 1
+            lines = [("Host", f"{host}:{port}"), ("Content-Type", "application/json"), *heads,
+                     ("Content-Length", str(len(raw))), ("Connection", "close")]
+            head = f"{method} {path} HTTP/1.1\r\n" + "".join(f"{k}: {v}\r\n" for k, v in lines) + "\r\n"
+            try:
+                line = await connect(self.mach, host, port, S)
+            except defer.CancelledError:
+                raise
+            except Exception:
+                return 0, b""
+            d = defer.Deferred()
+            line.start(Call(d.callback), head.encode() + raw)
+            self.mach.later(S + len(raw) * 5, line.drop, "silent")
+            call = await d
+            line.drop("done")
+            if call.how != "whole":
+                return 0, b""
+            if call.code != 307:
+                return call.code, call.body
+            where = (call.head("location") or "").partition("://")[2]
+            place, _, rest = where.partition("/")
+            if ":" not in place:
+                return 0, b""
+            host, port, path = place.rpartition(":")[0], int(place.rpartition(":")[2]), f"/{rest}"
+        return 0, b""
+
+    async def until_clear(self, method, heads, raw, seconds=60):
+        """Call until an answer is clear: (status, body), or (0, b"") when time is up.
+
+        Example: `status, body = await operator.until_clear("PUT", heads, raw)`
+        """
+        until, pause, odd = self.mach.now() + seconds * S, 100 * MS, 0
+        at = self.mach.rng.randrange(100)
+        while self.mach.now() < until:
+            places = self.places()
+            status, body = await self.call(method, heads, raw, *places[at % len(places)])
+            if status == 200 or status in (400, 409, 412, 413, 422):
+                return status, body
+            if 400 <= status < 500 and status not in (408, 429):
+                odd += 1
+                if odd == 3:
+                    return status, body
+            at += 1
+            await self.mach.sleep(pause)
+            pause = min(S, pause * 3 // 2)
+        return 0, b""
+
+    async def put(self, doc, base, valid=True, seconds=60):
+        """Send a whole configuration on top of a version: the status.
+
+        Example: `status = await operator.put(doc, 5)`
+        """
+        return await self.send("PUT", doc, doc, base, valid, seconds)
+
+    async def patch(self, change, doc, base, valid=True, seconds=60):
+        """Send a change, which makes `doc` out of the version `base`: the status.
+
+        Example: `status = await operator.patch(change, doc, 5)`
+        """
+        return await self.send("PATCH", change, doc, base, valid, seconds)
+
+    async def send(self, method, body, doc, base, valid, seconds):
+        """Send either, and log what came of it.
+
+        Example: `await operator.send("PUT", doc, doc, 5, True, 60)`
+        """
+        version = doc[words.BLUEPRINT["version"]]
+        row = dict(version=version, base=base, who=self.name)
+        self.tape.put(self.mach.now(), "config_sent", doc=doc, valid=valid, **row)
+        status, text = await self.until_clear(method, [("If-Match", str(base))], json.dumps(body).encode(), seconds)
+        self.tape.put(self.mach.now(), "config_answer", code=status, text=text[:200].decode("latin-1"), **row)
+        return status
+
+    async def read(self, seconds=20):
+        """Read the newest configuration back: it, or None.
+
+        Example: `doc = await operator.read()`
+        """
+        status, raw = await self.until_clear("GET", [], b"", seconds)
+        doc = json.loads(raw) if status == 200 else None
+        self.tape.put(self.mach.now(), "config_read", code=status, doc=doc)
+        return doc
