Load exchange by change, long prompts at once; shared parts have homes; early items after a loss

Change: only changes travel, a long prompt at once. Cause 2: each shared part was read again at several workers.

--- a/iriswheel/carry.py
+++ b/iriswheel/carry.py
@@ -266,7 +266,8 @@
         Example: `carrier.place("desk")`
         """
         if pool not in self.places:
-            self.places[pool] = placement.Placement(self.mach, pool)
+            p = self.places[pool] = placement.Placement(self.mach, pool)
+            p.told_heavy = self.node.loads.soon.wake
         return self.places[pool]
 
     async def look(self):
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -20,6 +20,7 @@
 FRESH_US = 1_100 * machine.MILLI
 ANSWER_US = 3 * machine.SECOND
 FORMAT = 2  # of what stands on the disk
+EARLY_US = 15 * machine.SECOND  # a core that has run for longer and does not serve is cut off: its state may be past
 FORCE_US = 3 * machine.SECOND
 CHANGE_US = 900 * machine.MILLI  # a change is answered within this, known or not
 SHOW_US = 500 * machine.MILLI  # of it, how long nodes that don't have it yet are waited for
@@ -391,8 +392,12 @@
         """
         self.issuer.learn(m.roster)
         if not self.serving():
+            if m.place < 0 and self.chain.tip.n and self.mach.now() - self.council.began < EARLY_US:
+                tip = self.chain.tip
+                link.tell(message.Early((tip.made, tip.n), blueprint.carve(tip.items, m.member.zone)))
             link.tell(message.Elsewhere(self.seats()))
             return
+        self.loads.pending.pop(m.member.id, None)
         self.counts["joins"] += 1
         post = self.posts[m.member.id] = Post(self, link, m)
         self.mach.spawn(post.feed(), log)
--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -57,6 +57,8 @@
         self.seeds = options.seed_list()
         self.place = 0
         self.items = None  # the slice, as it came
+        self.early = None  # how far the disk's state reached that this node goes by for now
+        self.list_now = machine.Signal()
         self.routes = {}
         self.pools = {}
         self.terms = {}
@@ -212,14 +214,17 @@
 
         Example: `fol.take_items(17, {"pools/desk": {}}, whole=False)`
         """
-        if n < self.place or (self.items is None and not whole):
+        if n < self.place or ((self.items is None or self.early) and not whole):
             return
+        self.early = None
         had = self.items or {}
         changes = blueprint.differ(had, items) if whole else items.items()
         parsed = [(*key.split("/", 1), None if val is None else blueprint.KINDS[key.split("/", 1)[0]].from_dict(val))
                   for key, val in changes if key.split("/", 1)[0] in blueprint.KINDS]
         self.items = dict(items) if whole else {k: v for k, v in {**had, **items}.items() if v is not None}
         self.place = n
+        if not had:
+            self.list_now.wake()
         for kind, name, item in parsed:
             match kind:
                 case "routes":
@@ -266,6 +271,20 @@
                     return max((self.routes[i] for i in names), key=lambda r: bool(r.zones))
         return None
 
+    def take_early(self, m):
+        """While this node knows nothing and no core serves: go by what a core's disk holds.
+
+        After a loss of everything the core takes some seconds to agree; what it acknowledged
+        stands on its disks all the time. The first frame of a serving core takes its place.
+
+        Example: `fol.take_early(message.Early((3, 17), items))`
+        """
+        if self.items is not None and not (self.early and self.early < m.at):
+            return
+        self.take_items(0, m.items, True)
+        self.early = m.at
+        log.info("Going by what a core's disk holds, up to {}.", m.at)
+
     def take_roster(self, r):
         """Take a roster, unless a newer one is here.
 
@@ -336,6 +355,9 @@
         match msg:
             case message.Frame(n=n, items=items):
                 self.take_items(n, items, True)
+            case message.Early():
+                self.take_early(msg)
+                return
             case message.Change(n=n, items=items):
                 self.take_items(n, items, False)
             case message.News(roster=r):
@@ -389,7 +411,7 @@
             self.link, self.at = link, (host, port)
             began = self.mach.now()
             roster = self.roster if self.roster.stamp > (0, 0) else None
-            link.tell(message.Join(self.node.me, self.place if self.items is not None else -1, roster))
+            link.tell(message.Join(self.node.me, -1 if self.items is None or self.early else self.place, roster))
             self.moves += 1
             while link.up:
                 now = self.mach.now()
@@ -501,7 +523,7 @@
                     log.warning("The platform gives no list: {}", e)
                     workers = self.workers
                     if not mine:
-                        await self.mach.sleep(ASK_US)
+                        await self.mach.sleep(ASK_US // 4 + self.mach.rng.randrange(ASK_US))
                         continue
                 if mine:
                     count += 1
@@ -517,4 +539,4 @@
                             self.mach.spawn(self.node.neighbours.tell(m.host, m.port, news), log)
                 else:
                     self.take_workers(workers)
-            await self.mach.sleep(self.options.list_us)
+            await self.mach.pause(self.list_now, self.options.list_us)
--- a/iriswheel/loads.py
+++ b/iriswheel/loads.py
@@ -1,8 +1,9 @@
-"""The load exchange: each node hears, a few times a second, what all others have in flight.
+"""The load exchange: each node hears what all others have in flight at each worker.
 
-A node tells its core what it has under way at each worker; core machines add up what their nodes
-say and tell each other the sums; each node is told the sum of all but itself. What does not change
-is not said again, so the cost grows with the nodes, not with their square.
+A node tells its core what it has under way; core machines add up what their nodes say and tell
+each other the sums; each node is told the sum of all but itself. Only what changed is said, a few
+times a second, but a long prompt at once: who comes behind it should go elsewhere. So the cost
+grows with the nodes, not with their square.
 """
 
 import loguru
@@ -10,57 +11,56 @@
 import iriswheel.machine as machine
 import iriswheel.message as message
 
-TELL_US = 100 * machine.MILLI
-OLD_US = 2 * machine.SECOND  # another core's sums older than this count for nothing
-AGAIN_US = 500 * machine.MILLI  # said again although unchanged, so that nobody takes it for old
+TELL_US = 150 * machine.MILLI
+OLD_US = 2 * machine.SECOND  # another core's sums count no longer without a word of it
+HEAVY = 2_000  # tokens: a change by more is told at once
+NONE = (0, 0)
 
 log = loguru.logger.bind(part="loads")
 
 
-def add(into, rows, sign=1):
-    """Add rows by pool into sums.
+def rows(table, keys):
+    """The rows of a table for some keys, as they travel.
 
-    >>> sums = {}; add(sums, {"p": [("w1", 2, 90)]}); add(sums, {"p": [("w1", 1, 30)]}, -1); sums
-    {'p': {'w1': [1, 60]}}
+    >>> rows({("p", "w1"): (1, 60)}, {("p", "w1"), ("p", "w2")})
+    {'p': [('w1', 1, 60), ('w2', 0, 0)]}
     """
-    for pool, some in rows.items():
-        by = into.setdefault(pool, {})
-        for name, running, unread in some:
-            have = by.setdefault(name, [0, 0])
-            have[0] += sign * running
-            have[1] += sign * unread
+    out = {}
+    for pool, name in sorted(keys):
+        out.setdefault(pool, []).append((name, *table.get((pool, name), NONE)))
+    return out
 
 
-def rows(sums):
-    """Sums as they travel; workers with nothing in flight are left out.
+def changes(old, new):
+    """The keys whose values differ.
 
-    >>> rows({"p": {"w1": [1, 60], "w2": [0, 0]}})
-    {'p': [('w1', 1, 60)]}
+    >>> changes({"a": 1, "b": 2}, {"b": 2, "c": 3}) == {"a", "c"}
+    True
     """
-    out = {p: [(n, a, b) for n, (a, b) in sorted(by.items()) if a > 0 or b > 0] for p, by in sorted(sums.items())}
-    return {p: some for p, some in out.items() if some}
+    return {k for k in old.keys() | new.keys() if old.get(k, NONE) != new.get(k, NONE)}
 
 
-class Teller:
-    """Says something when it is due: changed, or not said for a while.
+def heavy(was, now):
+    """Whether a worker's load rose by much.
 
-    >>> t = Teller(); t.due(1, {"p": []}), t.due(2, {"p": []}), t.due(2 + AGAIN_US, {"p": []})
-    (True, False, True)
+    >>> heavy((1, 0), (2, 13_000)), heavy((2, 13_000), (1, 0))
+    (True, False)
     """
+    return now[1] - was[1] >= HEAVY
 
-    def __init__(self):
-        self.last, self.at = {}, -AGAIN_US
 
-    def due(self, now, val):
-        """Whether to say this now. An empty one that was said before stays unsaid.
+def update(table, m):
+    """Bring a table up to date by a message; the keys that changed.
 
-        >>> Teller().due(0, {})
-        False
-        """
-        if val == self.last and (not val or now - self.at < AGAIN_US):
-            return False
-        self.last, self.at = val, now
-        return True
+    >>> t = {}; update(t, message.Loads("n1", True, {"p": [("w1", 1, 60)]})), t
+    ({('p', 'w1')}, {('p', 'w1'): (1, 60)})
+    """
+    said = {(pool, name): (running, unread) for pool, some in m.rows.items() for name, running, unread in some}
+    new = said if m.whole else {**table, **said}
+    out = changes(table, new)
+    table.clear()
+    table.update({k: v for k, v in new.items() if v != NONE})
+    return out
 
 
 class NodeSide:
@@ -71,15 +71,33 @@
 
     def __init__(self, node):
         self.node = node
-        self.teller = Teller()
+        self.said = None  # what the core of this session was told; None: nothing yet
+        self.link = None
+        self.soon = machine.Signal()
+
+    def own(self):
+        """This node's own load.
+
+        Example: `side.own()`
+        """
+        return {(pool, name): (running, unread) for pool, place in self.node.door.carrier.places.items()
+                for name, running, unread in place.told()}
 
-    def told(self):
-        """This node's own load by pool.
+    def tell(self):
+        """Tell the core what changed here.
 
-        Example: `side.told()`
+        Example: `side.tell()`
         """
-        out = {p: place.told() for p, place in sorted(self.node.door.carrier.places.items())}
-        return {p: some for p, some in out.items() if some}
+        fol = self.node.follower
+        if fol.link is not self.link:
+            self.link, self.said = fol.link, None
+        if self.link is None or not fol.core_stands():
+            return
+        own = self.own()
+        changed = changes(self.said or {}, own)
+        if changed or self.said is None:
+            fol.tell_core(message.Loads(self.node.me.id, self.said is None, rows(own, changed)))
+            self.said = own
 
     async def run(self):
         """Tell the core what is under way here; one task.
@@ -87,21 +105,17 @@
         Example: `mach.spawn(side.run())`
         """
         while not self.node.left:
-            await self.node.mach.sleep(TELL_US)
-            if not self.node.follower.core_stands():
-                self.teller = Teller()
-                continue
-            mine = self.told()
-            if self.teller.due(self.node.mach.now(), mine):
-                self.node.follower.tell_core(message.Loads(self.node.me.id, mine))
+            await self.node.mach.pause(self.soon, TELL_US)
+            self.tell()
 
     def take(self, m):
         """Take the others' sums.
 
-        Example: `side.take(message.Loads("c0ffee", {"desk": [("w1", 3, 900)]}))`
+        Example: `side.take(message.Loads("c0ffee", True, {"desk": [("w1", 3, 900)]}))`
         """
         for pool, place in self.node.door.carrier.places.items():
-            place.take(m.rows.get(pool, []))
+            if m.whole or pool in m.rows:
+                place.take(m.rows.get(pool, []), m.whole)
 
 
 class CoreSide:
@@ -112,46 +126,101 @@
 
     def __init__(self, core):
         self.core = core
-        self.nodes = {}  # member -> rows
-        self.cores = {}  # core -> (when, rows)
-        self.tellers = {}  # node or core -> Teller
+        self.tables = {}  # node or core -> its table
+        self.heard = {}  # core -> when
+        self.sums = {}  # of this core's nodes
+        self.all = {}  # of everybody
+        self.pending = {}  # node or core -> keys that it has still to hear of; None: it knows nothing yet
 
     def take(self, link, m):
-        """Take a node's own load, or another core's sums.
+        """Take a node's own load, or another core's sums; a long prompt is passed on at once.
+
+        Example: `side.take(link, message.Loads("n1-c0ffee", True, {}))`
+        """
+        node = link is not None and link.post is not None
+        if not node:
+            self.heard[m.sender] = self.core.mach.now()
+        before = {k: self.all.get(k, NONE) for k in [(p, r[0]) for p, some in m.rows.items() for r in some]}
+        self.change(m.sender, node, m)
+        if any(heavy(was, self.all.get(k, NONE)) for k, was in before.items()):
+            for who in self.targets():
+                if who != m.sender:
+                    self.tell(who, before.keys())
+
+    def change(self, who, node, m):
+        """Bring the sums up to date by what one says.
+
+        Example: `side.change("n1-c0ffee", True, message.Loads("n1-c0ffee", True, {}))`
+        """
+        table = self.tables.setdefault(who, {})
+        old = dict(table)
+        for k in update(table, m):
+            for sums in [self.all, self.sums] if node else [self.all]:
+                was, now, have = old.get(k, NONE), table.get(k, NONE), sums.get(k, NONE)
+                sums[k] = (have[0] + now[0] - was[0], have[1] + now[1] - was[1])
+                if sums[k] == NONE:
+                    del sums[k]
+            for other, keys in self.pending.items():
+                if other != who and keys is not None:
+                    keys.add(k)
+
+    def targets(self):
+        """Who is told: the nodes with a session here, and the other cores.
+
+        Example: `side.targets()`
+        """
+        cores = [s.id for s in self.core.seats() if s.id != self.core.council.me.id]
+        return [*self.core.posts, *cores]
+
+    def tell(self, who, some=None):
+        """Tell one what is new to it: all of it, or some keys.
 
-        Example: `side.take(link, message.Loads("n1-c0ffee", {}))`
+        Example: `side.tell("n1-c0ffee")`
         """
-        if link is not None and link.post is not None:
-            self.nodes[m.sender] = m.rows
+        core, post = self.core, self.core.posts.get(who)
+        keys = self.pending.setdefault(who, None)
+        whole = keys is None
+        told = set(self.all) if whole else keys & set(some) if some is not None else set(keys)
+        if post is not None and (not post.link.up or post.link.full) or not told and not whole:
+            return
+        if post is not None:
+            own = self.tables.get(who, {})
+            table = {}
+            for k in told:
+                a, b = self.all.get(k, NONE), own.get(k, NONE)
+                table[k] = (a[0] - b[0], a[1] - b[1])
+            post.link.tell(message.Loads(core.council.me.id, whole, rows(table, told)))
         else:
-            self.cores[m.sender] = (self.core.mach.now(), m.rows)
+            s = core.council.seat(who)
+            if s is None:
+                return
+            core.mach.spawn(core.neighbours.tell(
+                s.host, s.port, message.Loads(core.council.me.id, whole, rows(self.sums, told))), log)
+        self.pending[who] = set() if whole else keys - told
 
     async def run(self):
-        """Add up and tell, ten times a second; one task.
+        """Tell what changed, a few times a second; one task.
 
         Example: `mach.spawn(side.run())`
         """
-        core = self.core
+        core, beats = self.core, 0
         while True:
             await core.mach.sleep(TELL_US)
             now = core.mach.now()
-            self.nodes = {i: r for i, r in self.nodes.items() if i in core.posts}
-            self.cores = {i: (at, r) for i, (at, r) in self.cores.items() if now - at < OLD_US}
-            self.tellers = {i: t for i, t in self.tellers.items()
-                            if i in core.posts or any(s.id == i for s in core.seats())}
-            here = {}
-            for r in self.nodes.values():
-                add(here, r)
-            mine = rows(here)
-            for s in core.seats():
-                if s.id != core.council.me.id and self.tellers.setdefault(s.id, Teller()).due(now, mine):
-                    core.mach.spawn(core.neighbours.tell(s.host, s.port, message.Loads(core.council.me.id, mine)), log)
-            for _, r in self.cores.values():
-                add(here, r)
-            for ident, post in list(core.posts.items()):
-                own = self.nodes.get(ident, {})
-                add(here, own, -1)
-                val = rows(here)
-                add(here, own)
-                if post.link.up and not post.link.full and self.tellers.setdefault(ident, Teller()).due(now, val):
-                    post.link.tell(message.Loads(core.council.me.id, val))
+            beats += 1
+            seats = {s.id for s in core.seats()}
+            for who in list(self.tables):
+                if who in self.heard:
+                    gone = who not in seats or now - self.heard[who] > OLD_US
+                else:
+                    gone = who not in core.posts
+                if gone:
+                    self.change(who, who not in self.heard, message.Loads(who, True, {}))
+                    del self.tables[who]
+                    self.heard.pop(who, None)
+            for who in [w for w in self.pending if w not in core.posts and w not in seats]:
+                del self.pending[who]
+            for who in self.targets():
+                if who in seats and not beats % 6:
+                    self.pending[who] = None  # all of it: a word may have been lost with a link
+                self.tell(who)
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -301,6 +301,16 @@
     cores: list[Seat]
 
 
+class Early(Message):
+    """What a core's disk holds, for a node that knows nothing while no core serves.
+
+    All of it was synced here; the newest of it may not have been answered yet.
+    """
+
+    at: tuple[int, int]  # the view of its newest entry, and its number
+    items: dict[str, typing.Any]
+
+
 class Frame(Message):
     n: int
     items: dict[str, typing.Any]
@@ -488,10 +498,11 @@
     """Load in flight, by pool: rows of a worker, exchanges running there, prompt tokens not read yet.
 
     From a node to its core: its own. Between cores: the sum of a core's nodes. From a core to a
-    node: the sum of all other nodes.
+    node: the sum of all other nodes. Only what changed, unless `whole`.
     """
 
     sender: str
+    whole: bool
     rows: dict[str, list[tuple[str, int, int]]]
 
 
@@ -548,6 +559,6 @@
     Refill, Append, Stored, Propose, Proposed, Look, Seen, Sessions, Beat, Join, Elsewhere,
     Frame, Change, News, Alive, Listing, Seated, Leave, Elect, Granted, Denied, Done, Running,
     Gather, Gathered, Copy, Copied, Unpin, Spread, HowGoes, Goes, Ping, Entry, Roster, Hello,
-    Contested, Same, Relist, Loads,
+    Contested, Early, Same, Relist, Loads,
     Probe, Probed, Dark, Pass, Passed, Forbid, Forbidden,
 ]
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -18,6 +18,8 @@
 import iriswheel.wire as wire
 
 RUNNING_US = 1 * machine.SECOND
+IDLE_US = 300 * machine.MILLI  # nothing was open for so long
+LAST_US = 200 * machine.MILLI  # for the last bytes of what was answered
 NOTICE_US = 3 * machine.SECOND  # the longest wait for the platform's question
 
 log = loguru.logger.bind(part="node")
@@ -291,15 +293,20 @@
         self.stopping = True
         log.info("Stopping; {} exchanges are open.", self.door.open)
         self.follower.tell_core(message.Leave(self.me.id))
-        began, grace = self.mach.now(), self.options.grace_us
+        began, grace, idle = self.mach.now(), self.options.grace_us, None
         notice = began + min(NOTICE_US, grace // 2)
         ends = began + grace - min(grace // 8, machine.SECOND)
         while (now := self.mach.now()) < ends:
             heard = now >= notice or (self.asked_at and now - self.asked_at > self.options.notice_us)
-            if heard and not self.door.open:
-                break
+            if self.door.open:
+                idle = None
+            elif idle is None:
+                idle = now
+            elif heard and now - idle > IDLE_US:
+                break  # and what was written last has gone out
             self.closing = heard and now >= began + grace // 2
             await self.mach.pause(self.door.closed, 100 * machine.MILLI)
         self.closing = True
+        await self.mach.sleep(LAST_US)
         self.left = True
         log.info("Left with {} exchanges open.", self.door.open)
--- a/iriswheel/placement.py
+++ b/iriswheel/placement.py
@@ -20,9 +20,10 @@
 SLOT_US = 60  # what one more running exchange costs a new one, in time to its first event
 TURN_US = 700 * machine.MILLI  # how long an exchange holds its place in a full batch
 TRIALS = 16_384  # first turns remembered
+RANKS = 1_024  # rankings remembered
 KEPT = 512  # parts remembered per worker
-SHARED = 1_000  # tokens from which on a shared part is worth to be kept in one place
-DEAR = 1.5  # reading anew also holds up others, and makes other parts give way
+HEAVY = 2_000  # tokens to read from which on all other nodes are told at once
+AGAIN = 15  # reading a shared part anew counts so many times its time: others wait, and parts give way
 JITTER_US = 3_000  # workers nearer than this are alike
 OLD_US = 1_500 * machine.MILLI  # others' sums older than this count for nothing
 PAIN_US = 200 * machine.MILLI  # a worker that failed is left alone for so long, doubling
@@ -98,10 +99,10 @@
         self.workers = {}  # id -> Worker
         self.others = {}  # id -> (running, unread) of all other nodes together
         self.others_at = 0
+        self.told_heavy = lambda: None  # called when a send changes a worker's load by much
         self.book = session.Book()
         self.trials = collections.OrderedDict()  # last part's key -> (worker, until): may yet be a session
         self.ranks = collections.OrderedDict()  # key -> workers by weight
-        self.ranked = ()
 
     def at(self, name):
         """What is known of a worker.
@@ -121,13 +122,10 @@
         >>> sorted(p.rank(b"k", ("w1", "w2")))
         ['w1', 'w2']
         """
-        if names != self.ranked:
-            self.ranks.clear()
-            self.ranked = names
-        out = self.ranks.get(key)
+        out = self.ranks.get((key, names))
         if out is None:
-            out = self.ranks[key] = sorted(names, key=lambda n: weigh(key, n), reverse=True)
-            if len(self.ranks) > 4096:
+            out = self.ranks[key, names] = sorted(names, key=lambda n: weigh(key, n), reverse=True)
+            if len(self.ranks) > RANKS:
                 self.ranks.popitem(last=False)
         return out
 
@@ -151,17 +149,22 @@
     def read_us(self, name, keys, sizes, own, names):
         """How long a worker would read at a prompt, less what its cache is likely to hold.
 
+        The shared parts are kept at their home, the worker that ranks first for the last of them,
+        and where this node sent them lately.
+
         Example: `us = placement.read_us("w1", keys, [13300], 3720, names)`
         """
         kept = self.at(name).kept
-        left = own
+        home = not keys or self.rank(keys[-1], names)[0] == name
+        us = own * 1000 // READ_RATE
+        if home:
+            return us
         missing = False
         for key, size in zip(keys, sizes):
-            if not missing and (key in kept or size >= SHARED and self.rank(key, names)[0] == name):
-                continue
-            missing = True
-            left += size
-        return int(left * 1000 // READ_RATE * DEAR)
+            missing = missing or key not in kept
+            if missing:
+                us += size * 1000 * AGAIN // READ_RATE
+        return us
 
     def sick(self, name, now):
         """Whether a worker failed just now, or says nothing although it was asked.
@@ -227,6 +230,8 @@
             w.asked = self.mach.now()
         w.running += 1
         w.unread += tokens
+        if tokens >= HEAVY:
+            self.told_heavy()
         return tokens
 
     def first(self, name, tokens):
@@ -314,13 +319,18 @@
         """
         return [(n, w.running, max(0, w.unread)) for n, w in sorted(self.workers.items()) if w.running]
 
-    def take(self, rows):
-        """Take the other nodes' sums.
+    def take(self, rows, whole):
+        """Take the other nodes' sums: all of them, or what changed.
 
-        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.take([("w1", 3, 900)]); p.others["w1"]
+        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.take([("w1", 3, 900)], True); p.others["w1"]
         (3, 900)
         """
-        self.others = {n: (running, unread) for n, running, unread in rows}
+        if whole:
+            self.others = {}
+        for name, running, unread in rows:
+            self.others[name] = (running, unread)
+            if not running and not unread:
+                del self.others[name]
         self.others_at = self.mach.now()
 
     def state(self):
