A stopping node closes a connection once its last bytes went out; a core leaves once others know

A core machine that led the proposal of the view without it went before the others had heard of that view, and they then waited for its lease; found by the new test.

--- a/iriswheel/command.py
+++ b/iriswheel/command.py
@@ -23,6 +23,7 @@
 import iriswheel.web as web
 import iriswheel.wire as wire
 
+FINISH_US = 500 * machine.MILLI  # for the last bytes of a node's answers
 BAD_INPUT, NO_START, REFUSED, UNKNOWN = 2, 3, 4, 5
 
 log = loguru.logger.bind(part="main")
@@ -92,19 +93,20 @@
 
 
 def bind(reactor, o, peers, http, ready=None):
-    """Bind the ports; the options then hold the real ones.
+    """Bind the ports; the options then hold the real ones. Returns the port where HTTP is served.
 
     Example: `bind(reactor, o, listener, server)`
     """
     try:
         o.port = reactor.listenTCP(o.port, peers, interface=o.host, backlog=512).getHost().port
         host, port = o.front_address()
-        got = reactor.listenTCP(port, http, interface=host, backlog=1024).getHost().port
+        front = reactor.listenTCP(port, http, interface=host, backlog=1024)
         if not o.front:
-            o.http_port = got
+            o.http_port = front.getHost().port
         if o.ready and ready is not None:
             host, port = options_reader.address(o.ready)
             reactor.listenTCP(port, ready, interface=host, backlog=128)
+        return front
     except error.CannotListenError as e:
         fail(NO_START, [f"The port can't be had: {e}"])
 
@@ -143,12 +145,18 @@
     mach = machine.Machine(reactor)
     proc = node_process.Node(mach, o, **parts)
     handle = proc.door.handle if ready is None else ready(proc)
-    bind(reactor, o, wire.Listener(mach, proc.serve, log), web.Server(mach, proc.door.handle, room=o.connections, formats=proc.outer),
-         web.Server(mach, handle, room=64))
+    server = web.Server(mach, proc.door.handle, room=o.connections, formats=proc.outer)
+    front = bind(reactor, o, wire.Listener(mach, proc.serve, log), server, web.Server(mach, handle, room=64))
     proc.start(o.port, o.front_address()[1])
     watch = options_reader.Watch(mach, path, reread, proc.renew)
     mach.spawn(watch.run(), log)
-    run(reactor, o, proc.stop, watch.again)
+
+    async def stop():
+        await proc.stop()
+        front.stopListening()
+        await server.finish(FINISH_US)
+
+    run(reactor, o, stop, watch.again)
 
 
 def core(
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -797,4 +797,5 @@
         until = self.mach.now() + min(LEAVE_US, self.options.grace_us // 2)
         await self.mach.sleep(100 * machine.MILLI)
         while self.council.needed() and self.mach.now() < until:
+            self.council.pulse_now.wake()
             await self.mach.sleep(50 * machine.MILLI)
--- a/iriswheel/view.py
+++ b/iriswheel/view.py
@@ -358,14 +358,20 @@
         self.pulse_now.wake()
 
     def needed(self):
-        """Whether the present chain has this life of this machine, and others that could go on.
+        """Whether this machine should stay while it leaves.
+
+        It should as long as it is in the chain where others could go on, and until a
+        majority has shown the view without it: until its lease ran out they could not
+        agree on one by themselves.
 
         Example: `while council.needed(): await mach.sleep(50_000)`
         """
         v = self.view
-        if v is None or message.ChainLink(self.me.id, self.mach.boot) not in v.chain:
+        if v is None or len([s for s in v.seats if s.id in self.alive()]) < majority(len(v.seats)):
             return False
-        return len([s for s in v.seats if s.id in self.alive()]) >= majority(len(v.seats))
+        told = [s for s in v.seats if s.id in self.pulses and self.pulses[s.id][1].view is not None
+                and self.pulses[s.id][1].view.number >= v.number]
+        return message.ChainLink(self.me.id, self.mach.boot) in v.chain or len(told) < majority(len(v.seats))
 
     def learn_seeds(self, seeds):
         """Look for core machines at further addresses; nobody founds a fleet by them.
--- a/iriswheel/web.py
+++ b/iriswheel/web.py
@@ -135,10 +135,13 @@
 
     def connectionMade(self):
         self.factory.open += 1
+        self.factory.channels[self] = None
         super().connectionMade()
 
     def connectionLost(self, reason):
         self.factory.open -= 1
+        self.factory.channels.pop(self, None)
+        self.factory.ended.wake()
         super().connectionLost(reason)
 
     def _respondToBadRequestAndDisconnect(self):
@@ -167,6 +170,8 @@
         self.body_bytes = body_bytes
         self.room = room
         self.open = 0
+        self.channels = {}  # those that are open, in the order in which they came
+        self.ended = machine.Signal()
 
     def startFactory(self):
         """No access log: the load generator and the counters tell more."""
@@ -179,3 +184,15 @@
 
     def buildProtocol(self, addr):
         return super().buildProtocol(addr) if self.open < self.room else None
+
+    async def finish(self, us):
+        """Close all connections, each once what was written to it has gone out; at most so long.
+
+        Example: `await server.finish(500_000)`
+        """
+        self.room = 0
+        until = self.mach.now() + us
+        for channel in list(self.channels):
+            channel.loseConnection()
+        while self.open and self.mach.now() < until:
+            await self.mach.pause(self.ended, until - self.mach.now())
--- /dev/null
+++ b/tests/test_stopping.py
@@ -0,0 +1,120 @@
+"""How processes stop, and how they take in options that changed while they run."""
+
+import os
+import tempfile
+
+import loguru
+import testtools
+import twisted.internet.address as address
+import twisted.internet.defer as defer
+import twisted.internet.task as task
+import twisted.internet.testing as testing
+
+import bench.town as town
+import iriswheel.machine as machine
+import iriswheel.options as options
+import iriswheel.web as web
+
+S = town.S
+
+
+class Connections(testtools.TestCase):
+    def test_what_was_answered_goes_out_before_the_connection_ends(self):
+        clock = task.Clock()
+        mach = machine.Machine(clock, now=lambda: int(clock.seconds() * S), seed=1)
+
+        async def handle(req):
+            req.answer_json(200, {"whole": True})
+
+        server = web.Server(mach, handle)
+        wire = testing.StringTransport()
+        wire.abortConnection = lambda: self.fail("broken off")
+        channel = server.buildProtocol(address.IPv4Address("TCP", "127.0.0.1", 1))
+        channel.makeConnection(wire)
+        channel.dataReceived(b"GET /state HTTP/1.1\r\nHost: x\r\n\r\n")
+        done = defer.ensureDeferred(server.finish(S))
+        self.assertIn(b'{"whole": true}', wire.value())
+        self.assertEqual((True, False), (wire.disconnecting, done.called))  # disconnecting: after what was written
+        self.assertIsNone(server.buildProtocol(address.IPv4Address("TCP", "127.0.0.1", 2)))
+        channel.connectionLost(testing.Failure(Exception()) if hasattr(testing, "Failure") else None)
+        self.assertTrue(done.called)
+
+
+class Options(testtools.TestCase):
+    def test_a_changed_file_is_read_again_and_a_bad_one_is_not(self):
+        loguru.logger.remove()
+        clock, got = task.Clock(), []
+        mach = machine.Machine(clock, now=lambda: int(clock.seconds() * S), seed=1)
+        with tempfile.TemporaryDirectory() as d:
+            path = os.path.join(d, "node.toml")
+
+            def write(seeds):
+                with open(path, "w") as f:
+                    f.write(f'name = "n"\nhost = "127.0.0.1"\nzone = "a"\nplatform = "127.0.0.1:1"\nseeds = {seeds}\n')
+                return os.utime(path, ns=(len(got), hash(seeds) % 10**9))
+
+            write('["127.0.0.1:1"]')
+            watch = options.Watch(mach, path, lambda: options.read("node", path, {}), lambda o: got.append(o.seeds))
+            mach.spawn(watch.run())
+            clock.advance(2)
+            self.assertEqual([], got)
+            write('["127.0.0.1:2"]')
+            clock.advance(2)
+            write('["nowhere"]')
+            clock.advance(2)
+            clock.advance(2)
+            self.assertEqual([["127.0.0.1:2"]], got)
+            write('["127.0.0.1:3"]')
+            watch.again()
+            clock.advance(2)
+            self.assertEqual([["127.0.0.1:2"], ["127.0.0.1:3"]], got)
+
+
+class Towns(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        loguru.logger.remove()
+
+    def quiet(self, **more):
+        t = town.Town(3, "small", long_rate=0, short_rate=0, talks=0, **more)
+        t.probing = False
+        t.begin()
+        t.go(1)
+        return t
+
+    def test_a_node_leaves_within_its_grace_whatever_is_open(self):
+        t = self.quiet(grace_us=8 * S)
+        n = t.nodes["n1"]
+        n.door.open += 1  # an exchange that never ends
+        began = t.world.time
+        done = n.mach.spawn(n.stop(), town.log)
+        self.assertFalse(n.ready()[0])
+        t.go(3.9)
+        self.assertFalse(n.closing)
+        t.go(0.5)
+        self.assertTrue(n.closing)
+        self.assertTrue(t.until(lambda: done.called, 10))
+        self.assertTrue(6.5 * S < t.world.time - began < 7.5 * S)
+
+    def test_nodes_cut_off_from_the_core_serve_on_where_told_to(self):
+        for serve_on in (True, False):
+            t = self.quiet(serve_on=serve_on)
+            t.world.cut(t.hosts("cores"), [t.nodes["n1"].options.host])
+            t.go(8)
+            self.assertEqual(serve_on, t.nodes["n1"].ready()[0])
+            t.world.heal()
+            self.assertTrue(t.until(lambda: t.nodes["n1"].ready()[0], 5))
+
+    def test_a_core_machine_that_stops_is_out_of_the_chain_before_it_goes(self):
+        t = self.quiet()
+        for at in (t.tail, t.head):
+            c = at()
+            began = t.world.time
+            done = c.mach.spawn(c.stop(), town.log)
+            self.assertTrue(t.until(lambda: done.called, 5))
+            self.assertLess(t.world.time - began, S)
+            c.proc.kill()
+            others = [x for x in t.cores.values() if x is not c]
+            self.assertEqual({2}, {len(x.council.view.chain) for x in others})
+            t.start_core(c.options.name, *t.options[c.options.name])
+            self.assertTrue(t.until(lambda: t.tail() is not None and len(t.tail().council.view.chain) == 3, 5))
