Bench: a process's last writes die with it; first events go out with the first token

Change: on simulated sites a write waits for the process's next turn, and dies with the process. It is a guard of the tests now (last_bytes).

--- a/bench/days.py
+++ b/bench/days.py
@@ -354,19 +354,19 @@
                 worst=min(every["worst_windows"], default=0.0), calls=kinds["platform_call"], probes=kinds["probed"],
                 opened=kinds["opened"], ran=kinds["ran"],
                 again=sum(w.engine.read_again for w in s.workers.values()),
-                **{f"worth {k}": got[k]["worth"] for k in s.kinds() if k in got})
+                **{f"{what} {k}": got[k].get(what, 0.0) for k in s.kinds() if k in got for what in ("worth", "p50_ms", "p99_ms")})
 
 
 def one(job):
     """Play and judge one day: the job, complaints, totals, seconds of computing.
 
-    Example: `one(("calm", 1, "magnolia", 1.0, ""))`
+    Example: `one(("calm", 1, "magnolia", 1.0, 0, ""))`
     """
-    name, seed, shape, load, path = job
+    name, seed, shape, load, seconds, path = job
     loguru.logger.remove()
     began = time.process_time()
     try:
-        s = play(name, seed, shape, load)
+        s = play(name, seed, shape, load, seconds)
     except Exception as e:  # a day that can't go on is a finding too
         return job, {"crash": [repr(e)]}, {}, time.process_time() - began
     if path:
@@ -375,8 +375,8 @@
     return job, judge.examine(s.tape.rows), totals(s), time.process_time() - began
 
 
-def run(*, days: list[str] = (), seeds: int = 5, first: int = 1, shape: str = "magnolia", load: float = 1.0, log: str = "",
-        procs: int = 0):
+def run(*, days: list[str] = (), seeds: int = 5, first: int = 1, shape: str = "magnolia", load: float = 1.0,
+        seconds: float = 0, log: str = "", procs: int = 0):
     """Play days over seeds and judge them; say how to repeat what failed.
 
     :param days: days by name; all where none is named
@@ -384,6 +384,7 @@
     :param first: the first seed
     :param shape: magnolia or swan
     :param load: how many times the usual load
+    :param seconds: how long the traffic lasts; what the day wants where 0
     :param log: write the event log of the one run here
     :param procs: processes to use; all cores where 0
     """
@@ -392,7 +393,7 @@
     if bad or shape not in site.SHAPES or seeds < 1 or log and (seeds > 1 or len(names) > 1):
         print(f"days: no such day or shape, or --log with more than one run: {' '.join(bad) or shape}", file=sys.stderr)
         sys.exit(2)
-    jobs = [(n, s, shape, load, log) for s in range(first, first + seeds) for n in names]
+    jobs = [(n, s, shape, load, seconds, log) for s in range(first, first + seeds) for n in names]
     failed, sums, began = 0, collections.defaultdict(list), time.time()
     with multiprocessing.Pool(procs or os.cpu_count(), maxtasksperchild=8) as pool:
         for (name, seed, *_), found, got, _ in pool.imap_unordered(one, jobs):
@@ -418,6 +419,11 @@
                   + f"{sum(r['worth'] for r in rows) / len(rows):8.3f}{min(r['worst'] for r in rows):10.3f}"
                   + "".join(f"{sum(r[k] for r in rows) / len(rows):{w}.0f}" for k, w in
                             (("opened", 7), ("calls", 7), ("probes", 7), ("again", 11))))
+    for kind in site.SHAPES[shape].kinds:
+        for name in names if len(names) == 1 else ():
+            rows = [r for r in sums[name] if f"worth {kind.name}" in r]
+            print(f"{kind.name}: " + ", ".join(f"{what} {sum(r[f'{what} {kind.name}'] for r in rows) / max(1, len(rows)):.3f}"
+                                               for what in ("worth", "p50_ms", "p99_ms")) + f", mean of {len(rows)} days")
     print(f"{len(jobs)} days, shape {shape}, seeds {first} to {first + seeds - 1}, load {load}: {len(jobs) - failed} kept all "
           f"rules, {failed} did not; {time.time() - began:.0f} s on the clock")
     sys.exit(1 if failed else 0)
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -35,7 +35,7 @@
     read_us_per_megapair: float = 320.0  # each token read looks at all before it
     piece: int = 1024  # prompt tokens read in one step
     kv_capacity: int = 440_000  # tokens kept, those of running requests included
-    event_tokens: int = 4
+    event_tokens: int = 4  # in one event of a stream, but for the first one, which goes out with the first token
     report_lag_us: int = 200_000
     speed: float = 1.0  # below 1 is slower
     model: str = "m"
@@ -86,8 +86,8 @@
     >>> out = []
     >>> e.offer(Job("x", [("a", 100)], 6, event=lambda k, last: out.append((k, last))))
     True
-    >>> clock.pump([0.001] * 60); out
-    [(1, False), (2, True)]
+    >>> clock.pump([0.001] * 60); out  # the first event has the first token alone
+    [(1, False), (2, False), (3, True)]
     """
 
     def __init__(self, mach, figures=None):
@@ -344,8 +344,8 @@
             whole = job.done >= job.tokens
             if job.done == job.taken_up + 1:
                 told.append((job.began,))
-            if job.done % f.event_tokens == 0 or whole:
-                told.append((job.event, -(-job.done // f.event_tokens), whole))
+            if whole or (job.done - 1) % f.event_tokens == 0:
+                told.append((job.event, -(-(job.done - 1) // f.event_tokens) + 1, whole))
             if whole:
                 self.leave(job)
                 job.state = "ended"
--- a/bench/judge.py
+++ b/bench/judge.py
@@ -62,6 +62,9 @@
         self.bounds = {**BOUNDS, **begun.get("bounds", {})}
         self.began = begun.get("at", 0)
         self.tries = {r["attempt"]: r for r in self.kinds["tried"]}
+        self.asked = collections.defaultdict(list)  # request -> its tries
+        for t in self.kinds["tried"]:
+            self.asked[t["request"]].append(t)
         self.arrived, self.runs, self.ends = (collections.defaultdict(list) for _ in range(3))
         for kind, into in (("arrived", self.arrived), ("run", self.runs), ("ran", self.ends)):
             for r in self.kinds[kind]:
@@ -390,7 +393,8 @@
         if ids != list(range(begin, begin + len(ids))):
             yield f"try {name} got events {ids}, beginning after {t['after']}"
             continue
-        if t["how"] == "whole" and not (t["events"] and t["events"][-1][3]):
+        over = any(e[0] == t["after"] and e[3] for x in log.asked[t["request"]] for e in x["events"])
+        if t["how"] == "whole" and not (t["events"][-1][3] if t["events"] else over):
             yield f"try {name} ended as whole ahead of its last event"
         if t["how"] == "whole" and t["rest"]:
             yield f"try {name} ended as whole within an event"
@@ -436,10 +440,8 @@
     0
     """
     log = Log(rows)
-    tries = collections.defaultdict(list)
-    for t in log.kinds["tried"]:
-        if not t["direct"]:
-            tries[t["request"]].append(t)
+    tries = log.asked
+    firsts = collections.defaultdict(list)
     totals = collections.defaultdict(lambda: dict(asked=0, in_aim=0, late=0, none=0, earned=0.0, owed=0.0))
     spans = collections.defaultdict(lambda: [0.0, 0.0])
     for r in log.kinds["answered"]:
@@ -456,23 +458,36 @@
             row[state] += 1
             row["earned"] += earned
             row["owed"] += full
+        if state != "none":
+            firsts[r["sort"]].append(first_event(tries[r["request"]]) - r["began"])
         spans[r["began"] // window][0] += earned
         spans[r["began"] // window][1] += full
     totals["all"]
     worst = sorted(e / o for e, o in spans.values() if o)[:2]
     out = {name: {**row, "worth": row["earned"] / row["owed"] if row["owed"] else 0.0} for name, row in totals.items()}
     out["all"]["worst_windows"] = worst
+    for name, took in firsts.items():
+        took.sort()
+        out[name].update(p50_ms=took[len(took) // 2] / MS, p99_ms=took[len(took) * 99 // 100] / MS)
     return out
 
 
+def first_event(tries):
+    """When the first event of a served request came, or its whole answer.
+
+    >>> first_event([dict(events=[], done=7)])
+    7
+    """
+    return next((e[2] for t in tries for e in t["events"]), tries[-1]["done"])
+
+
 def in_time(log, r, tries, aim, pause):
     """Whether a served request was inside its aim, without a long pause, each event passed on at once.
 
     Example: `in_time(log, answered, tries, 400 * MS, 200 * MS)`
     """
     events = [e for t in tries for e in t["events"]]
-    first = events[0][2] if events else tries[-1]["done"]
-    if first - r["began"] > aim:
+    if first_event(tries) - r["began"] > aim:
         return False
     if any(b[2] - a[2] > pause for a, b in zip(events, events[1:])):
         return False
--- a/bench/serving.py
+++ b/bench/serving.py
@@ -289,7 +289,6 @@
         self.weights = 1
         self.runs = {}
         self.count = 0
-        self.late = None  # an answer that comes in the place of the next one
         self.put("born", pool=pool)
 
     def put(self, kind, **more):
@@ -404,7 +403,7 @@
         ills = [way for way, rate in sorted(self.ills.items()) if rng.random() < rate]
         run.way = ills[0] if ills else ""
         per = self.figures.event_tokens
-        done = (int(after) if after and after.isdigit() else 0) * per
+        done = max(0, (int(after) if after and after.isdigit() else 0) - 1) * per + bool(after)
         tokens = int(counts.split(",")[1]) if counts else per
         run.stream, run.tokens = bool(counts), tokens
         run.job = engine.Job(attempt, parts, tokens, int(ask.head(h["urgency"], engine.URGENCY)), done=min(done, tokens - 1),
@@ -415,6 +414,14 @@
             return
         self.put("arrived", verdict=0, **row)
         self.runs[ask] = run
+        if done >= tokens:  # all of it has come before: an answer without an event
+            self.engine.cancel(run.job)
+            self.began(run)
+            self.begin_stream(run)
+            talk = run.ask.talk
+            talk.send(b"0\r\n\r\n")
+            self.finish(run)
+            return
         run.tick = self.mach.later(left * MS, self.expire, run)
 
     @staticmethod
@@ -506,12 +513,7 @@
                 self.finish_short(run)
             return
         if not run.events:
-            run.close = self.leaving or self.mach.rng.random() < self.closes
-            heads = [*self.heads(run, run.close), ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
-            head = "".join(f"{a}: {b}\r\n" for a, b in heads)
-            talk.send(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
-            if self.late is not None:
-                self.late = None
+            self.begin_stream(run)
         run.events += 1
         piece = f"id: {k}\ndata: {run.seal} {run.attempt} {k}{' last' if last else ''}\n\n".encode()
         run.raw.append(piece)
@@ -531,6 +533,16 @@
             talk.send(b"0\r\n\r\n")
             self.finish(run)
 
+    def begin_stream(self, run):
+        """Send the head of a stream.
+
+        Example: `worker.begin_stream(run)`
+        """
+        run.close = self.leaving or self.mach.rng.random() < self.closes
+        heads = [*self.heads(run, run.close), ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
+        head = "".join(f"{a}: {b}\r\n" for a, b in heads)
+        run.ask.talk.send(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+
     def finish_short(self, run):
         """Give a whole short answer.
 
--- a/bench/sim.py
+++ b/bench/sim.py
@@ -155,6 +155,7 @@
         self.cuts = set()  # (host, host): what the first sends does not reach the second
         self.slow = {}  # host -> extra delay each way
         self.loss = {}  # host -> share of its packets that are lost and sent again
+        self.held_writes = False  # whether what is written waits for the process's next turn, and dies with it
         self.conns = {}  # id -> Conn, in the order made
         self.next_conn = 0
         self.meter = None  # a Meter, while real processor time is counted
@@ -694,7 +695,10 @@
         """
         self.queue(bytes(data))
         self.flying += len(data)
-        self.flush()
+        if self.world.held_writes:
+            self.world.push(self.world.time, self.send_held)
+        else:
+            self.flush()
         if self.flying > WINDOW and self.producer is not None and self.streaming and not self.producer_paused:
             self.producer_paused = True
             self.producer.pauseProducing()
@@ -751,6 +755,14 @@
         self.numbered += 1
         self.out.append((self.numbered, piece))
 
+    def send_held(self):
+        """The process's next turn has come: what it wrote goes out, unless it has ended.
+
+        Example: `side.send_held()`
+        """
+        if self.proc.alive:
+            self.flush()
+
     def flush(self):
         """Put what is written on the wire, if the way is open.
 
--- a/bench/site.py
+++ b/bench/site.py
@@ -79,6 +79,7 @@
     def __init__(self, seed, shape="magnolia", seconds=20.0, load=1.0, figures=None):
         self.seed, self.shape_name, self.shape = seed, shape, SHAPES[shape]
         self.world = sim.World(seed)
+        self.world.held_writes = True
         self.rng = self.world.rng
         self.tape = town.Tape()
         self.seconds, self.load = seconds, load
@@ -90,6 +91,7 @@
         self.idle = 0  # idle routes added so far
         self.born = False  # whether the first start is over
         self.directs = 0
+        self.read_by_some = set()  # parts that some worker has read
         self.clients_made = 0
 
     # ---- building -----------------------------------------------------------------------
@@ -170,6 +172,7 @@
         speed = 0.93 + 0.14 * self.rng.random()
         w = serving.Worker(proc.mach(), name, pool or self.pool, self.tape, dataclasses.replace(self.figures, speed=speed))
         w.proc, w.host, w.zone = proc, host, zone
+        w.engine.ever = self.read_by_some
         self.workers[name] = w
         proc.reactor.listenTCP(SERVE, w)
         self.listing.show(w.id, pool=w.pool, address=f"{host}:{SERVE}", zone=zone,
--- a/bench/users.py
+++ b/bench/users.py
@@ -364,7 +364,7 @@
             sizes = machine.random.Random(ident)
             parts.append((f"{ident:08x}", draw(sizes, mean, spread, 3 * mean)))
         parts.append((f"{rng.getrandbits(32):08x}", draw(rng, *kind.own)))
-        out = 4 * draw(rng, *kind.events)
+        out = 4 * (draw(rng, *kind.events) - 1) + 1
         h = words.HEAD
         tokens = sum(n for _, n in parts)
         heads = [(h["model"], "m"), (h["tokens"], f"{tokens},{out}"),
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -19,6 +19,7 @@
 import iriswheel.budget as budget
 import iriswheel.carry as carry
 import iriswheel.follower as follower
+import iriswheel.machine as machine
 import iriswheel.node as node
 import iriswheel.verdict as verdict
 
@@ -46,6 +47,14 @@
     self.left = True
 
 
+async def _leave_with_the_last_exchange(self):
+    self.stopping = True
+    began = self.mach.now()
+    while self.mach.now() < began + node.NOTICE_US or self.door.open:
+        await self.mach.pause(self.door.closed, 100 * machine.MILLI)
+    self.left = True
+
+
 def _stale_head(self, req, size, *more, head=site.formats.Formats.head, last=[]):
     last.append(head(self, req, size, *more))
     return last[-2] if len(last) > 50 else last[-1]
@@ -67,6 +76,7 @@
     "whole_events": ([(carry, "whole_events", lambda raw: (raw, b""))], "broken_off", 1, "order"),
     "worker_states": ([(follower.Follower, "take_workers", _first_list)], "release", 1, "drain"),
     "drain": ([(node.Node, "stop", _leave_at_once)], "roll", 1, "lost"),
+    "last_bytes": ([(node.Node, "stop", _leave_with_the_last_exchange)], "roll", 1, "lost"),
     "routes": ([(follower.Follower, "find", lambda self, host, path: None)], "calm", 1, "denied"),
     "budget": ([(budget.Budget, "room", lambda self, now: True)], "all_fail", 1, "budget"),
     "disk": ([(sim.Disk, "read", lambda self: {})], "closing_power", 1, "config"),
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -35,8 +35,8 @@
         e = self.make()
         self.assertTrue(e.offer(self.job("x", [], tokens=10)))
         self.go(200)
-        self.assertEqual([(1, False), (2, False), (3, True)], [t[:2] for t in self.told["x"]])
-        self.assertEqual([20, 40, 50], [round(t[2] / MS) for t in self.told["x"]])
+        self.assertEqual([(1, False), (2, False), (3, False), (4, True)], [t[:2] for t in self.told["x"]])
+        self.assertEqual([5, 25, 45, 50], [round(t[2] / MS) for t in self.told["x"]])
 
     def test_tokens_come_more_slowly_the_more_run(self):
         ends = []
@@ -111,7 +111,7 @@
         self.go(900)
         self.assertEqual([0, 0, True], [jobs[0].put_back, jobs[1].put_back, jobs[2].put_back > 0])
         for j in jobs:
-            self.assertEqual([*range(1, 11)], [t[0] for t in self.told[j.ident]])
+            self.assertEqual([*range(1, 12)], [t[0] for t in self.told[j.ident]])
         self.assertEqual(0, e.owned)
 
     def test_the_more_urgent_is_let_in_first_and_takes_a_place(self):
@@ -123,7 +123,7 @@
         self.go(500)
         self.assertLess(self.first("now"), 60)
         self.assertLess(self.told["slow"][-1][2], self.told["next"][-1][2])
-        self.assertEqual(10, len(self.told["slow"]))
+        self.assertEqual(11, len(self.told["slow"]))
 
     def test_a_cancelled_request_frees_its_place_and_memory(self):
         e = self.make(capacity=1)
@@ -133,12 +133,12 @@
         self.go(50)
         e.cancel(x)
         self.go(100)
-        self.assertEqual(([], True), (self.told["x"], self.told["y"][0][1]))
+        self.assertEqual(([], True), (self.told["x"], self.told["y"][-1][1]))
         self.assertEqual((0, 10), (e.owned, e.kept_tokens))
 
     def test_a_taken_up_stream_goes_on_after_its_last_event(self):
         e = self.make()
-        e.offer(self.job("x", [("a", 10)], tokens=16, done=8))
+        e.offer(self.job("x", [("a", 10)], tokens=13, done=5))
         self.go(200)
         self.assertEqual([3, 4], [t[0] for t in self.told["x"]])
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -216,6 +216,9 @@
             self.complains("order", self.change("tried", events=more))
         self.complains("order", self.change("tried", rest=True))
         self.content(self.change("tried", events=events[:2], how="silent"))
+        again = one("a2", at=21 * S, repeat=True, request="r-a1", after=3, events=[])
+        self.content(one(repeat=True) + again)
+        self.complains("order", again)
         joined = [*events[:1], *[[k, "s2", at, last, name] for k, _, at, last, name in events[1:]]]
         run = dict(at=20 * S + 15 * MS, kind="run", worker="i-2", name="w2", attempt="a1", seal="s2", pool="desk", after="1")
         for repeat, after, good in ((True, "1", True), (True, "2", False), (True, None, False), (False, "1", False)):
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -80,7 +80,7 @@
         self.go(2)
         return c
 
-    def ask(self, c, attempt="a1", tokens="10,12", parts="aa:10", left=5000, path="/x/", **more):
+    def ask(self, c, attempt="a1", tokens="10,9", parts="aa:10", left=5000, path="/x/", **more):
         heads = {H["attempt"]: attempt, H["tokens"]: tokens, H["parts"]: parts, H["left"]: left, "Host": "h.example",
                  "Content-Length": 2, **{H[k]: v for k, v in more.items()}}
         lines = "".join(f"{k}: {v}\r\n" for k, v in heads.items() if v is not None)
@@ -135,10 +135,16 @@
 
     def test_a_stream_is_taken_up_after_its_last_event(self):
         c = self.dial()
-        self.ask(c, tokens="10,20", after="3")
+        self.ask(c, tokens="10,17", after="3")
         self.go(300)
         self.assertEqual([b"id: 4", b"id: 5"], [p.split(b"\n")[0] for p in c.answers[0].body.split(b"\n\n") if p])
 
+    def test_nothing_is_left_to_take_up_after_the_last_event(self):
+        c = self.dial()
+        self.ask(c, tokens="10,17", after="5")
+        self.go(300)
+        self.assertEqual((200, True, b""), (c.answers[0].code, c.answers[0].whole, c.answers[0].body))
+
     def test_a_request_is_dropped_with_its_connection(self):
         c = self.dial()
         self.ask(c, tokens="10,400")
