Nodes keep their session in their own zone; numbered changes on the command line

A node now moves to one of its zone that says it serves, and after a lost session tries first what it has not tried.

--- a/bench/town.py
+++ b/bench/town.py
@@ -114,7 +114,7 @@
         Example: `town.begin()`
         """
         zones = sorted(set(self.halls))
-        self.seeds = [f"10.0.1.{k}:{PEER}" for k in (1, 2, 3)]
+        self.seeds = [f"10.0.1.{k}:{PEER}" for k in range(1, min(3, self.core_count) + 1)]
         self.platform_proc = sim.Proc(self.world, "platform", self.machine("10.0.4.1", zones[0]))
         self.platform = stand.Platform(self.platform_proc.mach(), self.tape)
         self.listen(self.platform_proc, 9000, web.Server(self.platform.mach, self.platform.handle))
--- a/iriswheel/command.py
+++ b/iriswheel/command.py
@@ -330,6 +330,25 @@
     operate(core, "POST", f"/plans/{plan_id}/confirm", {})
 
 
+def change(file: str, *, number: int, built_on: int, core: list[str]):
+    """Have a change taken under a number of your own, in one step and without a plan.
+
+    The file holds a whole blueprint, or {"upsert": {"routes": {...}}, "remove": {"routes": [...]}}.
+    Saying the same again gives the same answer and changes nothing more.
+
+    Example: iriswheel change night.json --number 9 --built-on 7 --core 127.0.0.1:8001
+
+    :param file: the change, as JSON
+    :param number: your number for what stands after it, above the one in place
+    :param built_on: the number in place that it is made for; 0 before the first
+    :param core: IP:port of core machines' HTTP doors, tried in turn
+    """
+    doc = read_json(file)
+    part = isinstance(doc, dict) and doc and set(doc) <= {"upsert", "remove"}
+    operate(core, "POST", "/changes",
+            {"number": number, "built_on": built_on, **(doc if part else {"blueprint": doc})})
+
+
 def show(what: str = "blueprint", *, core: list[str]):
     """Read the blueprint back, or a plan by its id, or the state of a process.
 
@@ -426,6 +445,6 @@
     Example: `python -m iriswheel --help`
     """
     try:
-        defopt.run([core, node, load, check, plan, confirm, show, replay])
+        defopt.run([core, node, load, check, plan, confirm, change, show, replay])
     except KeyboardInterrupt:
         sys.exit(130)
--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -20,6 +20,7 @@
 STALE_CORE_US = 2 * machine.SECOND  # a node that lost the core goes by what it knows for so long
 ASK_US = 500 * machine.MILLI  # between questions to the platform
 ORPHAN_US = 1_500 * machine.MILLI  # without news for this long, a node asks for itself
+NEARER_US = 10 * machine.SECOND
 POLL_US = 1 * machine.SECOND
 PAGES = 200  # of the platform's list
 SILENT_US = 800 * machine.MILLI  # the core tells four times a second that all is well
@@ -83,6 +84,8 @@
         self.goes = {}  # neighbour -> (when, Goes) while cut off from the core
         self.hint = None  # where a neighbour has its session with the core
         self.moves = 0
+        self.tried = {}  # core address -> when a session was last tried there, since the last one stood
+        self.nearer_at = -NEARER_US  # when a core machine of this zone was last looked for
 
     # ---- what the node knows ------------------------------------------------------
 
@@ -391,18 +394,49 @@
             if p not in self.seeds:
                 self.seeds.append(p)
 
+    def order(self):
+        """Where to look for a core machine, the best first.
+
+        Those of the roster go before older addresses, those of this node's own zone first,
+        and what was tried a moment ago last.
+
+        Example: `host, port = fol.order()[0]`
+        """
+        zones = {(s.host, s.port): s.zone for s in self.roster.cores}
+        chance = {a: self.mach.rng.random() for a in self.seeds}
+        return sorted(self.seeds, key=lambda a: (
+            self.tried.get(a, -1), a not in zones, zones.get(a) != self.options.zone, chance[a]))
+
+    async def look_nearer(self, link):
+        """With a session in another zone: move to a core machine of this node's own, where one serves.
+
+        Example: `await fol.look_nearer(link)`
+        """
+        zones = {(s.host, s.port): s.zone for s in self.roster.cores}
+        now = self.mach.now()
+        if zones.get(self.at, self.options.zone) == self.options.zone or now - self.nearer_at < NEARER_US:
+            return
+        self.nearer_at = now
+        for host, port in [a for a, zone in zones.items() if zone == self.options.zone]:
+            try:
+                res = await self.mach.within(defer.ensureDeferred(
+                    self.node.neighbours.call(host, port, message.HowGoes(), GO_US)), GO_US)
+            except (wire.Broken, machine.Late):
+                continue
+            if res.core and link.up:
+                self.hint = (host, port)
+                link.close()
+                return
+
     async def follow(self):
         """Keep a session with some core machine; one task.
 
         Example: `mach.spawn(fol.follow())`
         """
-        k = self.mach.rng.randrange(len(self.seeds))
         while not self.node.left:
             self.learn_seeds(self.roster.cores)
-            known = {(s.host, s.port) for s in self.roster.cores}
-            self.seeds.sort(key=lambda a: a not in known)  # stable: present cores first
-            (host, port), self.hint = self.hint or self.seeds[k % len(self.seeds)], None
-            k += 1
+            (host, port), self.hint = self.hint or self.order()[0], None
+            self.tried[host, port] = self.mach.now()
             try:
                 link = await wire.connect(self.mach, host, port, self.serve, log)
             except wire.Broken:
@@ -418,6 +452,13 @@
                 if now - max(began, self.core_at or 0) > wire.SILENCE_US:
                     link.close()
                 await self.mach.pause(link.lost, 200 * machine.MILLI)
+                if link.up and self.core_at is not None and self.core_at > began:
+                    await self.look_nearer(link)
+            if self.core_at is not None and self.core_at > began:
+                self.tried.clear()
+                self.tried[host, port] = self.mach.now()
+            if self.hint is not None:
+                continue
             await self.mach.sleep(100 * machine.MILLI + self.mach.rng.randrange(100 * machine.MILLI))
 
     async def watch(self):
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -534,7 +534,7 @@
 
 
 class HowGoes(Message):
-    """A node that has lost the core asks its neighbours how they fare."""
+    """A node that has lost the core asks its neighbours how they fare, or a core machine whether it serves."""
 
 
 class Goes(Message):
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -19,8 +19,8 @@
         super().setUp()
         loguru.logger.remove()
 
-    def quiet(self, seed=3):
-        t = town.Town(seed, "small", long_rate=0, short_rate=0, talks=0)
+    def quiet(self, seed=3, **more):
+        t = town.Town(seed, "small", long_rate=0, short_rate=0, talks=0, **more)
         t.probing = False
         t.begin()
         t.go(1)
@@ -88,3 +88,13 @@
         began = t.world.time
         self.assertEqual([200], self.wait(t, self.start(t, 1, 0, route(1))))
         self.assertLess(t.world.time - began, S)
+
+    def test_a_lone_core_machine_takes_changes_where_one_copy_is_enough(self):
+        t = self.quiet(cores=1, copies=1, seats=1)
+        self.assertEqual([200, 200], self.wait(t, self.start(t, 1, 0, route(1))) + self.wait(t, self.start(t, 2, 1, route(2))))
+        c = t.cores["c1"]
+        c.proc.host.fail()
+        t.go(1)
+        t.start_core("c1", *t.options["c1"])
+        self.assertEqual([200], self.wait(t, self.start(t, 3, 2, route(3))))
+        self.assertIn("routes/r1", self.items(t))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -138,6 +138,19 @@
         self.assertIn("409", head.splitlines()[0])
         self.assertIn(json.loads(body)["verdict"], ("ran", "may_have_run"))  # the word of its end may be under way
 
+    def test_numbered_changes(self):
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as f:
+            json.dump({"upsert": {"routes": {"numbered": {"path": "/numbered", "pool": "desk"}}}}, f)
+            f.flush()
+            args = ("change", f.name, "--number", "3", "--built-on", "0", "--core", self.core)
+            first = program(*args)
+            self.assertEqual((0, 3), (first[0], json.loads(first[1])["number"]))
+            self.assertEqual(first, program(*args))
+            code, out, _ = program("change", f.name, "--number", "4", "--built-on", "1", "--core", self.core)
+            self.assertEqual((4, "base_moved"), (code, json.loads(out)["code"]))
+        doc = json.loads(program("show", "--core", self.core)[1])["blueprint"]
+        self.assertEqual((3, "/numbered"), (doc["marks"]["operator"]["number"], doc["routes"]["numbered"]["path"]))
+
     def test_plan_confirm_show(self):
         path = os.path.join(fleet.EXAMPLES, "magnolia.json")
         with open(path) as f:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,4 +1,4 @@
-"""How processes stop, and how they take in options that changed while they run."""
+"""How processes stop, go on, and take in options that changed while they run; where nodes keep their sessions."""
 
 import os
 import tempfile
@@ -118,3 +118,23 @@
             self.assertEqual({2}, {len(x.council.view.chain) for x in others})
             t.start_core(c.options.name, *t.options[c.options.name])
             self.assertTrue(t.until(lambda: t.tail() is not None and len(t.tail().council.view.chain) == 3, 5))
+
+    def test_nodes_keep_their_session_in_their_own_zone_where_a_core_machine_serves_there(self):
+        t = self.quiet(halls=["a", "a", "b", "c", "d"])
+        zones = {host: zone for host, zone in (t.options[c] for c in t.cores)}
+        self.assertEqual(["a", "b", "c"], sorted(zones.values()))
+
+        def at_home():
+            return all(n.follower.core_stands() and (n.options.zone == "d" or zones[n.follower.at[0]] == n.options.zone)
+                       for n in t.nodes.values())
+
+        self.assertTrue(t.until(at_home, 15))
+        c = next(c for c in t.cores.values() if c.options.zone == "a")
+        c.proc.kill()
+        self.assertTrue(t.until(lambda: not at_home() and all(n.follower.core_stands() for n in t.nodes.values()), 5))
+        t.go(5)
+        t.start_core(c.options.name, *t.options[c.options.name])
+        self.assertTrue(t.until(at_home, 15))
+        moves = [n.follower.moves for n in t.nodes.values()]
+        t.go(30)
+        self.assertEqual(moves, [n.follower.moves for n in t.nodes.values()])
