--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,6 +9,7 @@
     python -m bench.capacity places       elections at a node, what its placement holds, its upkeep
     python -m bench.capacity sockets      what a message costs over a real connection
     python -m bench.capacity fleet        hollow nodes and workers over the simulated network
+    python -m bench.capacity streams      requests and their streams through nodes that elect
     python -m bench.capacity losses       the same, while members come and go
 
 Processor time is real time of this thread's own work over that of a stated loop (`loop`),
@@ -865,7 +866,7 @@
     runs = [("nodes", n, (n, listed[0], pools[0])) for n in sizes]
     runs += [("workers", w, (sizes[0], w, pools[0])) for w in listed]
     runs += [("pools", p, (sizes[-2], listed[0], p)) for p in pools]  # enough nodes that some have no duty
-    runs += [("", 0, (sizes[-1], listed[-1], pools[-1]))]
+    runs += [("all at once", sizes[-1], (sizes[-1], listed[-1], pools[-1]))]
     for by, size, (n, w, p) in runs:
         f = Fleet(seed, n, w, p, routes, walking, election)
         f.begin()
@@ -876,8 +877,42 @@
         show(f"{n} nodes, {w} workers, {p} pools", rows)
         for role, r in rows.items():
             for what, val in r.items():
-                if by:
-                    lines.put(f"{role}: {what}", by, UNITS[what], size, val)
+                lines.put(f"{role}: {what}", by, UNITS[what], size, val)
+    end(lines, out)
+
+
+def streams(*, rates: list[int] = (10, 20, 40), events: list[int] = (12, 48, 96), listed: int = 36, seconds: float = 6,
+            repeats: int = 3, election: str = "node", out: str = ""):
+    """Real requests through four nodes: processor time by requests and by the events of their streams.
+
+    :param rates: requests a second at all nodes together, of the fewest events each
+    :param events: events of each answer, at the least rate
+    :param listed: workers
+    :param seconds: simulated time that is counted
+    :param repeats: how many seeds
+    :param election: warden or node
+    :param out: file for the values
+    """
+    lines = Lines()
+    was = stand.SHORT_TOKENS
+    try:
+        for seed in range(1, repeats + 1):
+            for by, rate, n in [*(("requests/s", r, events[0]) for r in rates), *(("events/s", rates[0], e) for e in events)]:
+                stand.SHORT_TOKENS = n
+                f = Fleet(seed, 4, listed, 1, 10, False, election)
+                f.blueprint["routes"]["all"] = {"path": "/v1", "pool": "model-0", "terms": "t0"}
+                f.rates = (0, rate, 0)
+                f.begin()
+                f.go(8)
+                before = sum(n.door.counts["exchanges"] for n in f.nodes.values())
+                got = f.metered(seconds)
+                done = (sum(n.door.counts["exchanges"] for n in f.nodes.values()) - before) / seconds
+                loops = sum(got[x]["loops"] for x in f.nodes)
+                lines.put("requests through nodes" if by == "requests/s" else "events through nodes", by, "loops", rate if by ==
+                          "requests/s" else rate * n, loops)
+                lines.put("requests seen", by, "/s", rate if by == "requests/s" else rate * n, done)
+    finally:
+        stand.SHORT_TOKENS = was
     end(lines, out)
 
 
@@ -1026,10 +1061,12 @@
     fleet(**dict(sizes=[8, 16], listed=[36, 72], pools=[1, 2]) if small else {})
     print("losses")
     losses(**dict(sizes=[8, 16], repeats=1) if small else {})
+    print("streams")
+    streams(**dict(rates=[5, 10], events=[12, 24], repeats=1) if small else {})
     print("sockets")
     sockets(**dict(sizes=[0, 100], calls=100, repeats=2) if small else {})
 
 
 if __name__ == "__main__":
     loguru.logger.remove()
-    defopt.run([lists, tail, records, elects, prefixes, routes, places, sockets, fleet, losses, everything])
+    defopt.run([lists, tail, records, elects, prefixes, routes, places, sockets, fleet, streams, losses, everything])
