--- a/iriswheel/carry.py
+++ b/iriswheel/carry.py
@@ -18,8 +18,11 @@
 FRESH_US = 2 * machine.SECOND  # a connection idle for longer carries nothing that may not be repeated
 FRESH_REPEAT_US = 60 * machine.SECOND
 LOOK_US = 100 * machine.MILLI
-MUTE_US = 700 * machine.MILLI  # silence after which a stream that may be taken up again is
-FIRST_MUTE_US = 1_200 * machine.MILLI  # and before the first event
+PAUSE_US = 300 * machine.MILLI  # silence on a stream that speaks against its worker
+LONG_US = 1 * machine.SECOND  # likewise, before the first event of a long prompt
+MUTE_US = 500 * machine.MILLI  # silence after which a stream that may be taken up again is
+FIRST_MUTE_US = 1_200 * machine.MILLI  # and before the first event, where many wait
+QUIET, BROKEN = 0.3, 0.5  # how much a silence, or a broken connection, counts against a worker
 EARLY_US = 30 * machine.MILLI  # the final answer goes out so long before the requester's time is over
 CONNECTS = 3  # workers tried that give no connection
 BACK_US = 150 * machine.MILLI  # a refused requester may come back after so long
@@ -60,6 +63,8 @@
         self.line = None
         self.done = defer.Deferred(lambda _: self.stop())
         self.began = self.last = self.mach.now()
+        self.expected = 0  # how long its first event was expected to take
+        self.blamed = False
         self.tokens = 0  # of the prompt, not read yet as far as is known
         self.status = 0
         self.heads = []
@@ -102,7 +107,7 @@
             return
         if not self.seen:
             self.seen = True
-            self.x.placement.first(self.worker, self.tokens)
+            self.x.placement.first(self.worker, self.tokens, self.last - self.began, self.expected)
             self.tokens = 0
         if self.x.resume:
             data, self.rest = whole_events(self.rest + data)
@@ -127,6 +132,7 @@
                 self.x.pass_on(self, self.rest)
             elif not self.x.begun:
                 self.x.pass_on(self, b"")
+            self.x.placement.forgive(self.worker)
             self.finish(Outcome.WHOLE)
 
     def hand_over(self):
@@ -150,7 +156,7 @@
         Example: `flow.lost("closed")`
         """
         self.carrier.counts["broke"] += 1
-        self.x.placement.pain(self.worker)
+        self.x.placement.blame(self.worker, BROKEN)
         self.finish(Outcome.TORN if self.x.begun else Outcome.BROKE)
 
     def stop(self, outcome=None):
@@ -279,14 +285,7 @@
         while not self.node.left:
             await self.mach.sleep(LOOK_US)
             now = self.mach.now()
-            for f in list(self.flows):
-                if f.x.resume and f.x.repeatable and not f.done.called:
-                    quiet = now - f.last
-                    if (quiet > (MUTE_US if f.seen else FIRST_MUTE_US) and f.x.placement.mute(f.worker, now)
-                            and self.may_repeat(f.x)):
-                        self.counts["mute"] += 1
-                        f.x.placement.pain(f.worker)
-                        f.stop(Outcome.TORN if f.x.begun else Outcome.BROKE)
+            self.look_for_silence(now)
             if now - swept > SWEEP_US:
                 swept = now
                 fol = self.node.follower
@@ -294,6 +293,31 @@
                 for pool, p in self.places.items():
                     p.sweep({w.id for w in fol.workers if w.pool == pool and w.state == "ready"})
 
+    def look_for_silence(self, now):
+        """Blame workers that keep sends waiting; take up elsewhere what may be.
+
+        Where many sends wait for longer than they should, it is the load, and more sends make it worse.
+
+        Example: `carrier.look_for_silence(mach.now())`
+        """
+        waiting = [f for f in self.flows if not f.seen]
+        over = {f for f in waiting if now - f.began > f.x.placement.patience_us(f.expected)}
+        crowded = len(over) > 1 and 3 * len(over) > len(waiting)
+        for f in list(self.flows):
+            quiet = now - f.last
+            long = f.tokens >= placement.HEAVY  # how long it is read is not known as well
+            if f.done.called or not (f in over or f.seen) or quiet < (LONG_US if long else PAUSE_US if f.seen else 0):
+                continue
+            if not f.blamed:
+                f.blamed = True
+                f.x.placement.blame(f.worker, QUIET)
+            if not (f.x.resume and f.x.repeatable and self.may_repeat(f.x)):
+                continue
+            mute = f.x.placement.mute(f.worker, now)
+            if f.seen and quiet > MUTE_US or f in over and (not crowded or mute and quiet > FIRST_MUTE_US):
+                self.counts["mute"] += 1
+                f.stop(Outcome.TORN if f.x.begun else Outcome.BROKE)
+
     def may_repeat(self, x):
         """Whether an exchange may be sent once more, by its route and this node's share of the budget.
 
@@ -365,8 +389,10 @@
                     self.counts["unrun"] += 1
                     shun.add(name)
                     if flow.status == 421:
-                        x.placement.pain(name)
+                        x.placement.blame(name, BROKEN)
                 case Outcome.FAILED | Outcome.BROKE | Outcome.TORN:
+                    if outcome is Outcome.FAILED:
+                        x.placement.blame(name, QUIET)
                     x.ran = True
                     shun.add(name)
             again = (x.repeatable if x.ran else True) and (not x.begun or x.resume) and self.may_repeat(x)
@@ -408,13 +434,15 @@
         """
         place = x.placement
         flow = Flow(self, x, w.id)
+        flow.expected = place.wait_us(w.id, x.pool, self.mach.now())
         flow.tokens = place.begin(w.id, x.keys, x.ask.sizes, x.loose)
+        flow.expected += flow.tokens * 1000 // placement.READ_RATE
         late = None
         try:
             try:
                 line = await self.lines.get(w, FRESH_REPEAT_US if x.repeatable else FRESH_US)
             except client.Unreached:
-                place.pain(w.id)
+                place.blame(w.id, BROKEN)
                 self.counts["unreached"] += 1
                 return None, None
             left = x.until - self.mach.now()
--- a/iriswheel/loads.py
+++ b/iriswheel/loads.py
@@ -14,7 +14,8 @@
 TELL_US = 150 * machine.MILLI
 OLD_US = 2 * machine.SECOND  # another core's sums count no longer without a word of it
 HEAVY = 2_000  # tokens: a change by more is told at once
-NONE = (0, 0)
+ILL = 20  # percent of suspicion, likewise
+NONE = (0, 0, 0)
 
 log = loguru.logger.bind(part="loads")
 
@@ -22,8 +23,8 @@
 def rows(table, keys):
     """The rows of a table for some keys, as they travel.
 
-    >>> rows({("p", "w1"): (1, 60)}, {("p", "w1"), ("p", "w2")})
-    {'p': [('w1', 1, 60), ('w2', 0, 0)]}
+    >>> rows({("p", "w1"): (1, 60, 0)}, {("p", "w1"), ("p", "w2")})
+    {'p': [('w1', 1, 60, 0), ('w2', 0, 0, 0)]}
     """
     out = {}
     for pool, name in sorted(keys):
@@ -31,6 +32,15 @@
     return out
 
 
+def plus(have, more, less):
+    """A row with something added and something taken away.
+
+    >>> plus((3, 60, 0), (1, 0, 50), (2, 60, 0))
+    (2, 0, 50)
+    """
+    return tuple(a + b - c for a, b, c in zip(have, more, less))
+
+
 def changes(old, new):
     """The keys whose values differ.
 
@@ -41,21 +51,21 @@
 
 
 def heavy(was, now):
-    """Whether a worker's load rose by much.
+    """Whether a worker's load rose by much, or the suspicion of it.
 
-    >>> heavy((1, 0), (2, 13_000)), heavy((2, 13_000), (1, 0))
-    (True, False)
+    >>> heavy((1, 0, 0), (2, 13_000, 0)), heavy((2, 13_000, 0), (1, 0, 0)), heavy((1, 0, 0), (1, 0, 30))
+    (True, False, True)
     """
-    return now[1] - was[1] >= HEAVY
+    return now[1] - was[1] >= HEAVY or now[2] - was[2] >= ILL
 
 
 def update(table, m):
     """Bring a table up to date by a message; the keys that changed.
 
-    >>> t = {}; update(t, message.Loads("n1", True, {"p": [("w1", 1, 60)]})), t
-    ({('p', 'w1')}, {('p', 'w1'): (1, 60)})
+    >>> t = {}; update(t, message.Loads("n1", True, {"p": [("w1", 1, 60, 0)]})), t
+    ({('p', 'w1')}, {('p', 'w1'): (1, 60, 0)})
     """
-    said = {(pool, name): (running, unread) for pool, some in m.rows.items() for name, running, unread in some}
+    said = {(pool, name): tuple(vals) for pool, some in m.rows.items() for name, *vals in some}
     new = said if m.whole else {**table, **said}
     out = changes(table, new)
     table.clear()
@@ -80,8 +90,8 @@
 
         Example: `side.own()`
         """
-        return {(pool, name): (running, unread) for pool, place in self.node.door.carrier.places.items()
-                for name, running, unread in place.told()}
+        return {(pool, name): tuple(vals) for pool, place in self.node.door.carrier.places.items()
+                for name, *vals in place.told()}
 
     def tell(self):
         """Tell the core what changed here.
@@ -111,7 +121,7 @@
     def take(self, m):
         """Take the others' sums.
 
-        Example: `side.take(message.Loads("c0ffee", True, {"desk": [("w1", 3, 900)]}))`
+        Example: `side.take(message.Loads("c0ffee", True, {"desk": [("w1", 3, 900, 0)]}))`
         """
         for pool, place in self.node.door.carrier.places.items():
             if m.whole or pool in m.rows:
@@ -157,7 +167,7 @@
         for k in update(table, m):
             for sums in [self.all, self.sums] if node else [self.all]:
                 was, now, have = old.get(k, NONE), table.get(k, NONE), sums.get(k, NONE)
-                sums[k] = (have[0] + now[0] - was[0], have[1] + now[1] - was[1])
+                sums[k] = plus(have, now, was)
                 if sums[k] == NONE:
                     del sums[k]
             for other, keys in self.pending.items():
@@ -187,8 +197,7 @@
             own = self.tables.get(who, {})
             table = {}
             for k in told:
-                a, b = self.all.get(k, NONE), own.get(k, NONE)
-                table[k] = (a[0] - b[0], a[1] - b[1])
+                table[k] = plus(self.all.get(k, NONE), NONE, own.get(k, NONE))
             post.link.tell(message.Loads(core.council.me.id, whole, rows(table, told)))
         else:
             s = core.council.seat(who)
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -495,7 +495,8 @@
 
 
 class Loads(Message):
-    """Load in flight, by pool: rows of a worker, exchanges running there, prompt tokens not read yet.
+    """Load in flight, by pool: rows of a worker, exchanges running there, prompt tokens not read yet, and
+    the suspicion of it in percent.
 
     From a node to its core: its own. Between cores: the sum of a core's nodes. From a core to a
     node: the sum of all other nodes. Only what changed, unless `whole`.
@@ -503,7 +504,7 @@
 
     sender: str
     whole: bool
-    rows: dict[str, list[tuple[str, int, int]]]
+    rows: dict[str, list[tuple[str, int, int, int]]]
 
 
 class Probe(Message):
--- a/iriswheel/placement.py
+++ b/iriswheel/placement.py
@@ -26,11 +26,16 @@
 AGAIN = 15  # reading a shared part anew counts so many times its time: others wait, and parts give way
 JITTER_US = 3_000  # workers nearer than this are alike
 OLD_US = 1_500 * machine.MILLI  # others' sums older than this count for nothing
-PAIN_US = 200 * machine.MILLI  # a worker that failed is left alone for so long, doubling
-PAIN_MOST_US = 2 * machine.SECOND
+ILL_HALF_US = 2 * machine.SECOND  # suspicion of a worker halves in so long
+ILL_US = 1 * machine.SECOND  # what full suspicion counts for in time
+ILL_OUT = 0.45  # from here on a worker gets nothing, as long as others are well
+OTHERS_ILL = 0.4  # how much another node's suspicion counts beside one's own
+PATIENCE_US = 200 * machine.MILLI  # no first event is waited for less than this
 MUTE_US = 700 * machine.MILLI  # a worker with sends under way that says nothing for so long
 COST = 100  # an open session's cost that counts like one exchange
 
+NONE = (0, 0, 0)
+
 log = loguru.logger.bind(part="place")
 
 
@@ -41,7 +46,7 @@
     (0, 0)
     """
 
-    __slots__ = ("running", "unread", "kept", "heard", "asked", "pains", "bad_until")
+    __slots__ = ("running", "unread", "kept", "heard", "asked", "ill", "ill_at")
 
     def __init__(self):
         self.running = 0  # own exchanges there
@@ -49,8 +54,8 @@
         self.kept = collections.OrderedDict()  # chain key of a part -> tokens, the latest used last
         self.heard = 0  # when it last said anything to this node
         self.asked = 0  # when the first of the sends now under way went out
-        self.pains = 0  # failures in a row
-        self.bad_until = 0
+        self.ill = 0.0  # suspicion, 0 to 1, as it was at ill_at
+        self.ill_at = 0
 
     def note(self, keys, sizes):
         """Note the parts that a prompt brings there.
@@ -97,7 +102,8 @@
         self.mach = mach
         self.pool = pool
         self.workers = {}  # id -> Worker
-        self.others = {}  # id -> (running, unread) of all other nodes together
+        self.others = {}  # id -> (running, unread, suspicion in percent) of all other nodes together
+        self.base_us, self.dev_us = 60_000.0, 30_000.0  # of first events of short prompts, beyond what was expected
         self.others_at = 0
         self.told_heavy = lambda: None  # called when a send changes a worker's load by much
         self.book = session.Book()
@@ -129,6 +135,52 @@
                 self.ranks.popitem(last=False)
         return out
 
+    def of_others(self, name, now):
+        """What all other nodes together say of a worker, unless that is old.
+
+        >>> Placement(machine.Machine(None, now=lambda: 0), "p").of_others("w1", 0)
+        (0, 0, 0)
+        """
+        return self.others.get(name, NONE) if now - self.others_at < OLD_US else NONE
+
+    def ill(self, name, now):
+        """The suspicion of a worker, 0 to 1: one's own, and a part of the others'.
+
+        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.blame("w1", 0.5); p.ill("w1", 0)
+        0.5
+        """
+        return min(1.0, self.own_ill(name, now) + OTHERS_ILL * self.of_others(name, now)[2] / 100)
+
+    def own_ill(self, name, now):
+        """This node's own suspicion of a worker, fading.
+
+        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.blame("w1", 0.5)
+        >>> p.own_ill("w1", 2 * machine.SECOND)
+        0.25
+        """
+        w = self.workers.get(name)
+        return w.ill * 0.5 ** ((now - w.ill_at) / ILL_HALF_US) if w is not None and w.ill else 0.0
+
+    def blame(self, name, much):
+        """A worker failed, or fell silent: trust it less, and let the other nodes know.
+
+        >>> p = Placement(machine.Machine(None, now=lambda: 5), "p"); p.blame("w1", 0.5); p.sick("w1", 5)
+        True
+        """
+        now = self.mach.now()
+        w = self.at(name)
+        w.ill, w.ill_at = min(1.0, self.own_ill(name, now) + much), now
+        self.told_heavy()
+
+    def forgive(self, name):
+        """A worker gave a whole answer.
+
+        >>> p = Placement(machine.Machine(None, now=lambda: 5), "p"); p.blame("w1", 0.5); p.forgive("w1"); p.sick("w1", 5)
+        False
+        """
+        w = self.at(name)
+        w.ill *= 0.7
+
     def wait_us(self, name, pool, now):
         """How long a new exchange would wait at a worker before its own prompt is read.
 
@@ -137,7 +189,7 @@
         Example: `us = placement.wait_us("w1", pool, now)`
         """
         w = self.at(name)
-        running, unread = self.others.get(name, (0, 0)) if now - self.others_at < OLD_US else (0, 0)
+        running, unread, _ = self.of_others(name, now)
         running += w.running
         unread += w.unread
         batch = pool.batch or BATCH
@@ -167,14 +219,19 @@
         return us
 
     def sick(self, name, now):
-        """Whether a worker failed just now, or says nothing although it was asked.
+        """Whether a worker is to get nothing as long as others are well.
 
         Example: `placement.sick("w1", now)`
         """
-        w = self.workers.get(name)
-        if w is None:
-            return False
-        return now < w.bad_until or self.mute(name, now)
+        return self.ill(name, now) > ILL_OUT or self.mute(name, now)
+
+    def patience_us(self, expected):
+        """How long a first event is waited for that was expected after so long.
+
+        >>> Placement(machine.Machine(None, now=lambda: 0), "p").patience_us(10_000)
+        200000
+        """
+        return max(PATIENCE_US, int(expected * 1.5 + self.base_us + 4 * self.dev_us))
 
     def mute(self, name, now):
         """Whether a worker that has sends of this node says nothing to any of them.
@@ -196,7 +253,8 @@
         if r is not None and r.worker in ready and r.worker not in shun:
             return r.worker, self.wait_us(r.worker, pool, now)
         fit = [n for n in names if n not in shun]
-        fit = [n for n in fit if not self.sick(n, now)] or fit
+        well = [n for n in fit if not self.sick(n, now)]
+        fit = well if 2 * len(well) >= len(fit) else fit  # where most look ill, it is not they
         if not fit:
             return "", 0
         if keys:
@@ -208,6 +266,7 @@
             wait = self.wait_us(n, pool, now)
             us = wait + self.read_us(n, keys[:-1], ask.sizes[:-1], own, names)
             us += self.book.load(n) * SLOT_US // COST  # reserved cost of open sessions
+            us += int(self.ill(n, now) * ILL_US)
             us += self.mach.rng.randrange(JITTER_US)
             if least is None or us < least:
                 best, least, its_wait = n, us, wait
@@ -234,21 +293,23 @@
             self.told_heavy()
         return tokens
 
-    def first(self, name, tokens):
-        """The first event came: the prompt is read.
+    def first(self, name, tokens, took, expected):
+        """The first event came after `took` microseconds: the prompt is read.
 
-        Example: `placement.first("w1", 291)`
+        Example: `placement.first("w1", 291, 71_000, 9_000)`
         """
         self.at(name).unread -= tokens
+        if tokens < HEAVY:
+            off = took - expected - self.base_us
+            self.base_us += off / 16
+            self.dev_us += (abs(off) - self.dev_us) / 16
 
     def hear(self, name):
         """A worker said something.
 
         Example: `placement.hear("w1")`
         """
-        w = self.at(name)
-        w.heard = self.mach.now()
-        w.pains = w.bad_until = 0
+        self.at(name).heard = self.mach.now()
 
     def end(self, name, tokens):
         """A send is over; `tokens` are those that were never read.
@@ -259,16 +320,6 @@
         w.running -= 1
         w.unread -= tokens
 
-    def pain(self, name):
-        """A worker failed: leave it alone for a while.
-
-        >>> p = Placement(machine.Machine(None, now=lambda: 5), "p"); p.pain("w1"); p.sick("w1", 6)
-        True
-        """
-        w = self.at(name)
-        w.bad_until = self.mach.now() + min(PAIN_MOST_US, PAIN_US << min(w.pains, 8))
-        w.pains += 1
-
     # ---- sessions ---------------------------------------------------------------------
 
     def turn(self, key, name, terms, cap):
@@ -312,24 +363,29 @@
             del self.workers[name]
 
     def told(self):
-        """This node's own load, for the load exchange: rows of worker, running, unread tokens.
+        """This node's own load, for the load exchange: rows of worker, running, unread tokens, suspicion.
 
-        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.told()
-        []
+        Suspicion travels in steps of ten percent, so that its fading is not news all the time.
+
+        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.blame("w1", 0.5); p.told()
+        [('w1', 0, 0, 50)]
         """
-        return [(n, w.running, max(0, w.unread)) for n, w in sorted(self.workers.items()) if w.running]
+        now = self.mach.now()
+        rows = [(n, w.running, max(0, w.unread), int(self.own_ill(n, now) * 10) * 10)
+                for n, w in sorted(self.workers.items())]
+        return [r for r in rows if r[1] or r[3]]
 
     def take(self, rows, whole):
         """Take the other nodes' sums: all of them, or what changed.
 
-        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.take([("w1", 3, 900)], True); p.others["w1"]
-        (3, 900)
+        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.take([("w1", 3, 900, 0)], True); p.others["w1"]
+        (3, 900, 0)
         """
         if whole:
             self.others = {}
-        for name, running, unread in rows:
-            self.others[name] = (running, unread)
-            if not running and not unread:
+        for name, *vals in rows:
+            self.others[name] = tuple(vals)
+            if not any(vals):
                 del self.others[name]
         self.others_at = self.mach.now()
 
