--- a/iriswheel/placement.py
+++ b/iriswheel/placement.py
@@ -22,6 +22,8 @@
 TRIALS = 16_384  # first turns remembered
 RANKS = 1_024  # rankings remembered
 KEPT = 512  # parts remembered per worker
+LONG = 4_000  # tokens of a prompt, shared parts and all, from which on it is long
+SPARED = 0.34  # of the workers read no long prompts
 HEAVY = 2_000  # tokens to read from which on all other nodes are told at once
 AGAIN = 15  # reading a shared part anew counts so many times its time: others wait, and parts give way
 JITTER_US = 3_000  # workers nearer than this are alike
@@ -198,6 +200,17 @@
             us += TURN_US * (running - batch + 1) // batch
         return us
 
+    def spared(self, names):
+        """The workers that read no long prompts; the same on every node.
+
+        While many shared parts are read for the first time, long prompts would fill every worker,
+        and all short ones, which are many more, would wait behind them.
+
+        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); len(p.spared(tuple("abcdef")))
+        2
+        """
+        return set(self.rank(b"spared", names)[:round(len(names) * SPARED)] if len(names) > 2 else ())
+
     def read_us(self, name, keys, sizes, own, names):
         """How long a worker would read at a prompt, less what its cache is likely to hold.
 
@@ -207,7 +220,7 @@
         Example: `us = placement.read_us("w1", keys, [13300], 3720, names)`
         """
         kept = self.at(name).kept
-        home = not keys or self.rank(keys[-1], names)[0] == name
+        home = not keys or bool(names) and self.rank(keys[-1], names)[0] == name
         us = own * 1000 // READ_RATE
         if home:
             return us
@@ -262,6 +275,11 @@
             if worker in fit and until > now:
                 return worker, self.wait_us(worker, pool, now)  # a second turn: its prefix is held there
         best, least = "", None
+        spared = self.spared(names)
+        long = own + sum(size for key, size in zip(keys[:-1], ask.sizes)) >= LONG
+        if long:
+            names = tuple(n for n in names if n not in spared)
+            fit = [n for n in fit if n not in spared] or fit
         for n in fit:
             wait = self.wait_us(n, pool, now)
             us = wait + self.read_us(n, keys[:-1], ask.sizes[:-1], own, names)
@@ -301,7 +319,7 @@
         self.at(name).unread -= tokens
         if tokens < HEAVY:
             off = took - expected - self.base_us
-            self.base_us += off / 16
+            self.base_us = max(0.0, self.base_us + off / 16)
             self.dev_us += (abs(off) - self.dev_us) / 16
 
     def hear(self, name):
