Nodes without news of workers ask in turn, and the first one tells the others

Each now waits by chance as long as all members need at half of the platform's rate, and the first list goes to all that lack news.

--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -21,6 +21,7 @@
 ASK_US = 500 * machine.MILLI  # between questions to the platform
 ORPHAN_US = 1_500 * machine.MILLI  # without news for this long, a node asks for itself
 NEARER_US = 10 * machine.SECOND
+SPAN_US = 4 * machine.SECOND
 POLL_US = 1 * machine.SECOND
 PAGES = 200  # of the platform's list
 SILENT_US = 800 * machine.MILLI  # the core tells four times a second that all is well
@@ -321,6 +322,22 @@
         self.news_at = self.mach.now()
         return True
 
+    def orphan(self):
+        """Whether this node has a blueprint, but has had no news of workers for a while.
+
+        Example: `fol.orphan()`
+        """
+        return self.items is not None and (
+            self.news_at is None or self.mach.now() - self.news_at > ORPHAN_US)
+
+    def take_heard(self, workers):
+        """Take a list that another node had to ask for itself, where this one lacks news too.
+
+        Example: `fol.take_heard(heard.workers)`
+        """
+        if self.news_at is None or self.mach.now() - self.news_at > ORPHAN_US // 2:
+            self.take_workers(workers)
+
     def take_workers(self, workers):
         """Note the workers and their states as they are now.
 
@@ -543,19 +560,23 @@
     async def list(self):
         """Ask the platform for its workers, where that is this node's duty.
 
-        A node that has had no news of workers for a while asks for itself as well.
+        A node that has had no news of workers for a while asks for itself as well. Many do so
+        at once when the duty's holder is lost: each first waits a while by chance, as long as
+        all members together need at half of the platform's rate, and the first one that has
+        the list tells it to the others.
 
         Example: `mach.spawn(fol.list())`
         """
-        count = 0
+        count = failed = 0
         told = None  # the last list that the others were told whole
         host, port = self.options.platform_address()
         while not self.node.left:
             d = self.duty("list")
             mine = d is not None and d.holder == self.node.me.id and self.settled()
-            orphan = self.items is not None and (
-                self.news_at is None or self.mach.now() - self.news_at > ORPHAN_US)
-            if mine or orphan:
+            if not mine and self.orphan() and self.roster.members:
+                span = len(self.roster.members) * machine.SECOND / (self.options.call_rate / 2)
+                await self.mach.pause(self.list_now, self.mach.rng.randrange(1 + int(min(span, SPAN_US))))
+            if mine or self.orphan():
                 try:
                     workers = self.believe(await self.pages(host, port))
                 except defer.CancelledError:
@@ -564,8 +585,10 @@
                     log.warning("The platform gives no list: {}", e)
                     workers = self.workers
                     if not mine:
-                        await self.mach.sleep(ASK_US // 4 + self.mach.rng.randrange(ASK_US))
+                        failed += 1
+                        await self.mach.sleep(ASK_US // 4 + self.mach.rng.randrange(ASK_US << min(failed, 3)))
                         continue
+                failed = 0
                 if mine:
                     count += 1
                     msg = message.Listing(workers, (d.term[0], d.term[1], count))
@@ -580,4 +603,7 @@
                             self.mach.spawn(self.node.neighbours.tell(m.host, m.port, news), log)
                 else:
                     self.take_workers(workers)
+                    for m in self.roster.members:
+                        if m.id != self.node.me.id:
+                            self.mach.spawn(self.node.neighbours.tell(m.host, m.port, message.Heard(workers)), log)
             await self.mach.pause(self.list_now, self.options.list_us)
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -543,6 +543,12 @@
     stamp: tuple[int, int] = (0, 0)
 
 
+class Heard(Message):
+    """The worker list as one node had to ask for it, for others that lack news too."""
+
+    workers: list[Worker]
+
+
 class Goes(Message):
     core: bool
     roster: Roster | None  # where it is newer than the asking node's
@@ -565,6 +571,6 @@
     Refill, Append, Stored, Propose, Proposed, Look, Seen, Sessions, Beat, Join, Elsewhere,
     Frame, Change, News, Alive, Listing, Seated, Leave, Elect, Granted, Denied, Done, Running,
     Gather, Gathered, Copy, Copied, Unpin, Spread, HowGoes, Goes, Ping, Entry, Roster, Hello,
-    Contested, Early, Same, Relist, Loads,
+    Contested, Early, Heard, Same, Relist, Loads,
     Probe, Probed, Dark, Pass, Passed, Forbid, Forbidden,
 ]
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -249,6 +249,8 @@
             case message.Relist():
                 if self.follower.told is not None and link is not None:
                     link.tell(message.Spread(self.follower.told))
+            case message.Heard(workers=workers):
+                self.follower.take_heard(workers)
             case message.HowGoes(stamp=stamp):
                 fol = self.follower
                 ok = fol.core_heard() and fol.settled()
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -138,3 +138,25 @@
         moves = [n.follower.moves for n in t.nodes.values()]
         t.go(30)
         self.assertEqual(moves, [n.follower.moves for n in t.nodes.values()])
+
+    def test_nodes_without_news_of_workers_do_not_storm_the_platform(self):
+        t = self.quiet(halls=["a", "b", "c", "d"] * 6, serve_on=True)
+        asked = []
+        handle = t.platform.handle
+
+        async def counted(req):
+            if req.path == b"/workers":
+                asked.append(t.world.time)
+            await handle(req)
+
+        t.platform_proc.ports[9000].handle = counted
+        for c in t.cores.values():  # nobody can hand the duty on
+            c.proc.kill()
+        holder = next(n for n in t.nodes.values() if n.follower.duty("list").holder == n.me.id)
+        holder.proc.kill()
+        del t.nodes[holder.options.name]
+        t.go(2)
+        del asked[:]
+        t.go(10)
+        self.assertTrue(all(n.follower.mach.now() - n.follower.news_at < 4 * S for n in t.nodes.values()))
+        self.assertTrue(5 < len(asked) < 30, len(asked))
