--- a/iriswheel/web.py
+++ b/iriswheel/web.py
@@ -8,12 +8,12 @@
 import twisted.internet.defer as defer
 import twisted.web.http as http
 
+import iriswheel.blueprint as blueprint
 import iriswheel.machine as machine
 import iriswheel.outer as outer
 import iriswheel.verdict as verdict
 
-BODY_BYTES = 8 << 20
-IDLE_S = 75
+LAG_US = 2 * machine.SECOND  # beyond what a requester may take: its clock is not ours
 
 log = loguru.logger.bind(part="web")
 
@@ -31,12 +31,12 @@
     def gotLength(self, length):
         super().gotLength(length)
         self.content = io.BytesIO()  # bounded by body_bytes; never a file
-        if length is not None and length > self.channel.factory.body_bytes:
+        if length is not None and length > self.channel.factory.limits().body_bytes:
             self.refuse_early("too_large", "The body is too large.")
 
     def handleContentChunk(self, data):
         self.taken += len(data)
-        if self.taken > self.channel.factory.body_bytes:
+        if self.taken > self.channel.factory.limits().body_bytes:
             if self.refused is None:
                 self.refuse_early("too_large", "The body is too large.")
             return
@@ -136,8 +136,28 @@
     def connectionMade(self):
         self.factory.open += 1
         self.factory.channels[self] = None
+        limits = self.factory.limits()
+        self.totalHeadersSize = limits.head_bytes
+        self.timeOut = (limits.idle_us + LAG_US) / machine.SECOND
+        self.head_since = None  # when the head that is coming began to
         super().connectionMade()
 
+    def dataReceived(self, data):
+        if self.head_since is None and not self.requests:
+            self.head_since = self.factory.mach.now()
+        super().dataReceived(data)
+
+    def allHeadersReceived(self):
+        self.head_since = None
+        super().allHeadersReceived()
+
+    def late(self, now):
+        """Whether a head has been coming for longer than it may.
+
+        Example: `channel.late(mach.now())`
+        """
+        return self.head_since is not None and now - self.head_since > self.factory.limits().head_us + LAG_US
+
     def connectionLost(self, reason):
         self.factory.open -= 1
         self.factory.channels.pop(self, None)
@@ -162,12 +182,12 @@
     noisy = False
     protocol = Channel
 
-    def __init__(self, mach, handle, body_bytes=BODY_BYTES, room=2048, formats=None):
-        super().__init__(timeout=IDLE_S, reactor=mach.reactor)
+    def __init__(self, mach, handle, room=2048, formats=None, limits=blueprint.Limits):
+        super().__init__(timeout=limits().idle_us / machine.SECOND, reactor=mach.reactor)
         self.mach = mach
         self.handle = handle
         self.outer = formats or outer.Outer()
-        self.body_bytes = body_bytes
+        self.limits = limits  # gives the blueprint.Limits that hold now
         self.room = room
         self.open = 0
         self.channels = {}  # those that are open, in the order in which they came
@@ -185,6 +205,17 @@
     def buildProtocol(self, addr):
         return super().buildProtocol(addr) if self.open < self.room else None
 
+    async def look(self):
+        """Close connections whose head takes too long; one task.
+
+        Example: `mach.spawn(server.look())`
+        """
+        while True:
+            await self.mach.sleep(machine.SECOND)
+            now = self.mach.now()
+            for channel in [c for c in self.channels if c.late(now)]:
+                channel.loseConnection()
+
     async def finish(self, us):
         """Close all connections, each once what was written to it has gone out; at most so long.
 
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,68 @@
+"""What a requester may send, and how long it may take over it: the blueprint's limits at the door."""
+
+import testtools
+import twisted.internet.task as task
+import twisted.internet.testing as testing
+
+import iriswheel.blueprint as blueprint
+import iriswheel.machine as machine
+import iriswheel.web as web
+
+
+class Limits(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        self.limits = blueprint.Limits(head_bytes=300, body_bytes=10, head_us=3_000_000, idle_us=15_000_000)
+        mach = machine.Machine(self.clock, now=lambda: int(self.clock.seconds() * machine.SECOND))
+        self.served = []
+
+        async def handle(req):
+            self.served.append(req.content.read())
+            req.answer_json(200, {})
+
+        self.server = web.Server(mach, handle, limits=lambda: self.limits)
+        self.addCleanup(mach.spawn(self.server.look()).cancel)
+
+    def connect(self):
+        channel = self.server.buildProtocol(None)
+        transport = testing.StringTransportWithDisconnection()
+        transport.protocol = channel
+        transport.unregisterProducer = lambda: None  # as a socket's, which takes it at any time
+        channel.makeConnection(transport)
+        return channel, transport
+
+    def wait(self, seconds):
+        self.clock.pump([0.5] * int(2 * seconds))
+
+    def test_a_body_above_the_bound_is_refused_and_not_served(self):
+        channel, transport = self.connect()
+        channel.dataReceived(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n")
+        self.assertTrue(transport.value().startswith(b"HTTP/1.1 413"))
+        self.limits = blueprint.Limits(body_bytes=11)
+        channel, transport = self.connect()
+        channel.dataReceived(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n01234567890")
+        self.assertEqual([b"01234567890"], self.served)
+
+    def test_a_head_above_the_bound_is_malformed(self):
+        channel, transport = self.connect()
+        channel.dataReceived(b"POST / HTTP/1.1\r\nX-A: " + b"a" * 400 + b"\r\nContent-Length: 0\r\n\r\n")
+        self.assertTrue(transport.value().startswith(b"HTTP/1.1 400"))
+        self.assertEqual([], self.served)
+
+    def test_a_head_that_comes_too_slowly_ends_the_connection(self):
+        channel, transport = self.connect()
+        for byte in b"POST / HT":
+            channel.dataReceived(bytes([byte]))
+            self.wait(1)
+        self.assertFalse(transport.connected)
+
+    def test_an_idle_connection_may_stay_for_its_time(self):
+        channel, transport = self.connect()
+        channel.dataReceived(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+        self.wait(15)
+        self.assertTrue(transport.connected)
+        channel.dataReceived(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual(2, len(self.served))
+        self.wait(20)
+        self.assertFalse(transport.connected)
