--- a/iriswheel/client.py
+++ b/iriswheel/client.py
@@ -17,6 +17,7 @@
 
 CONNECT_US = 350 * machine.MILLI
 KEEP_US = 4 * machine.SECOND  # an idle connection, where the worker does not say how long it keeps one
+KEEP_MOST_US = 60 * machine.SECOND  # and where it does, at most
 MARGIN_US = 400 * machine.MILLI  # dropped so long before the worker would
 STALE_MS = 2_000  # sent bytes that nobody acknowledged: the connection is dead
 SKIPS = 3  # answers of others that are passed over on one connection
@@ -151,7 +152,7 @@
         for word in low.get("keep-alive", "").split(","):
             name, _, val = word.strip().partition("=")
             if name.lower() == "timeout" and val.strip().isdigit():
-                self.keep_us = min(KEEP_US, int(val) * machine.SECOND - MARGIN_US)
+                self.keep_us = min(KEEP_MOST_US, int(val) * machine.SECOND - MARGIN_US)
 
     def on_body(self, body):
         if self.flow is not None and not self.skipping:
