--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -5,7 +5,9 @@
 
 import testtools
 
+import bench.days as days
 import bench.guards as guards
+import bench.judge as judge
 import bench.scenes as scenes
 import iriswheel.replay as replay
 
@@ -35,3 +37,15 @@
         self.assertEqual(set(), set(scenes.SCENES) - named)
         self.assertEqual(set(), set(guards.GUARDS) - set().union(*(row[3] for row in self.points)))
         self.assertEqual(set(), {c.__name__ for c in replay.CHECKERS} - set().union(*(row[2] for row in self.points)))
+
+
+class Platform(testtools.TestCase):
+    def test_each_rule_has_days_and_a_checker_and_none_is_missing(self):
+        with open(PAGE) as f:
+            text = f.read().split("# The users' platform")[1]
+        rows = [[set(re.findall(r"`(\w+)`", cell)) for cell in line.split("|")[1:-1]]
+                for line in text.splitlines() if line.startswith("|")][2:]
+        self.assertEqual(12, len(rows))
+        named, checkers = set().union(*(row[3] for row in rows)), set().union(*(row[4] for row in rows))
+        self.assertEqual(set(), named - set(days.DAYS))
+        self.assertEqual(set(judge.RULES), checkers)
