--- a/iriswheel/command.py
+++ b/iriswheel/command.py
@@ -12,44 +12,18 @@
 import twisted.web.http_headers as http_headers
 
 import iriswheel.blueprint as blueprint
-import iriswheel.core as core_process
 import iriswheel.load as load_generator
 import iriswheel.machine as machine
-import iriswheel.node as node_process
 import iriswheel.options as options_reader
+import iriswheel.process as process
 import iriswheel.replay as judge
 import iriswheel.sender as sender
-import iriswheel.store as store
-import iriswheel.web as web
-import iriswheel.wire as wire
 
-FINISH_US = 500 * machine.MILLI  # for the last bytes of a node's answers
-BAD_INPUT, NO_START, REFUSED, UNKNOWN = 2, 3, 4, 5
+REFUSED, UNKNOWN = 4, 5
 
 log = loguru.logger.bind(part="main")
 
 
-def set_logs(level):
-    """Logs go to standard error: a time, the part's prefix, a short sentence.
-
-    Example: `set_logs("INFO")`
-    """
-    loguru.logger.remove()
-    loguru.logger.configure(extra={"part": "main"})
-    form = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level:<7} {extra[part]}: {message}"
-    loguru.logger.add(sys.stderr, level=level, format=form)
-
-
-def fail(code, lines):
-    """Say why on standard error, one line each, and exit.
-
-    Example: `fail(2, ["seeds: missing"])`
-    """
-    for line in lines:
-        print(f"iriswheel: {line}", file=sys.stderr)
-    sys.exit(code)
-
-
 def settle(role, path, flags):
     """The checked options, or an exit with every mistake.
 
@@ -58,107 +32,7 @@
     try:
         return options_reader.read(role, path, flags)
     except options_reader.BadOptions as e:
-        fail(BAD_INPUT, e.defects)
-
-
-def the_reactor():
-    """The process's reactor, first loaded here and not while this module loads.
-
-    Example: `the_reactor().run()`
-    """
-    import twisted.internet.reactor as reactor
-
-    return reactor
-
-
-def run(reactor, o, stop, again=lambda: None):
-    """Run the reactor until a signal; SIGTERM and SIGINT stop it in good order, SIGHUP has the options read again.
-
-    Example: `run(reactor, o, node.stop)`
-    """
-    stopping = []
-
-    def on_signal(*_):
-        if not stopping:
-            stopping.append(True)
-            reactor.callFromThread(lambda: defer.ensureDeferred(stop()).addBoth(lambda _: reactor.stop()))
-
-    def on_hangup(*_):
-        reactor.callFromThread(again)
-
-    reactor.callWhenRunning(lambda: [signal.signal(s, on_signal) for s in (signal.SIGTERM, signal.SIGINT)])
-    reactor.callWhenRunning(lambda: signal.signal(signal.SIGHUP, on_hangup))
-    log.info("{} {} listens on {}:{}, HTTP on {}:{}.", o.role, o.name, o.host, o.port, *o.front_address())
-    reactor.run(installSignalHandlers=False)
-
-
-def bind(reactor, o, peers, http, ready=None):
-    """Bind the ports; the options then hold the real ones. Returns the port where HTTP is served.
-
-    Example: `bind(reactor, o, listener, server)`
-    """
-    try:
-        o.port = reactor.listenTCP(o.port, peers, interface=o.host, backlog=512).getHost().port
-        host, port = o.front_address()
-        front = reactor.listenTCP(port, http, interface=host, backlog=1024)
-        if not o.front:
-            o.http_port = front.getHost().port
-        if o.ready and ready is not None:
-            host, port = options_reader.address(o.ready)
-            reactor.listenTCP(port, ready, interface=host, backlog=128)
-        return front
-    except error.CannotListenError as e:
-        fail(NO_START, [f"The port can't be had: {e}"])
-
-
-def run_core(o, path, reread, door=lambda proc: proc.handle):
-    """Run a core machine with these options; reread() reads them again from the file at path.
-
-    Example: `run_core(o, "core.toml", lambda: options.read("core", "core.toml", {}))`
-    """
-    set_logs(o.log_level)
-    reactor = the_reactor()
-    disk = store.Disk(o.data, reactor)
-    try:
-        disk.open()
-        mach = machine.Machine(reactor)
-        proc = core_process.Core(mach, disk, o)
-    except store.DiskDefect as e:
-        fail(NO_START, [str(e)])
-    bind(reactor, o, wire.Listener(mach, proc.serve, log), web.Server(mach, door(proc), room=o.connections))
-    proc.start()
-    watch = options_reader.Watch(mach, path, reread, proc.renew)
-    mach.spawn(watch.run(), log)
-    run(reactor, o, proc.stop, watch.again)
-    disk.close()
-
-
-def run_node(o, path, reread, ready=None, **parts):
-    """Run a light node with these options; reread() reads them again from the file at path.
-
-    `ready(proc)` makes the handler of the address at which only readiness is told.
-
-    Example: `run_node(o, "node.toml", lambda: options.read("node", "node.toml", {}))`
-    """
-    set_logs(o.log_level)
-    reactor = the_reactor()
-    mach = machine.Machine(reactor)
-    proc = node_process.Node(mach, o, **parts)
-    handle = proc.door.handle if ready is None else ready(proc)
-    server = web.Server(mach, proc.door.handle, room=o.connections, formats=proc.outer,
-                        limits=lambda: proc.follower.limits)
-    mach.spawn(server.look(), log)
-    front = bind(reactor, o, wire.Listener(mach, proc.serve, log), server, web.Server(mach, handle, room=64))
-    proc.start(o.port, o.front_address()[1])
-    watch = options_reader.Watch(mach, path, reread, proc.renew)
-    mach.spawn(watch.run(), log)
-
-    async def stop():
-        await proc.stop()
-        front.stopListening()
-        await server.finish(FINISH_US)
-
-    run(reactor, o, stop, watch.again)
+        process.fail(process.BAD_INPUT, e.defects)
 
 
 def core(
@@ -189,7 +63,7 @@
     """
     flags = dict(name=name, host=host, port=port, http_port=http_port, zone=zone, seeds=seeds, data=data,
                  log_level=log_level)
-    run_core(settle("core", options, flags), options, lambda: options_reader.read("core", options, flags))
+    process.run_core(settle("core", options, flags), options, lambda: options_reader.read("core", options, flags))
 
 
 def node(
@@ -220,7 +94,7 @@
     """
     flags = dict(name=name, host=host, port=port, http_port=http_port, zone=zone, seeds=seeds, platform=platform,
                  log_level=log_level)
-    run_node(settle("node", options, flags), options, lambda: options_reader.read("node", options, flags))
+    process.run_node(settle("node", options, flags), options, lambda: options_reader.read("node", options, flags))
 
 
 async def ask(mach, cores, method, path, doc=None):
@@ -251,13 +125,13 @@
 
     Example: `operate(["127.0.0.1:8001"], "GET", "/blueprint")`
     """
-    set_logs("ERROR")
+    process.set_logs("ERROR")
     for c in cores:
         try:
             options_reader.address(c)
         except ValueError:
-            fail(BAD_INPUT, [f"--core: {c!r} is no IP:port"])
-    reactor = the_reactor()
+            process.fail(process.BAD_INPUT, [f"--core: {c!r} is no IP:port"])
+    reactor = process.the_reactor()
     out = []
 
     async def go():
@@ -284,9 +158,9 @@
         with open(path) as f:
             return json.load(f)
     except OSError as e:
-        fail(BAD_INPUT, [f"{path}: {e.strerror}"])
+        process.fail(process.BAD_INPUT, [f"{path}: {e.strerror}"])
     except ValueError as e:
-        fail(BAD_INPUT, [f"{path}: not JSON: {e}"])
+        process.fail(process.BAD_INPUT, [f"{path}: not JSON: {e}"])
 
 
 def check(blueprint_file: str):
@@ -299,7 +173,7 @@
     try:
         items = blueprint.flatten(read_json(blueprint_file))
     except blueprint.BadBlueprint as e:
-        fail(BAD_INPUT, e.defects)
+        process.fail(process.BAD_INPUT, e.defects)
     print(f"{blueprint_file}: {len(items)} items, no mistakes.")
 
 
@@ -388,13 +262,13 @@
     :param events: file for the event log, one JSON object a line
     :param seed: seed of the mix
     """
-    set_logs("ERROR")
+    process.set_logs("ERROR")
     try:
         places = load_generator.Places([options_reader.address(n) for n in nodes])
         follow = options_reader.address(platform) if platform else None
     except ValueError as e:
-        fail(BAD_INPUT, [f"nodes, platform: {e}"])
-    reactor = the_reactor()
+        process.fail(process.BAD_INPUT, [f"nodes, platform: {e}"])
+    reactor = process.the_reactor()
     mach = machine.Machine(reactor, seed=seed)
     if follow:
         mach.spawn(places.follow(mach, *follow), log)
@@ -423,9 +297,9 @@
             with open(path) as f:
                 rows, cut = judge.read(f)
         except OSError as e:
-            fail(BAD_INPUT, [f"{path}: {e.strerror}"])
+            process.fail(process.BAD_INPUT, [f"{path}: {e.strerror}"])
         except (judge.Damaged, UnicodeDecodeError) as e:
-            fail(BAD_INPUT, [f"{path}: damaged: {e}"])
+            process.fail(process.BAD_INPUT, [f"{path}: damaged: {e}"])
         lines += rows
         cuts += [path] if cut else []
     lines.sort(key=lambda r: r["at"])
