--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -345,8 +345,6 @@
                             self.mach.spawn(self.neighbours.tell(s.host, s.port, msg), log)
             case message.Gather():
                 return self.gathered(msg)
-            case message.HowGoes():
-                return message.Goes(self.serving(), None)
             case _:
                 log.warning("A core has no answer to {}.", type(msg).__name__)
 
--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -20,6 +20,7 @@
 STALE_CORE_US = 2 * machine.SECOND  # a node that lost the core goes by what it knows for so long
 ASK_US = 500 * machine.MILLI  # between questions to the platform
 ORPHAN_US = 1_500 * machine.MILLI  # without news for this long, a node asks for itself
+OVERLAP_US = 1 * machine.SECOND
 NEARER_US = 10 * machine.SECOND
 SPAN_US = 4 * machine.SECOND
 POLL_US = 1 * machine.SECOND
@@ -85,6 +86,7 @@
         self.goes = {}  # neighbour -> (when, Goes) while cut off from the core
         self.hint = None  # where a neighbour has its session with the core
         self.moves = 0
+        self.next = None  # a nearer core machine's link that has told nothing yet, and its address
         self.tried = {}  # core address -> when a session was last tried there, since the last one stood
         self.nearer_at = -NEARER_US  # when a core machine of this zone was last looked for
 
@@ -170,6 +172,9 @@
             if self.link is not None:
                 self.link.close()
                 self.link = None  # what it still holds is old
+            if self.next is not None:
+                self.next[0].close()
+                self.next = None
         self.ticked = now
 
     def stale(self):
@@ -370,6 +375,16 @@
 
         Example: `connect(mach, host, port, fol.serve, log)`
         """
+        if self.next is not None and link is self.next[0]:
+            if isinstance(msg, message.Elsewhere):
+                self.next = None
+                link.close()
+                return
+            old = self.link
+            (self.link, self.at), self.next = self.next, None
+            self.moves += 1
+            if old is not None:
+                self.mach.later(OVERLAP_US, old.close)
         if link is not self.link:
             return
         match msg:
@@ -424,26 +439,38 @@
         return sorted(self.seeds, key=lambda a: (
             self.tried.get(a, -1), a not in zones, zones.get(a) != self.options.zone, chance[a]))
 
-    async def look_nearer(self, link):
-        """With a session in another zone: move to a core machine of this node's own, where one serves.
+    async def look_nearer(self):
+        """With a session in another zone: open one with a core machine of this node's own.
+
+        The old one ends a little after news came through the new one, so that at no moment
+        this node counts as gone.
 
-        Example: `await fol.look_nearer(link)`
+        Example: `await fol.look_nearer()`
         """
         zones = {(s.host, s.port): s.zone for s in self.roster.cores}
         now = self.mach.now()
         if zones.get(self.at, self.options.zone) == self.options.zone or now - self.nearer_at < NEARER_US:
             return
         self.nearer_at = now
+        if self.next is not None:
+            self.next[0].close()
+            self.next = None
         for host, port in [a for a, zone in zones.items() if zone == self.options.zone]:
             try:
-                res = await self.mach.within(defer.ensureDeferred(
-                    self.node.neighbours.call(host, port, message.HowGoes(), GO_US)), GO_US)
-            except (wire.Broken, machine.Late):
+                link = await wire.connect(self.mach, host, port, self.serve, log)
+            except wire.Broken:
                 continue
-            if res.core and link.up:
-                self.hint = (host, port)
-                link.close()
-                return
+            self.next = (link, (host, port))
+            link.tell(self.join())
+            return
+
+    def join(self):
+        """What this node says to begin a session.
+
+        Example: `link.tell(fol.join())`
+        """
+        roster = self.roster if self.roster.stamp > (0, 0) else None
+        return message.Join(self.node.me, -1 if self.items is None or self.early else self.place, roster)
 
     async def follow(self):
         """Keep a session with some core machine; one task.
@@ -461,21 +488,18 @@
                 continue
             self.link, self.at = link, (host, port)
             began = self.mach.now()
-            roster = self.roster if self.roster.stamp > (0, 0) else None
-            link.tell(message.Join(self.node.me, -1 if self.items is None or self.early else self.place, roster))
+            link.tell(self.join())
             self.moves += 1
-            while link.up:
+            while (link := self.link) is not None and link.up:
                 now = self.mach.now()
                 if now - max(began, self.core_at or 0) > wire.SILENCE_US:
                     link.close()
                 await self.mach.pause(link.lost, 200 * machine.MILLI)
                 if link.up and self.core_at is not None and self.core_at > began:
-                    await self.look_nearer(link)
+                    await self.look_nearer()
             if self.core_at is not None and self.core_at > began:
                 self.tried.clear()
-                self.tried[host, port] = self.mach.now()
-            if self.hint is not None:
-                continue
+                self.tried[self.at] = self.mach.now()
             await self.mach.sleep(100 * machine.MILLI + self.mach.rng.randrange(100 * machine.MILLI))
 
     async def watch(self):
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -535,7 +535,7 @@
 
 
 class HowGoes(Message):
-    """A node that has lost the core asks its neighbours how they fare, or a core machine whether it serves.
+    """A node that has lost the core asks its neighbours how they fare.
 
     `stamp` is that of the roster it has.
     """
--- a/iriswheel/roster.py
+++ b/iriswheel/roster.py
@@ -122,7 +122,13 @@
                 self.seen[x.id] = (now, x, m.core)
                 self.places[x.id] = max(place, self.places.get(x.id, 0))
         for i, (seen, x, core) in self.seen.items():
-            if core == m.core and i not in ids:
+            if core != m.core or i in ids:
+                continue
+            other = next((c for c, (at, told) in self.heard.items() if c != m.core and now - at < SETTLE_US
+                          and any(y.id == i for y in told.members)), "")
+            if other:  # it has moved to another core machine
+                self.seen[i] = (seen, x, other)
+            else:
                 self.seen[i] = (min(seen, now - SILENT_US + GRACE_US), x, "")
         for i, (seen, x, core) in self.seen.items():
             if core and now - self.heard.get(core, (now,))[0] > SETTLE_US:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -134,7 +134,15 @@
         self.assertTrue(t.until(lambda: not at_home() and all(n.follower.core_stands() for n in t.nodes.values()), 5))
         t.go(5)
         t.start_core(c.options.name, *t.options[c.options.name])
-        self.assertTrue(t.until(at_home, 15))
+        members = set()
+
+        def at_home_with_all():
+            members.add(len(next(iter(t.nodes.values())).follower.roster.members))
+            return at_home()
+
+        self.assertTrue(t.until(at_home_with_all, 15))
+        t.go(3)
+        self.assertEqual({5}, members | {len(t.tail().issuer.latest.members)})
         moves = [n.follower.moves for n in t.nodes.values()]
         t.go(30)
         self.assertEqual(moves, [n.follower.moves for n in t.nodes.values()])
