Connections: what a worker dropped idle without a word is not trusted so long again

Ruled out: trusting none for such requests, since new connections are priced. Change: a connection that had rested and was gone when it was used halves what is trusted at that worker for 30 s; one that broke while it worked teaches nothing.

--- a/iriswheel/client.py
+++ b/iriswheel/client.py
@@ -20,6 +20,8 @@
 KEEP_MOST_US = 60 * machine.SECOND  # and where it does, at most
 MARGIN_US = 400 * machine.MILLI  # dropped so long before the worker would
 STALE_MS = 2_000  # sent bytes that nobody acknowledged: the connection is dead
+LEARNED_US = 30 * machine.SECOND  # how long it counts that a worker had dropped an idle connection
+LEAST_IDLE_US = 100 * machine.MILLI  # idle connections this young are used whatever was learned
 SKIPS = 3  # answers of others that are passed over on one connection
 
 log = loguru.logger.bind(part="client")
@@ -51,6 +53,9 @@
         self.keep_us = KEEP_US
         self.until = 0  # when an idle one is dropped
         self.idle_since = 0
+        self.rested = 0  # how long it was idle before the exchange under way
+        self.heard = False  # whether anything came back in this exchange
+        self.on_stale = lambda line: None
         self.on_free = lambda line: None
         self.on_gone = lambda line: None
 
@@ -68,6 +73,8 @@
         Example: `line.start(raw, flow)`
         """
         self.flow = flow
+        self.rested = self.mach.now() - self.idle_since if self.used else 0
+        self.heard = False
         self.used += 1
         self.skips = 0
         self.skipping = False
@@ -87,6 +94,7 @@
         if self.flow is None:
             self.drop()  # nobody asked
             return
+        self.heard = True
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
@@ -110,6 +118,8 @@
         flow, self.flow = self.flow, None
         self.on_gone(self)
         if flow is not None:
+            if self.rested and not self.heard:
+                self.on_stale(self)
             flow.lost("closed")
 
     # ---- what the parser calls -------------------------------------------------------
@@ -196,6 +206,7 @@
         self.mach = mach
         self.idle = {}  # worker -> [Line], the latest used last
         self.open = {}  # worker -> how many there are
+        self.learned = {}  # worker -> (when, how long an idle connection may be trusted)
 
     def count(self, worker):
         """How many connections to a worker are open.
@@ -213,6 +224,7 @@
         """
         now = self.mach.now()
         kept = self.idle.get(worker, [])
+        fresh_us = min(fresh_us, self.trust(worker))
         while kept:
             line = kept[-1]
             if now >= line.until or not line.up or line.spoiled:
@@ -224,6 +236,25 @@
                 return kept.pop()
         return None
 
+    def trust(self, worker):
+        """How long a connection to a worker may have been idle and still be used.
+
+        >>> lines = Lines(machine.Machine(None, now=lambda: 0)); lines.learned["w1"] = (0, 700_000)
+        >>> lines.trust("w1"), lines.trust("w2") > 60 * machine.SECOND
+        (700000, True)
+        """
+        when, us = self.learned.get(worker, (0, 10**12))
+        return us if self.mach.now() - when < LEARNED_US else 10**12
+
+    def stale(self, line):
+        """A connection that had been idle was gone when it was used: younger ones are not trusted either.
+
+        Example: `lines.stale(line)`
+        """
+        if line.rested > LEAST_IDLE_US:
+            us = max(LEAST_IDLE_US, min(line.rested // 2, self.trust(line.worker)))
+            self.learned[line.worker] = (self.mach.now(), us)
+
     async def get(self, w, fresh_us):
         """A connection to a worker, an idle one if it was used within fresh_us; raises Unreached.
 
@@ -246,6 +277,7 @@
             self.gone(w.id)
             raise Unreached(type(e).__name__)
         line.on_free = self.free
+        line.on_stale = self.stale
         line.on_gone = lambda line: self.gone(line.worker)
         if not line.up:
             self.gone(w.id)
@@ -274,6 +306,7 @@
         >>> Lines(machine.Machine(None, now=lambda: 0)).sweep({"w1"})
         """
         now = self.mach.now()
+        self.learned = {w: row for w, row in self.learned.items() if w in listed}
         for worker, kept in list(self.idle.items()):
             good = [x for x in kept if x.up and not x.spoiled and now < x.until and worker in listed]
             for x in kept:
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,112 @@
+"""Connections to workers learn how long a worker really keeps them."""
+
+import testtools
+import twisted.internet.defer as defer
+
+import bench.engine as engine
+import bench.serving as serving
+import bench.sim as sim
+import bench.town as town
+import bench.words as words
+import iriswheel.client as client
+import iriswheel.machine as machine
+import iriswheel.message as message
+
+MS, S = machine.MILLI, machine.SECOND
+
+
+class Flow:
+    """A send that only notes how it ended."""
+
+    def __init__(self):
+        self.how = ""
+
+    def owns(self, status, low, used):
+        return True
+
+    def head(self, status, heads, low):
+        pass
+
+    def data(self, data):
+        pass
+
+    def end(self):
+        self.how = "whole"
+
+    def lost(self, why):
+        self.how = "lost"
+
+
+class IdleLines(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = sim.World(3)
+        self.tape = town.Tape()
+        proc = sim.Proc(self.world, "w1", sim.Machine(self.world, "10.0.3.1", "a"))
+        self.worker = serving.Worker(proc.mach(), "w1", "desk", self.tape, engine.Figures(enter_us=0), idle_us=700 * MS)
+        self.worker.closes = 0
+        self.worker.silent_drop = True
+        proc.reactor.listenTCP(8080, self.worker)
+        near = sim.Proc(self.world, "n1", sim.Machine(self.world, "10.0.2.1", "a"))
+        self.lines = client.Lines(near.mach())
+        self.at = message.Worker(self.worker.id, "10.0.3.1", 8080, "desk", "ready", 0)
+
+    def go(self, ms):
+        self.world.run(self.world.time + ms * MS)
+
+    def send(self):
+        flow = Flow()
+
+        async def one():
+            line = await self.lines.get(self.at, 2 * S)
+            line.start(f"POST /x/ HTTP/1.1\r\nHost: h\r\n{words.HEAD['attempt']}: a{self.world.time}\r\n"
+                       f"{words.HEAD['tokens']}: 1,9\r\nContent-Length: 0\r\n\r\n".encode(), flow)
+
+        d = defer.ensureDeferred(one())
+        self.go(100)
+        self.assertTrue(d.called)
+        return flow.how
+
+    def opened(self):
+        return sum(r["kind"] == "opened" for r in self.tape.rows)
+
+    def test_one_lost_send_teaches_how_long_a_connection_may_be_idle(self):
+        got = [self.send()]
+        for _ in range(4):
+            self.go(1000)
+            got.append(self.send())
+        self.assertEqual(["whole", "lost", "whole", "whole", "whole"], got)
+
+    def test_connections_used_sooner_are_kept(self):
+        self.send()
+        self.go(1000)
+        self.assertEqual("lost", self.send())
+        before = self.opened()
+        for _ in range(5):
+            self.assertEqual("whole", self.send())
+            self.go(150)
+        self.assertEqual(1, self.opened() - before)
+
+    def test_what_was_learned_is_forgotten(self):
+        self.send()
+        self.go(1000)
+        self.send()
+        self.worker.silent_drop, self.worker.idle_us = False, 0
+        self.go(client.LEARNED_US // MS + 1000)
+        self.send()
+        before = self.opened()
+        self.go(1000)
+        self.assertEqual("whole", self.send())
+        self.assertEqual(0, self.opened() - before)
+
+    def test_a_connection_reset_while_it_works_teaches_nothing(self):
+        self.send()
+        self.worker.ills = {"break": 1.0}
+        self.go(300)
+        self.assertEqual("lost", self.send())
+        self.worker.ills = {}
+        self.send()
+        before = self.opened()
+        self.go(500)
+        self.assertEqual("whole", self.send())
+        self.assertEqual(0, self.opened() - before)
