--- a/bench/days.py
+++ b/bench/days.py
@@ -315,6 +315,103 @@
         s.go(8)
 
 
+def reset_conns(s):
+    """Connections between our machines are reset, twice."""
+    for _ in range(2):
+        s.go(4)
+        s.change("idle")
+        s.reset_some(0.5)
+
+
+def lossy(s):
+    """The links of a hall lose packets."""
+    s.go(3)
+    s.lossy(s.rng.choice(sorted(set(s.shape.nodes))), 0.025, 6)
+    s.go(1)
+    s.change("idle")
+
+
+def disks(s):
+    """Core machines' disks are slow, full and stalled, one after the other."""
+    for state in ("slow", "full", "stalled"):
+        s.go(3)
+        s.disk(some(s, s.cores, 0)[0], state, 3)
+        s.change("idle")
+
+
+def replace_core(s):
+    """A core machine is replaced by an empty one at another address, gently or not; then another."""
+    for gently in s.rng.sample([True, False], 2):
+        s.go(3)
+        s.replace_core(some(s, s.cores, 0)[0], gently)
+        s.go(1)
+        s.change("idle")
+        s.go(5)
+
+
+def drawn(s):
+    """Four to eight troubles at drawn times, over one another; half of these days end with a closing fault."""
+    node, pick = (lambda: some(s, s.nodes, 0)[0]), s.rng.choice
+
+    def workers(share):
+        return some(s, s.live_workers(), share)
+
+    def each(names, gap, f):
+        for k, name in enumerate(names):
+            s.later(k * gap, f, name)
+
+    def rush():
+        kind, x = pick(s.shape.kinds).name, 1.4 + 0.4 * s.rng.random()
+        for t in s.traffics:
+            t.factor[kind] = x
+        s.later(4, lambda: [t.factor.clear() for t in s.traffics])
+
+    def hot():
+        for t in s.traffics:
+            t.hot = (pick(s.shape.kinds).name, 0.3)
+
+    def crash_one(how, back):
+        if len(s.live_workers()) > 2:
+            s.crash(pick(s.live_workers()), how, back=back)
+
+    def alone(names, f):  # a machine has one trouble at a time
+        free = [n for n in sorted(names) if s.process(n).alive and n not in busy]
+        if free:
+            name = pick(free)
+            busy.add(name)
+            s.later(11, busy.discard, name)
+            f(name)
+
+    busy = set()
+    core_ops = [lambda n: s.kill(n, 3), lambda n: s.power(n, 3), lambda n: s.freeze(n, 3.5), lambda n: s.cut(n, 4.5),
+                lambda n: s.cut(n, 4.5, both=False), lambda n: s.term(n), lambda n: s.disk(n, pick(["slow", "full", "stalled"]), 4),
+                lambda n: s.power(n, 3, wipe=True)]
+    ops = [lambda: alone(s.nodes, lambda n: s.kill(n, 3)), lambda: alone(s.nodes, lambda n: s.power(n, 3)),
+           lambda: alone(s.nodes, lambda n: s.freeze(n, 3.5)), lambda: alone(s.nodes, lambda n: s.cut(n, 5)),
+           lambda: each(some(s, s.nodes, 0.45), 1.2, lambda n: n in busy or not s.process(n).alive or (busy.add(n), s.term(n))),
+           lambda: each(some(s, s.nodes, 0.55), 0, lambda n: n in busy or not s.process(n).alive or (busy.add(n), s.kill(n, 2))),
+           lambda: each(workers(0.45), 1, s.release), lambda: crash_one("reset", 4), lambda: crash_one("dark", 4.5),
+           lambda: crash_one("dark", None), rush, hot, lambda: s.reset_some(0.4),
+           lambda: s.ill(workers(0.6), 5, garble=0.04), lambda: s.ill(workers(0.6), 5, lost=0.05),
+           lambda: s.ill(workers(0.6), 5, surplus=0.05, late=0.05), lambda: s.ill(workers(0.2), 5, health="good", mute=0.4),
+           lambda: s.ill(workers(0.2), 5, health="good", errors=0.4), lambda: s.ill(workers(0.2), 5, hang=0.4),
+           lambda: s.office.spawn(s.race(), site.log), lambda: s.office.spawn(s.bad(), site.log),
+           lambda: each(range(6), 0.35, lambda _: s.change(pick(["idle", "timeout"]))),
+           lambda: s.office.spawn(s.next_config("big", 60, 280), site.log)]
+    for op in s.rng.sample(ops, s.rng.randrange(3, 7)):
+        s.later(1.5 + 14 * s.rng.random(), op)
+    s.later(1.5 + 14 * s.rng.random(), lambda: alone(s.cores, pick(core_ops)))  # no more than may be borne at once
+    for at in (3, 9, 20):
+        s.later(at, s.change, "idle")
+    s.go(24)
+    if s.rng.random() < 0.5:
+        done = s.change("idle")
+        s.until(lambda: done.called, 20)
+        s.closing(pick(["kill_all", "power_off_all", "wipe"]), 0.7 + s.rng.random())
+        s.traffic_until = s.world.time + 18 * S
+        s.go(18)
+
+
 def mixed(s):
     """Several troubles at once, by chance."""
     for f in s.rng.sample([crash_reset, crash_dark, release, kill_node, freeze, roll, cut_node, burst, hot_key, garble,
@@ -325,8 +422,10 @@
 DAYS = {f.__name__: f for f in (
     calm, changes, storm, race, crash_reset, crash_dark, crash_lost, flap, release, release_all, other_service, kill_node, power_node,
     kill_core, kill_cores, herd, freeze, roll, roll_cores, cut_node, cut_core, burst, hot_key, garble, surplus,
-    answers_lost, broken_off, grey, lying, idle_drops, closing_kill, closing_power, closing_wipe, ack_wipe, mixed)}
-LENGTH = {"closing_kill": 30, "closing_power": 30, "closing_wipe": 30, "mixed": 40, "ack_wipe": 24, "race": 24}
+    answers_lost, broken_off, grey, lying, idle_drops, closing_kill, closing_power, closing_wipe, ack_wipe, reset_conns, lossy, disks,
+    replace_core, mixed, drawn)}
+LENGTH = {"closing_kill": 30, "closing_power": 30, "closing_wipe": 30, "mixed": 40, "ack_wipe": 24, "race": 24, "replace_core": 20,
+          "drawn": 30}
 
 
 def play(name, seed, shape="magnolia", load=1.0, seconds=None):
--- a/bench/judge.py
+++ b/bench/judge.py
@@ -72,7 +72,7 @@
         self.seals = {r["seal"]: r for r in self.kinds["run"]}
         self.ended = {r["seal"]: r for r in self.kinds["ran"]}
         self.core = {n for n, m in begun.get("machines", {}).items() if m["role"] == "core"}
-        self.hosts = {m["host"]: n for n, m in begun.get("machines", {}).items()}
+        self.core |= {r["name"] for r in self.kinds["machine"] if r["role"] == "core"}
         self.troubles = collections.defaultdict(list)  # machine -> [begin, end, what]
         self.core_events, open_ = [], {}
         end = rows[-1]["at"] if rows else 0
@@ -95,16 +95,11 @@
 
         Example: `log.configs`
         """
-        out = []
-        for r in self.kinds["config_sent"]:
-            out.append(dict(version=r["version"], base=r["base"], doc=r["doc"], valid=r["valid"], sent=r["at"],
-                            who=r["who"], code=None, answered=None))
+        out = {r["send"]: dict(version=r["version"], base=r["base"], doc=r["doc"], valid=r["valid"], sent=r["at"],
+                               code=None, answered=None) for r in self.kinds["config_sent"]}
         for r in self.kinds["config_answer"]:
-            c = next((c for c in out if c["code"] is None and (c["version"], c["base"], c["who"]) ==
-                      (r["version"], r["base"], r["who"])), None)
-            if c is not None:
-                c["code"], c["answered"] = r["code"], r["at"]
-        return out
+            out[r["send"]].update(code=r["code"], answered=r["at"])
+        return list(out.values())
 
     def acked(self):
         """The acknowledged configurations, the oldest first.
@@ -128,8 +123,10 @@
         since = at - self.bounds["contact"]
         if any(since <= t <= at for t in self.core_events):
             return False
-        down = sum(self.troubled(c, since, at) for c in self.core)
-        return not self.core or 2 * (len(self.core) - down) > len(self.core)
+        gone = {c for c in self.core if any(what in ("gone", "term") and a <= since and b >= at
+                                            for a, b, what in self.troubles[c])}
+        down = sum(self.troubled(c, since, at) for c in self.core - gone)
+        return not self.core or 2 * (len(self.core) - len(gone) - down) > len(self.core) - len(gone)
 
     def in_touch(self, name, at):
         """Whether a machine is bound by rules with a time bound.
--- a/bench/site.py
+++ b/bench/site.py
@@ -34,6 +34,7 @@
 MS, S = machine.MILLI, machine.SECOND
 FRONT, READY, CONTROL, INNER, LIST, SERVE = 8263, 8268, 8262, 7300, 8266, 8080
 PROVIDER = "10.200.0.4"
+SEED_LAG_US = 3_000_000
 
 log = loguru.logger.bind(part="site")
 
@@ -91,6 +92,7 @@
         self.idle = 0  # idle routes added so far
         self.born = False  # whether the first start is over
         self.directs = 0
+        self.moved = []  # (when, name) of core machines that came or went
         self.read_by_some = set()  # parts that some worker has read
         self.clients_made = 0
 
@@ -228,7 +230,14 @@
 
         Example: `site.controls()`
         """
-        return [(self.places[c][0], CONTROL) for c in sorted(self.cores)]
+        seen = {c: self.places[c][0] for c in self.cores}
+        for at, name in self.moved:
+            if self.world.time < at + SEED_LAG_US:  # the list is late
+                if name in self.cores:
+                    seen.pop(name)
+                else:
+                    seen[name] = self.places[name][0]
+        return [(seen[c], CONTROL) for c in sorted(seen)]
 
     # ---- configurations --------------------------------------------------------------------
 
@@ -481,15 +490,15 @@
 
         self.later(seconds, wake)
 
-    def cut(self, name, seconds, clients=False):
-        """Cut a machine off from all others, and from clients if said.
+    def cut(self, name, seconds, clients=False, both=True):
+        """Cut a machine off from all others, and from clients if said; perhaps only what it sends.
 
         Example: `site.cut("n1", 5)`
         """
         self.trouble(name, "cut")
         host = self.places[name][0]
         others = [h for h in self.world.machines if h != host and (clients or self.world.zone(h) != "far")]
-        self.world.cut([host], others)
+        self.world.cut([host], others, both)
 
         def heal():
             self.world.cuts = {(a, b) for a, b in self.world.cuts if host not in (a, b)}
@@ -498,6 +507,86 @@
 
         self.later(seconds, heal)
 
+    def reset_some(self, share):
+        """Reset a share of the connections between machines of ours.
+
+        Example: `site.reset_some(0.4)`
+        """
+        names = {self.places[n][0]: n for n in [*self.nodes, *self.cores]}
+        hit = set()
+        for conn in list(self.world.conns.values()):
+            ends = [names.get(side.proc.host.host) for side in conn.sides]
+            if all(ends) and self.rng.random() < share:
+                hit.update(ends)
+                for side in conn.sides:
+                    side.reset()
+        for n in sorted(hit):
+            self.trouble(n, "reset")
+            self.mend(n)
+
+    def lossy(self, zone, share, seconds):
+        """The links of a hall's machines lose packets for a while.
+
+        Example: `site.lossy("mobile", 0.02, 5)`
+        """
+        names = [n for n in [*sorted(self.nodes), *sorted(self.cores)] if self.places[n][1] == zone]
+        for n in names:
+            self.trouble(n, "lossy")
+            self.world.loss[self.places[n][0]] = share
+
+        def over():
+            for n in names:
+                self.world.loss.pop(self.places[n][0], None)
+                self.mend(n)
+
+        self.later(seconds, over)
+
+    def disk(self, name, state, seconds):
+        """A core machine's disk is slow, full or stalled for a while.
+
+        Example: `site.disk("c1", "slow", 5)`
+        """
+        self.trouble(name, f"disk {state}")
+        m = self.process(name).host
+        m.disk = state
+
+        def over():
+            m.mend()
+            self.mend(name)
+
+        self.later(seconds, over)
+
+    def replace_core(self, name, gently=False):
+        """A core machine goes for good, and an empty one comes at another address; settings files change.
+
+        Example: `site.replace_core("c1")`
+        """
+        number = 1 + max(int(c[1:]) for c in [*self.cores, *(n for _, n in self.moved)])
+        new, zone = f"c{number}", self.places[name][1]
+        old = self.cores.pop(name)
+        self.trouble(name, "term" if gently else "gone")
+        if gently:
+            old.mach.spawn(old.stop(), log).addBoth(lambda _: old.proc.alive and old.proc.kill())
+            self.later(8, lambda: old.proc.alive and old.proc.kill())
+        else:
+            old.proc.host.fail()
+        self.places[new] = (f"10.1.0.{number}", zone)
+        self.moved += [(self.world.time, name), (self.world.time, new)]
+        self.tape.put(self.world.time, "machine", name=new, host=self.places[new][0], role="core")
+        self.trouble(new, "new")
+
+        def come():
+            self.start_core(new)
+            self.mend(new)
+            for owner, role in [(n, "edge") for n in self.nodes] + [(c, "core") for c in self.cores if c != new]:
+                proc = self.process(owner)
+                if proc.alive:
+                    o = settings.translate("node" if role == "edge" else "core", self.settings(owner, role))
+                    proc.call(lambda owner=owner, o=o: {**self.nodes, **self.cores}[owner].renew(o))
+
+        self.cores[new] = old  # its name and place stand in the settings from now on
+        self.later(1, come)
+
     def term(self, name, grace=8.0, back=0.5):
         """Send a node or core a SIGTERM, and SIGKILL after the grace; it comes back once it has ended.
 
--- a/bench/users.py
+++ b/bench/users.py
@@ -550,7 +550,7 @@
 
     def __init__(self, mach, tape, places, name):
         self.mach, self.tape, self.places, self.name = mach, tape, places, name
-        self.calls = 0
+        self.calls = self.sends = 0
 
     async def call(self, method, heads, raw, host, port):
         """One call at one place, which may send it on twice: (status, body), or (0, b"") without a clear answer.
@@ -626,7 +626,8 @@
         Example: `await operator.send("PUT", doc, doc, 5, True, 60)`
         """
         version = doc[words.BLUEPRINT["version"]]
-        row = dict(version=version, base=base, who=self.name)
+        self.sends += 1
+        row = dict(version=version, base=base, send=f"{self.name}-{self.sends}")
         self.tape.put(self.mach.now(), "config_sent", doc=doc, valid=valid, **row)
         status, text = await self.until_clear(method, [("If-Match", str(base))], json.dumps(body).encode(), seconds)
         self.tape.put(self.mach.now(), "config_answer", code=status, text=text[:200].decode("latin-1"), **row)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -41,7 +41,7 @@
 
 def sent(at, d, base=0, who="boss", valid=True, code=200, after=100 * MS):
     """The rows of a configuration that was sent and answered."""
-    row = dict(version=d[BLUEPRINT["version"]], base=base, who=who)
+    row = dict(version=d[BLUEPRINT["version"]], base=base, send=f"{who}-{at}")
     return [dict(at=at, kind="config_sent", doc=d, valid=valid, **row),
             dict(at=at + after, kind="config_answer", code=code, text="", **row)]
 
