A node that serves on without the core asks three neighbours for it, not all

Cause: without the core 73 nodes put 10,000 questions a second to each other, to learn what a node with serve_on does not go by; it only wants a hint where the core is. Others still ask everybody.

--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -20,6 +20,7 @@
 STALE_CORE_US = 2 * machine.SECOND  # a node that lost the core goes by what it knows for so long
 ASK_US = 500 * machine.MILLI  # between questions to the platform
 ORPHAN_US = 1_500 * machine.MILLI  # without news for this long, a node asks for itself
+FEW = 3  # neighbours that a node asks that serves on without the core
 OVERLAP_US = 1 * machine.SECOND
 NEARER_US = 10 * machine.SECOND
 SPAN_US = 4 * machine.SECOND
@@ -525,13 +526,18 @@
                 self.node.on_news()
 
     def ask_neighbours(self):
-        """Ask all neighbours whether the core stands with them.
+        """Ask the neighbours whether the core stands with them.
+
+        All of them, since one that may be with a core that takes changes must be heard; but a
+        node that serves on in any case only wants to know where the core is, and asks a few.
 
         Example: `fol.ask_neighbours()`
         """
-        for m in self.roster.members:
-            if m.id != self.node.me.id:
-                self.mach.spawn(self.ask_neighbour(m), log)
+        others = [m for m in self.roster.members if m.id != self.node.me.id]
+        if self.options.serve_on:
+            others = self.mach.rng.sample(others, min(FEW, len(others)))
+        for m in others:
+            self.mach.spawn(self.ask_neighbour(m), log)
 
     async def ask_neighbour(self, m):
         """Ask one neighbour whether the core stands with it.
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -147,6 +147,14 @@
         t.go(30)
         self.assertEqual(moves, [n.follower.moves for n in t.nodes.values()])
 
+    def test_a_node_that_serves_on_asks_few_neighbours_for_the_core(self):
+        for serve_on, most in ((True, 3), (False, 11)):
+            t = self.quiet(halls=["a"] * 12, serve_on=serve_on)
+            n, asked = t.nodes["n1"], []
+            n.follower.mach.spawn = lambda coro, log=None: asked.append(coro) or coro.close()
+            n.follower.ask_neighbours()
+            self.assertEqual(most, len(asked))
+
     def test_nodes_without_news_of_workers_do_not_storm_the_platform(self):
         t = self.quiet(halls=["a", "b", "c", "d"] * 6, serve_on=True)
         asked = []
