Streams: silence ends none that nobody can take up; a begun answer that fails is broken off

Found by reading the carrier against the users' rules, each by a test that failed first: - A silent worker's stream was given up even where no other worker was ready: a stream of 41 events ended after 3 where the worker went on 1.5 s later. Silence gives no reason to end an answer; it now ends one only where another worker is left to take it up. - A requester that reads slowly paused its worker's connection, and the silence that followed was held against the worker: one blame and one send more per stream. A paused stream is not looked at. - Where a broken stream found no other worker in reach, the refusal could not be written into the answer that had begun, and the requester waited on an open connection. Such an answer is broken off now.

--- a/iriswheel/carry.py
+++ b/iriswheel/carry.py
@@ -65,6 +65,7 @@
         self.began = self.last = self.mach.now()
         self.expected = 0  # how long its first event was expected to take
         self.blamed = False
+        self.paused = False  # while the requester reads too slowly
         self.tokens = 0  # of the prompt, not read yet as far as is known
         self.status = 0
         self.heads = []
@@ -178,10 +179,12 @@
             self.done.callback(outcome)
 
     def pauseProducing(self):
+        self.paused = True
         if self.line is not None and self.line.flow is self:
             self.line.transport.pauseProducing()
 
     def resumeProducing(self):
+        self.paused = False
         self.last = self.mach.now()
         if self.line is not None and self.line.flow is self:
             self.line.transport.resumeProducing()
@@ -228,6 +231,7 @@
         self.begun = False  # whether a byte went to the requester
         self.ran = False  # whether a worker may have run it
         self.sends = 0
+        self.shun = set()  # workers that it is not sent to any more
 
     def pass_on(self, flow, data):
         """Hand a piece to the requester; the first one takes the answer's head along.
@@ -306,13 +310,13 @@
         for f in list(self.flows):
             quiet = now - f.last
             long = f.tokens >= placement.HEAVY  # how long it is read is not known as well
-            if f.done.called or not (f in over or f.seen) or quiet < (LONG_US if long else PAUSE_US if f.seen else 0):
+            if f.done.called or f.paused or not (f in over or f.seen) or quiet < (LONG_US if long else PAUSE_US if f.seen else 0):
                 continue
             if not f.blamed:
                 f.blamed = True
                 f.x.placement.blame(f.worker, QUIET)
-            if not (f.x.resume and f.x.repeatable and self.may_repeat(f.x)):
-                continue
+            if not (f.x.resume and f.x.repeatable and self.may_repeat(f.x) and self.others(f.x, f.worker)):
+                continue  # a silent worker may still go on
             mute = f.x.placement.mute(f.worker, now)
             if f.seen and quiet > MUTE_US or f in over and (not crowded or mute and quiet > FIRST_MUTE_US):
                 self.counts["mute"] += 1
@@ -333,6 +337,13 @@
         """
         return [w.id for w in self.node.follower.workers if w.pool == pool and w.state == "ready"]
 
+    def others(self, x, *but):
+        """The workers that an exchange may still be sent to.
+
+        Example: `carrier.others(x, "w1")`
+        """
+        return [n for n in self.ready(x.pool_name) if n not in x.shun and n not in but]
+
     async def carry(self, exchange):
         """Carry one exchange to its end; raises verdict.Defect where it is refused.
 
@@ -355,9 +366,9 @@
 
         Example: `await carrier.run(x)`
         """
-        shun, unreached = set(), 0
+        unreached = 0
         while True:
-            name, wait = x.placement.pick(x.ask, x.keys, x.own, self.ready(x.pool_name), x.pool, shun)
+            name, wait = x.placement.pick(x.ask, x.keys, x.own, self.ready(x.pool_name), x.pool, x.shun)
             now = self.mach.now()
             if not name:
                 raise self.give_up(x, "no_worker", "No worker can be reached now.")
@@ -370,7 +381,7 @@
             match outcome:
                 case None:
                     unreached += 1
-                    shun.add(name)
+                    x.shun.add(name)
                     if unreached >= CONNECTS:
                         raise self.give_up(x, "no_worker", "No worker can be reached now.")
                     continue
@@ -387,16 +398,16 @@
                     raise verdict.Defect("too_late", "No answer came in time.", self.known(x))
                 case Outcome.UNRUN:
                     self.counts["unrun"] += 1
-                    shun.add(name)
+                    x.shun.add(name)
                     if flow.status == 421:
                         x.placement.blame(name, BROKEN)
                 case Outcome.FAILED | Outcome.BROKE | Outcome.TORN:
                     if outcome is Outcome.FAILED:
                         x.placement.blame(name, QUIET)
                     x.ran = True
-                    shun.add(name)
+                    x.shun.add(name)
             again = (x.repeatable if x.ran else True) and (not x.begun or x.resume) and self.may_repeat(x)
-            if again and self.mach.now() < x.until and [n for n in self.ready(x.pool_name) if n not in shun]:
+            if again and self.mach.now() < x.until and self.others(x):
                 self.node.door.tally(x).spend(self.mach.now())
                 self.counts["resumed" if x.begun else "again"] += 1
                 continue
--- a/iriswheel/web.py
+++ b/iriswheel/web.py
@@ -77,10 +77,13 @@
             self.answer_defect(verdict.Defect("worker_broke", "A defect of ours.", verdict.Verdict.MAY_HAVE_RUN))
 
     def answer_defect(self, d):
-        """Give the final answer that a defect asks for.
+        """Give the final answer that a defect asks for; an answer that has begun is broken off.
 
         Example: `request.answer_defect(verdict.Defect("busy", "All seats are taken."))`
         """
+        if self.startedWriting:
+            self.break_off()
+            return
         status, heads, body = self.channel.factory.outer.refusal(d)
         self.answer(status, body, dict(heads))
 
--- /dev/null
+++ b/tests/test_carry.py
@@ -0,0 +1,124 @@
+"""One node's carrier between a requester and stand-in workers: what it makes of each trouble."""
+
+import types
+
+import testtools
+
+import bench.engine as engine
+import bench.serving as serving
+import bench.sim as sim
+import bench.site as site
+import bench.town as town
+import bench.users as users
+import bench.words as words
+import iriswheel.blueprint as blueprint
+import iriswheel.budget as budget
+import iriswheel.carry as carry
+import iriswheel.door as door
+import iriswheel.machine as machine
+import iriswheel.message as message
+import iriswheel.web as web
+
+MS, S = machine.MILLI, machine.SECOND
+H = words.HEAD
+
+
+class Carrying(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = sim.World(5)
+        self.tape = town.Tape()
+        proc = sim.Proc(self.world, "n1", sim.Machine(self.world, "10.0.2.1", "a"))
+        self.mach = proc.mach()
+        self.fol = types.SimpleNamespace(workers=[], states={}, state=lambda name: "ready")
+        self.tally = budget.Budget(slack=9)
+        self.node = types.SimpleNamespace(
+            mach=self.mach, outer=site.formats.Formats(), follower=self.fol, stopping=False, left=False,
+            loads=types.SimpleNamespace(soon=machine.Signal()), door=types.SimpleNamespace(tally=lambda x: self.tally))
+        self.carrier = carry.Carrier(self.node)
+        proc.reactor.listenTCP(80, web.Server(self.mach, self.handle, formats=self.node.outer))
+        self.mach.spawn(self.carrier.look(), None)
+        self.near = sim.Proc(self.world, "near", sim.Machine(self.world, "10.9.0.1", "a"))
+        self.workers = []
+        self.route = blueprint.Route("/x/", "desk", repeat="may", resume=True, sends=2, cutoff_us=9 * S)
+
+    async def handle(self, req):
+        x = door.Exchange(req, "n1/0", self.mach.now())
+        x.said, x.raw, x.repeatable = self.node.outer.ask(req), req.content.read(), self.route.repeat == "may"
+        x.route, x.pool, x.pool_name = self.route, blueprint.Pool(election="node"), "desk"
+        x.terms, x.until = blueprint.Terms(), x.arrived + x.said.left_us
+        await self.carrier.carry(x)
+
+    def worker(self, **ills):
+        k = len(self.workers) + 1
+        proc = sim.Proc(self.world, f"w{k}", sim.Machine(self.world, f"10.0.3.{k}", "a"))
+        w = serving.Worker(proc.mach(), f"w{k}", "desk", self.tape, engine.Figures(enter_us=0), conns=50)
+        w.proc, w.ills, w.closes, w.lingers = proc, ills, 0, 0
+        proc.reactor.listenTCP(80, w)
+        self.workers.append(w)
+        self.fol.workers.append(message.Worker(w.id, f"10.0.3.{k}", 80, "desk", "ready", 0))
+        self.fol.states = {w.id: w for w in self.fol.workers}
+        return w
+
+    def go(self, ms):
+        self.world.run(self.world.time + ms * MS)
+
+    def ask(self, events=40, read=True):
+        """Send a request for a stream; the requester's connection and what comes of it."""
+        call, got = users.Call(lambda call: None), []
+        users.connect(self.near.mach(), "10.0.2.1", 80, S).addCallback(got.append)
+        self.go(10)
+        head = {"Host": "h.example", "Content-Length": 2, H["attempt"]: "a1", H["tokens"]: f"10,{4 * events}",
+                H["parts"]: "aa:10", H["left"]: 5000}
+        lines = "".join(f"{k}: {v}\r\n" for k, v in head.items())
+        got[0].start(call, f"POST /x/ HTTP/1.1\r\n{lines}\r\nhi".encode())
+        return call, got[0]
+
+    def elected(self):
+        """The worker that runs the latest request."""
+        return next(w for w in self.workers if w.name == self.runs()[-1])
+
+    def runs(self):
+        return [r["name"] for r in self.tape.rows if r["kind"] == "run"]
+
+    def test_a_stream_that_breaks_off_is_taken_up_elsewhere(self):
+        for _ in range(2):
+            self.worker()
+        call, _ = self.ask()
+        self.go(60)
+        self.elected().proc.kill()
+        self.go(1000)
+        self.assertEqual(("whole", list(range(1, 42))), (call.how, [e[0] for e in call.events]))
+        self.assertEqual(1, self.carrier.counts["resumed"])
+
+    def test_a_stream_that_nobody_can_take_up_is_broken_off(self):
+        for _ in range(2):
+            self.worker()
+        call, _ = self.ask()
+        self.go(60)
+        for w in self.workers:  # and their ports reset
+            w.proc.kill()
+        self.go(1000)
+        self.assertEqual(("closed", True), (call.how, 0 < len(call.events) < 41))
+
+    def test_a_silent_worker_keeps_a_stream_that_nobody_can_take_up(self):
+        w = self.worker()
+        call, _ = self.ask()
+        self.go(60)
+        w.proc.freeze()
+        self.go(1500)
+        w.proc.wake()
+        self.go(1000)
+        self.assertEqual((0, "whole", 41), (self.carrier.counts["mute"], call.how, len(call.events)))
+
+    def test_a_requester_that_reads_slowly_speaks_against_no_worker(self):
+        for _ in range(2):
+            self.worker().figures.step_us = 100
+        call, line = self.ask(events=4000)
+        self.go(60)
+        line.transport.pauseProducing()
+        self.go(2500)
+        line.transport.resumeProducing()
+        self.go(2000)
+        self.assertEqual((0, 1, "whole"), (self.carrier.counts["mute"], len(self.runs()), call.how))
+        self.assertEqual(0, self.carrier.place("desk").own_ill(self.elected().id, self.world.time))
