--- a/iriswheel/carry.py
+++ b/iriswheel/carry.py
@@ -267,6 +267,7 @@
         self.lines = client.Lines(node.mach)
         self.places = {}  # pool -> placement.Placement
         self.flows = set()
+        self.started = machine.Signal()
         self.counts = {"sends": 0, "whole": 0, "resumed": 0, "again": 0, "broke": 0, "unrun": 0, "unreached": 0,
                        "mute": 0, "gone": 0, "late": 0}
 
@@ -277,7 +278,7 @@
         """
         if pool not in self.places:
             p = self.places[pool] = placement.Placement(self.mach, pool)
-            p.told_heavy = self.node.loads.soon.wake
+            p.told_heavy, p.told_some = self.node.loads.soon.wake, self.node.loads.touch
         return self.places[pool]
 
     async def look(self):
@@ -287,6 +288,8 @@
         """
         swept = 0
         while not self.node.left:
+            if not self.flows:
+                await self.mach.pause(self.started, SWEEP_US)
             await self.mach.sleep(LOOK_US)
             now = self.mach.now()
             self.look_for_silence(now)
@@ -466,6 +469,8 @@
             flow.line = line
             flow.began = flow.last = self.mach.now()
             self.flows.add(flow)
+            if len(self.flows) == 1:
+                self.started.wake()
             if x.keys:
                 place.turn(x.keys[-1], w.id, x.terms, x.pool.cap)
             x.ran_before, x.ran = x.ran, True  # until the worker says that it did not
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -17,6 +17,7 @@
 import iriswheel.wire as wire
 
 BEAT_US = 250 * machine.MILLI
+RELIST_US = 2 * machine.SECOND  # the worker list is told the tail again, although it stands
 FRESH_US = 1_100 * machine.MILLI
 ANSWER_US = 3 * machine.SECOND
 FORMAT = 2  # of what stands on the disk
@@ -82,7 +83,7 @@
             self.roster = latest.stamp
         if self.core.mach.now() - self.told >= BEAT_US:
             self.told = self.core.mach.now()
-            self.link.tell(message.Alive(self.n, self.roster))
+            self.link.tell(message.Alive(self.n, self.roster, self.core.same))
 
     async def feed(self):
         """Flush at every change, and now and then a sign of life; one task per node.
@@ -204,6 +205,8 @@
         self.beaten = (0, 0)  # when the tail's last beat came, and its view
         self.beat_now = machine.Signal()
         self.listing = None
+        self.listing_told = (None, 0)  # to which tail, of which view, under which stamp it was told; and when
+        self.same = None  # the newest word that the worker list stands
         self.seated = {}  # duty -> the newest term under which its holder here said that it is seated
         self.contested = {}  # duty -> the term that its holder here can't use
         self.report_now = machine.Signal()
@@ -310,6 +313,7 @@
                 return self.chain.answer(msg)
             case message.Sessions():
                 before = self.issuer.forced(self.chain.base.n)
+                self.take_same(msg.same)
                 self.issuer.take(msg)
                 self.spread_roster()
                 if self.issuer.forced(self.chain.base.n) != before:
@@ -328,6 +332,8 @@
                 if self.listing is None or msg.stamp > self.listing.stamp:
                     self.listing = msg
                     self.report_now.wake()
+            case message.Same():
+                self.take_same(msg)
             case message.Seated(key=key, term=term):
                 self.seated[key] = max(term, self.seated.get(key, (0, 0)))
                 self.report_now.wake()
@@ -373,9 +379,18 @@
         if self.chain.whole():
             self.chain.commit(m.n)
         self.take_forced(m.forced)
+        self.take_same(m.same)
         self.sessions = m.sessions
         self.wake_posts()
 
+    def take_same(self, same):
+        """Take a word that the worker list stands, if it is the newest.
+
+        Example: `core.take_same(message.Same((1, 2, 9), (1, 2, 3)))`
+        """
+        if same is not None and (self.same is None or same.stamp > self.same.stamp):
+            self.same = same
+
     def take_forced(self, n):
         """Every member has come as far as n.
 
@@ -419,10 +434,10 @@
                 places = [self.posts[i].place for i in sorted(self.posts)]
                 latest = self.issuer.latest
                 told = latest if latest is not None and latest.stamp[0] < v.number else None
-                msg = message.Sessions(
-                    self.council.me.id, v.number, members, places, self.listing, sorted(self.seated.items()), told,
-                    sorted(self.contested.items()))
                 tail = v.chain[-1].id
+                msg = message.Sessions(
+                    self.council.me.id, v.number, members, places, self.news_of_workers(v), sorted(self.seated.items()),
+                    told, sorted(self.contested.items()), self.same)
                 if tail == self.council.me.id:
                     self.serve(None, msg)
                 else:
@@ -430,6 +445,19 @@
                     self.mach.spawn(self.neighbours.tell(seat.host, seat.port, msg), log)
             await self.mach.pause(self.report_now, BEAT_US)
 
+    def news_of_workers(self, v):
+        """The worker list, for the tail of a view: where it is new to it, and again now and then.
+
+        Example: `core.news_of_workers(council.view)`
+        """
+        if self.listing is None:
+            return None
+        what, now = (v.number, self.listing.stamp), self.mach.now()
+        if what == self.listing_told[0] and now - self.listing_told[1] < RELIST_US:
+            return None
+        self.listing_told = (what, now)
+        return self.listing
+
     async def gathered(self, m):
         """What is kept here of a pool, for a new warden; `copy` says whether it ever had one.
 
@@ -506,7 +534,7 @@
                     if latest is not None:
                         told[link] = (v.number, latest.stamp)
                     forced = self.issuer.forced(n)
-                    msg = message.Beat(v.number, n, forced, self.issuer.sessions(), news)
+                    msg = message.Beat(v.number, n, forced, self.issuer.sessions(), news, self.same)
                     if link.id == self.council.me.id:
                         self.beaten = (self.mach.now(), v.number)
                         self.take_forced(forced)
--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -75,6 +75,7 @@
         self.drains = {}  # worker that is not ready -> when its streams must have ended
         self.listed = (0, 0, 0)
         self.of = (0, 0, 0)  # under which stamp the list that is known here was told
+        self.told_on = None  # the session on which the core was told it whole
         self.told = None  # message.Listing, where this node asks the platform
         self.missed = {}  # worker -> how many answers of the platform in a row did not list it
         self.news_at = None  # when worker news last came
@@ -400,8 +401,9 @@
                 self.take_roster(r)
             case message.Loads():
                 self.node.loads.take(msg)
-            case message.Alive():
-                pass
+            case message.Alive(same=same):
+                if same is not None:
+                    self.take_same(same)
             case message.Elsewhere(cores=cores):
                 self.learn_seeds(cores)
                 link.close()
@@ -510,7 +512,7 @@
         """
         asked = 0
         while not self.node.left:
-            await self.mach.sleep(200 * machine.MILLI)
+            await self.mach.sleep((400 if self.core_stands() else 200) * machine.MILLI)
             self.look_for_freeze()
             now = self.mach.now()
             if self.thawed is None and not self.cut_off():
@@ -624,11 +626,19 @@
                     msg = message.Listing(workers, (d.term[0], d.term[1], count))
                     if told is None or told.workers != workers or told.stamp[:2] != msg.stamp[:2]:
                         told = msg
-                    self.take_listing(msg)
+                    same = message.Same(msg.stamp, told.stamp)
+                    if told is msg:
+                        self.take_listing(msg)
+                    else:
+                        self.take_same(same)
                     self.told = told
-                    self.tell_core(msg)
-                    news = message.Spread(msg) if told is msg else message.Same(msg.stamp, told.stamp)
-                    for m in self.roster.members:
+                    if told is msg or self.told_on is not self.link:
+                        self.told_on = self.link
+                        self.tell_core(told)
+                    self.tell_core(same)
+                    news = message.Spread(msg) if told is msg else same
+                    by_core = told is not msg and self.core_stands()  # it tells the others that the list stands
+                    for m in [] if by_core else self.roster.members:
                         if m.id != self.node.me.id:
                             self.mach.spawn(self.node.neighbours.tell(m.host, m.port, news), log)
                 else:
--- a/iriswheel/loads.py
+++ b/iriswheel/loads.py
@@ -12,6 +12,7 @@
 import iriswheel.message as message
 
 TELL_US = 150 * machine.MILLI
+IDLE_US = 500 * machine.MILLI  # a new session is noticed at the latest after so long
 OLD_US = 2 * machine.SECOND  # another core's sums count no longer without a word of it
 HEAVY = 2_000  # tokens: a change by more is told at once
 ILL = 20  # percent of suspicion, likewise
@@ -83,7 +84,18 @@
         self.node = node
         self.said = None  # what the core of this session was told; None: nothing yet
         self.link = None
-        self.soon = machine.Signal()
+        self.soon = machine.Signal()  # tell at once
+        self.some = machine.Signal()  # there is something to tell
+        self.fresh = True
+
+    def touch(self):
+        """Something changed here; it is told in a moment.
+
+        Example: `place.told_some = side.touch`
+        """
+        if not self.fresh:
+            self.fresh = True
+            self.some.wake()
 
     def own(self):
         """This node's own load.
@@ -115,8 +127,13 @@
         Example: `mach.spawn(side.run())`
         """
         while not self.node.left:
+            if not self.fresh and self.link is self.node.follower.link:
+                await self.node.mach.pause(self.some, IDLE_US)
+                continue
             await self.node.mach.pause(self.soon, TELL_US)
+            self.fresh = False
             self.tell()
+            self.fresh = self.fresh or any(v[2] for v in (self.said or {}).values())  # suspicion fades
 
     def take(self, m):
         """Take the others' sums.
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -139,6 +139,13 @@
     left_us: int
 
 
+class Same(Message):
+    """The worker list is as it was when it was told whole under the stamp `of`."""
+
+    stamp: tuple[int, int, int]
+    of: tuple[int, int, int]
+
+
 # ---- between core machines -------------------------------------------------
 
 
@@ -274,6 +281,7 @@
     seated: list[tuple[str, tuple[int, int]]]
     roster: Roster | None
     contested: list[tuple[str, tuple[int, int]]] = []  # duties whose holder met a newer term than its own
+    same: Same | None = None
 
 
 class Beat(Message):
@@ -284,6 +292,7 @@
     forced: int  # every member has come at least this far
     sessions: int  # members that have a session
     roster: Roster | None
+    same: Same | None = None
 
 
 # ---- between a node and a core ----------------------------------------------
@@ -326,10 +335,11 @@
 
 
 class Alive(Message):
-    """A sign of life on a session; from a node, how far it has come."""
+    """A sign of life on a session; from a node, how far it has come; to a node, that the worker list stands."""
 
     n: int
     stamp: tuple[int, int]
+    same: Same | None = None
 
 
 class Listing(Message):
@@ -483,13 +493,6 @@
     listing: Listing
 
 
-class Same(Message):
-    """The worker list is as it was when it was told whole under the stamp `of`."""
-
-    stamp: tuple[int, int, int]
-    of: tuple[int, int, int]
-
-
 class Relist(Message):
     """That list is not known here: tell it whole."""
 
--- a/iriswheel/placement.py
+++ b/iriswheel/placement.py
@@ -108,6 +108,7 @@
         self.base_us, self.dev_us = 60_000.0, 30_000.0  # of first events of short prompts, beyond what was expected
         self.others_at = 0
         self.told_heavy = lambda: None  # called when a send changes a worker's load by much
+        self.told_some = lambda: None  # called when anything changes
         self.book = session.Book()
         self.trials = collections.OrderedDict()  # last part's key -> (worker, until): may yet be a session
         self.ranks = collections.OrderedDict()  # key -> workers by weight
@@ -172,6 +173,7 @@
         now = self.mach.now()
         w = self.at(name)
         w.ill, w.ill_at = min(1.0, self.own_ill(name, now) + much), now
+        self.told_some()
         self.told_heavy()
 
     def forgive(self, name):
@@ -307,6 +309,7 @@
             w.asked = self.mach.now()
         w.running += 1
         w.unread += tokens
+        self.told_some()
         if tokens >= HEAVY:
             self.told_heavy()
         return tokens
@@ -317,6 +320,7 @@
         Example: `placement.first("w1", 291, 71_000, 9_000)`
         """
         self.at(name).unread -= tokens
+        self.told_some()
         if tokens < HEAVY:
             off = took - expected - self.base_us
             self.base_us = max(0.0, self.base_us + off / 16)
@@ -336,6 +340,7 @@
         """
         w = self.at(name)
         w.running -= 1
+        self.told_some()
         w.unread -= tokens
 
     # ---- sessions ---------------------------------------------------------------------
