--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,7 +10,9 @@
     python -m bench.capacity sockets      what a message costs over a real connection
     python -m bench.capacity fleet        hollow nodes and workers over the simulated network
     python -m bench.capacity streams      requests and their streams through nodes that elect
+    python -m bench.capacity exchange     how much a load exchange by change has to tell
     python -m bench.capacity losses       the same, while members come and go
+    python -m bench.capacity target DIR   the users' target, by the values that the runs left there (--out)
 
 Processor time is real time of this thread's own work over that of a stated loop (`loop`),
 measured right before it, so that figures of different machines can be set side by side.
@@ -18,7 +20,11 @@
 
 import gc
 import json
+import os
+import random
 import statistics
+import subprocess
+import sys
 import time
 import tracemalloc
 import types
@@ -604,6 +610,8 @@
             lines.put("ranks held, 90 workers", "parts ranked", "B", k, held(lambda: ranked(k, 90)))
         for x in parts:
             lines.put("parts held of the workers at a node", "parts", "B", x, held(lambda: kept(x)))
+        for x in (1_000, 4_000, 16_000):
+            lines.put("first turns held at a node", "first turns", "B", x, held(lambda: tried(x)))
         for x in sizes:
             lines.put("sessions held at a node", "sessions", "B", x, held(lambda: sessions(x)))
         for p in pools:
@@ -631,12 +639,38 @@
     >>> len(ranked(2, 3).ranks)
     2
     """
-    place, names = hollow().door.carrier.place("model-0"), tuple(x.id for x in workers(w, 1))
+    place, names = hollow().door.carrier.place("model-0"), [x.id for x in workers(w, 1)]
     for key in range(k):
-        place.rank(key.to_bytes(8, "big"), names)
+        place.rank(key.to_bytes(8, "big"), tuple(names))  # each election makes its own, as here
     return place
 
 
+def tried(x):
+    """A placement with x first turns that may yet become sessions.
+
+    >>> len(tried(3).trials)
+    3
+    """
+    place = hollow().door.carrier.place("model-0")
+    for k in range(x):
+        place.turn(k.to_bytes(8, "big"), f"i-{k % 2600:08x}", blueprint.Terms(), 0)
+    return place
+
+
+def bare():
+    """Memory of a fresh process that has imported the program and made a node, in bytes.
+
+    Example: `bare() > 30_000_000`
+    """
+    raw = subprocess.run([sys.executable, "-c", "import iriswheel.command, iriswheel.machine, iriswheel.node, iriswheel.options\n"
+                          "import twisted.internet.reactor as reactor\n"
+                          "mach = iriswheel.machine.Machine(reactor)\n"
+                          "node = iriswheel.node.Node(mach, iriswheel.options.Options('node', seeds=['127.0.0.1:1']))\n"
+                          "print([x for x in open('/proc/self/status') if x.startswith('VmRSS')][0].split()[1])"],
+                         capture_output=True, check=True).stdout
+    return int(raw) * 1024
+
+
 def kept(x):
     """A placement that knows x parts of 2,600 workers.
 
@@ -917,6 +951,51 @@
     end(lines, out)
 
 
+def exchange(*, listed: int = 2600, rate: float = 3000, lasts: float = 19, seconds: int = 12, seed: int = 1,
+             spans: list[float] = (0.15, 0.5, 1, 2), steps: list[int] = (1, 3, 6)):
+    """Rows that a load exchange by change has to tell one node, by how often it tells and from which change on.
+
+    Sends begin at random workers at the fleet's rate, long prompts among them, and each ends after its
+    time; a row is told when running exchanges changed by the step, or tokens to read by 1,000 a step.
+
+    :param listed: workers
+    :param rate: sends a second at all nodes together
+    :param lasts: how many seconds each is under way
+    :param seconds: simulated time that is counted
+    :param seed: the run's seed
+    :param spans: seconds between two tellings
+    :param steps: the least change that is told
+    """
+    rng = random.Random(seed)
+    names = [x.id for x in workers(listed)]
+    print("| a telling every | told from a change of | rows a second | B/s into a node, as rows travel today | packed, 5 B a row |")
+    print("|---|---|---|---|---|")
+    events = []  # (when, worker, running, tokens)
+    for k in range(int(rate * (lasts + seconds))):
+        at, w = rng.random() * (lasts + seconds) - lasts, rng.randrange(listed)
+        tokens = LONG if rng.random() < LONG_SHARE else 400
+        events += [(at, w, 1, tokens), (at + 0.1, w, 0, -tokens), (at + lasts, w, -1, 0)]
+    events.sort()
+    for span in spans:
+        for step in steps:
+            now, told = [[0, 0] for _ in names], [[0, 0] for _ in names]
+            count = size = k = 0
+            for beat in range(int(seconds / span)):
+                while k < len(events) and events[k][0] < beat * span:
+                    _, w, running, tokens = events[k]
+                    now[w][0] += running
+                    now[w][1] += tokens
+                    k += 1
+                some = [w for w in range(listed) if abs(now[w][0] - told[w][0]) >= step or abs(now[w][1] - told[w][1]) >= 1000 * step]
+                for w in some:
+                    told[w] = list(now[w])
+                if beat:
+                    count += len(some)
+                    size += len(wire.encoder.encode(wire.Parcel(0, 0, message.Loads("c0ffee", False, {
+                        "model-0": [(names[w], *now[w]) for w in some]}))))
+            print(f"| {span:g} s | {step} | {short(count / seconds)} | {short(size / seconds)} | {short(5 * count / seconds)} |", flush=True)
+
+
 WHATS = ("change", "restart", "worker", "zone", "tail", "cut")
 
 
@@ -1038,6 +1117,133 @@
             f.until(lambda: all(len(names(y)) == len(f.nodes) and y.follower.core_stands() for y in live()), 60)
 
 
+TARGET = dict(nodes=370, workers=2600, pools=29, routes=2000, requests=3000, streams_s=19, sessions=1_000_000, parts=1_500_000,
+              changes=5600, restarts=235, words=3, cores=7)
+
+
+class Known:
+    """Values of earlier runs, read from their files.
+
+    Example: `known = Known("runs")`; `known.at("lists", "a roster on the wire", "members", 370)`
+    """
+
+    def __init__(self, folder):
+        self.files = {}
+        for name in sorted(os.listdir(folder)):
+            if name.endswith(".json"):
+                lines = self.files[name[:-5]] = Lines()
+                with open(os.path.join(folder, name)) as f:
+                    for line, by, unit, sizes in json.load(f):
+                        lines.rows[line, by] = (unit, {int(x): v for x, v in sizes.items()})
+
+    def slope(self, name, line, by):
+        """The slope of a line.
+
+        Example: `known.slope("lists", "a roster on the wire", "members")`
+        """
+        return self.files[name].fit(line, by)[0]
+
+    def at(self, name, line, by, x):
+        """A line's value at a size: measured where it was run, else along the slope.
+
+        Example: `known.at("lists", "a roster on the wire", "members", 370)`
+        """
+        sizes = self.files[name].rows[line, by][1]
+        if x in sizes:
+            return statistics.median(sizes[x])
+        slope, _, _, base, _ = self.files[name].fit(line, by)
+        return base + slope * x
+
+
+def target(folder: str):
+    """What the target needs, by the values that the runs left in a folder (their `--out` files).
+
+    :param folder: where lists.json, tail.json and the others are
+    """
+    k, t = Known(folder), types.SimpleNamespace(**TARGET)
+    out = []
+
+    def put(role, what, how, val, unit, budget=""):
+        out.append(f"| {role} | {what} | {how} | {short(val)} {unit} | {budget} |")
+
+    rows = {}
+    for name in ("fleetwarden", "fleetnode"):
+        if name in k.files:
+            got = {key[0]: v for key, (_, v) in k.files[name].rows.items() if key[1] == "all at once"}
+            rows[name] = {line: statistics.median(v[max(v)]) for line, v in got.items()}
+    sock = k.at("sockets", "a message sent and taken over a connection", "bytes", 27) / 2
+    roster_b = sum(k.slope("lists", "a roster on the wire", by) * (x - was) for by, x, was in (
+        ("members", t.nodes, 8), ("workers", t.workers, 36), ("pools", t.pools, 1))) + k.at(
+            "lists", "a roster on the wire", "members", 8)
+    roster_m = sum(k.slope("lists", "a roster held at a node", by) * (x - was) for by, x, was in (
+        ("members", t.nodes, 8), ("workers", t.workers, 36), ("pools", t.pools, 1))) + k.at(
+            "lists", "a roster held at a node", "members", 8)
+    roster_l = sum(k.slope("lists", "a roster read", by) * (x - was) for by, x, was in (
+        ("members", t.nodes, 8), ("workers", t.workers, 36), ("pools", t.pools, 1))) + k.at("lists", "a roster read", "members", 8)
+    put("all", "a whole roster", "2.4 KB + members, workers, pools by their slopes (X)", roster_b / 1000, "KB")
+    put("all", "read at a node, one step", "as its bytes (X)", roster_l, "loops", "15 loops a step")
+    day = t.restarts * t.words
+    put("all", "rosters a day", f"{t.restarts} failures and restarts x {t.words} words each (R)", day, "")
+    put("node", "rosters in, mean", "rosters a day x roster (X)", day * roster_b / 86_400, "B/s", "16 KB/s")
+    put("cores", "rosters out, mean, all nodes", "x nodes (X)", day * roster_b * t.nodes / 86_400 / 1000, "KB/s")
+    for name, path in (("fleetwarden", "wardens"), ("fleetnode", "node election")):
+        r = rows.get(name)
+        if r is None:
+            continue
+        for role in ("node", "lister", "warden", "core", "tail"):
+            if f"{role}: loops" not in r:
+                continue
+            cost = r[f"{role}: loops"] + (r[f"{role}: in"] + r[f"{role}: out"]) * sock
+            limit = ("48 loops/s", "16 KB/s") if role in ("node", "lister", "warden") else ("3,000 loops/s: a machine", "")
+            put(role, f"{path}: processor, quiet", "own steps (M) + messages x half a socket's (M)", cost, "loops/s", limit[0])
+            put(role, f"{path}: longest step", "M", r[f"{role}: step"], "loops", "15 loops a step")
+            put(role, f"{path}: in", "M", r[f"{role}: in_bytes"] / 1000, f"KB/s in {short(r[role + ': in'])} messages", limit[1])
+            put(role, f"{path}: out", "M", r[f"{role}: out_bytes"] / 1000, f"KB/s in {short(r[role + ': out'])} messages", limit[1])
+    names = t.workers // t.pools
+    memory = [
+        ("a fresh process with a node", "M", bare()),
+        ("roster and worker states", "along the slopes (X)", roster_m),
+        ("slice of the blueprint", f"{t.routes} routes", k.at("routes", "a slice held at a node", "routes", t.routes)),
+        ("others' loads", "workers", k.at("places", "others' loads held", "workers", t.workers)),
+        ("ranks", f"{placement.RANKS} a pool x pools, {names} workers (X)", t.pools * k.slope(
+            "places", "ranks held, 90 workers", "parts ranked") * placement.RANKS),
+        ("parts known of workers", f"{placement.KEPT} a worker, full (X)", k.slope(
+            "places", "parts held of the workers at a node", "parts") * placement.KEPT * t.workers),
+        ("first turns", "requests a node x 600 s (X)", k.slope(
+            "places", "first turns held at a node", "first turns") * t.requests / t.nodes * 600),
+        ("sessions", "sessions / nodes", k.slope("places", "sessions held at a node", "sessions") * t.sessions / t.nodes),
+    ]
+    for what, how, val in memory:
+        put("node", f"memory: {what}", how, val / 1e6, "MB", "64 MB in all")
+    put("node", "memory: all of them", "", sum(x[2] for x in memory) / 1e6, "MB", "64 MB")
+    put("tail", "a look for news", f"{t.pools} pools, {t.nodes} members (M)", k.at(
+        "tail", f"a look for news at the tail, {t.pools} pools", "members", t.nodes), "loops, ten and more a second", "15 loops a step")
+    put("tail", "a change of the blueprint", "nodes² (X)", k.at("losses", "change: busiest core", "nodes²", t.nodes ** 2), "loops",
+        "12,000 loops in 4 s")
+    put("cores", "a change, between cores", "nodes² (X)", k.at("losses", "change: between cores", "nodes²", t.nodes ** 2) / 1e6, "MB")
+    put("cores", "changes a day, processor of the tail", "x 5,600 (X)", k.at(
+        "losses", "change: busiest core", "nodes²", t.nodes ** 2) * t.changes / 86_400, "loops/s", "3,000 loops/s")
+    pairs = t.nodes * (t.nodes - 1) * roster_b
+    put("nodes", "the tail lost, between nodes", "pairs x roster (X)", k.slope(
+        "losses", "tail: between nodes", "pairs of nodes x roster bytes") * pairs / 1e6, "MB")
+    put("cores", "a zone lost, to nodes", "nodes x roster (X)", k.slope(
+        "losses", "zone: from cores to nodes", "nodes x roster bytes") * t.nodes * roster_b / 1e6, "MB")
+    put("cores", "a node restarted, to nodes", "nodes x roster (X)", k.slope(
+        "losses", "restart: from cores to nodes", "nodes x roster bytes") * t.nodes * roster_b / 1e6, "MB")
+    put("warden", "all sessions of the largest pool, half of all: sweep, one step", "X", k.at(
+        "records", "a sweep that finds nothing", "sessions", t.sessions // 2), "loops", "15 loops a step")
+    put("warden", "the same: a whole copy", "X", k.at(
+        "records", "a whole copy on the wire", "sessions", t.sessions // 2) / 1e6, "MB", "33.6 MB a message")
+    put("node", "sessions cut over nodes: sweep, one step", "sessions / nodes (X)", k.slope(
+        "records", "a sweep that finds nothing", "sessions") * t.sessions / t.nodes, "loops", "15 loops a step")
+    put("node", "an election at a node", f"{names} workers of the pool", k.at(
+        "places", "a worker chosen at a node, its parts ranked before", "workers of the pool", 90), "loops", "15 loops a step")
+    put("node", "the same, half of the workers in one pool", "X", k.at(
+        "places", "a worker chosen at a node, its parts ranked before", "workers of the pool", t.workers // 2), "loops", "15 loops a step")
+    print("| role | what | how | at the target | budget |\n|---|---|---|---|---|")
+    print("\n".join(out))
+
+
 def everything(*, small: bool = False):
     """All of them, one after the other.
 
@@ -1062,6 +1268,8 @@
     fleet(**dict(sizes=[8, 16], listed=[36, 72], pools=[1, 2]) if small else {})
     print("losses")
     losses(**dict(sizes=[8, 16], repeats=1) if small else {})
+    print("exchange")
+    exchange(**dict(listed=26, rate=30, seconds=2) if small else {})
     print("streams")
     streams(**dict(rates=[5, 10], events=[12, 24], repeats=1) if small else {})
     print("sockets")
@@ -1070,4 +1278,4 @@
 
 if __name__ == "__main__":
     loguru.logger.remove()
-    defopt.run([lists, tail, records, elects, prefixes, routes, places, sockets, fleet, streams, losses, everything])
+    defopt.run([lists, tail, records, elects, prefixes, routes, places, sockets, fleet, streams, exchange, losses, everything, target])
