The tail weighs members for a duty only when the members changed; copies keep their order

Cause: each look for news (ten a second, and at each core's word) weighed all members for all duties by hash: 89 loops at 370 members and 29 pools, and the tail of a fleet of that size took more than a core. Ruled out: keeping the hashes, since sorting all members for each duty is most of the rest.

--- a/iriswheel/roster.py
+++ b/iriswheel/roster.py
@@ -50,6 +50,8 @@
     ('c', ['a', 'b'])
     >>> group("pool/desk", ms[1:], message.Duty("pool/desk", (1, 1), "a", ["d", "c"], []))
     ('d', ['b', 'c'])
+    >>> group("pool/desk", ms[1:], message.Duty("pool/desk", (1, 2), "d", ["b", "c"], []))
+    ('d', ['b', 'c'])
     """
     ranked = elect(key, members)
     by_id = {m.id: m for m in ranked}
@@ -61,7 +63,7 @@
     zone = by_id[holder].zone
     had = old.copies if old is not None else []
     rest = [m for m in ranked if m.id != holder]
-    rest.sort(key=lambda m: (m.zone == zone, m.id not in had))
+    rest.sort(key=lambda m: (m.zone == zone, had.index(m.id) if m.id in had else len(had)))
     return holder, [m.id for m in rest[:COPIES]]
 
 
@@ -237,6 +239,7 @@
             return list(had.values())
         keys = ["list"] + [f"pool/{p}" for p in self.pools()]
         now = self.mach.now()
+        same = self.issuing() and members == old.members  # then every group of before is the group still
         for key in [k for k in had if k not in keys]:  # its claims must still be asked for
             if now - self.dropped.setdefault(key, now) < LINGER_US:
                 keys.append(key)
@@ -249,7 +252,7 @@
                 log.warning("Duty {} gets a new term in place of {}: a newer one was lost.", key, d.term)
                 base = [d.holder] + d.copies if d.seated else d.base
                 d = message.Duty(key, stamp, d.holder, d.copies, base)
-            holder, copies = group(key, members, d)
+            holder, copies = (d.holder, d.copies) if same and d is not None else group(key, members, d)
             if d is None:
                 d = message.Duty(key, stamp, holder, copies, [])
             elif holder != d.holder or copies != d.copies:
