--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -32,6 +32,7 @@
 import defopt
 import loguru
 import msgspec
+import twisted.internet.defer as defer
 import twisted.internet.task as task
 
 import bench.sim as sim
@@ -592,7 +593,7 @@
         for w in listed:
             n = seated(w)
             place, names = n.door.carrier.place("model-0"), n.door.carrier.ready("model-0")
-            place.take([(name, 22, 900) for name in names], True)
+            place.take([(name, 22, 900, 0) for name in names], True)
             cut = placement.chain([f"{k:08x}" for k in range(4)])
             place.pick(shared, cut, 291, names, pool, set())
             lines.put("a worker chosen at a node, its parts ranked before", "workers of the pool", "loops", w,
@@ -605,7 +606,7 @@
 
             lines.put("a worker chosen at a node, a part never ranked", "workers of the pool", "loops", w, ratio(fresh))
             lines.put("the ready workers listed for an election", "workers", "loops", w, ratio(lambda: n.door.carrier.ready("model-0")))
-            lines.put("others' loads held", "workers", "B", w, held(lambda: {k: (22, 900) for k in map(str.upper, names)}))
+            lines.put("others' loads held", "workers", "B", w, held(lambda: {k: (22, 900, 0) for k in map(str.upper, names)}))
         for k in keys:
             lines.put("ranks held, 90 workers", "parts ranked", "B", k, held(lambda: ranked(k, 90)))
         for x in parts:
@@ -723,8 +724,15 @@
                 lines.put("of it, writing and reading its form", "bytes", "loops", len(raw), bare)
         reactor.stop()
 
-    reactor.callWhenRunning(lambda: mach.spawn(go()))
+    failed = []
+
+    def start():
+        defer.ensureDeferred(go()).addErrback(lambda f: (failed.append(f), reactor.stop()))
+
+    reactor.callWhenRunning(start)
     reactor.run()
+    if failed:
+        failed[0].raiseException()
     end(lines, out)
 
 
@@ -992,7 +1000,7 @@
                 if beat:
                     count += len(some)
                     size += len(wire.encoder.encode(wire.Parcel(0, 0, message.Loads("c0ffee", False, {
-                        "model-0": [(names[w], *now[w]) for w in some]}))))
+                        "model-0": [(names[w], *now[w], 0) for w in some]}))))
             print(f"| {span:g} s | {step} | {short(count / seconds)} | {short(size / seconds)} | {short(5 * count / seconds)} |", flush=True)
 
 
@@ -1026,7 +1034,7 @@
             for r in rows:
                 size = r.pop("roster")
                 if what in ("tail", "cut"):
-                    lines.put(f"{what}: between nodes", "pairs of nodes x roster bytes", "B", n * (n - 1) * size, r["node node"])
+                    lines.put(f"{what}: between nodes", "pairs of nodes", "B", n * (n - 1), r["node node"])
                 elif what == "change":
                     lines.put(f"{what}: between cores", "nodes²", "B", n * n, r["core core"])
                     lines.put(f"{what}: busiest core", "nodes²", "loops", n * n, r["busiest"])
@@ -1223,9 +1231,10 @@
     put("cores", "a change, between cores", "nodes² (X)", k.at("losses", "change: between cores", "nodes²", t.nodes ** 2) / 1e6, "MB")
     put("cores", "changes a day, processor of the tail", "x 5,600 (X)", k.at(
         "losses", "change: busiest core", "nodes²", t.nodes ** 2) * t.changes / 86_400, "loops/s", "3,000 loops/s")
-    pairs = t.nodes * (t.nodes - 1) * roster_b
-    put("nodes", "the tail lost, between nodes", "pairs x roster (X)", k.slope(
-        "losses", "tail: between nodes", "pairs of nodes x roster bytes") * pairs / 1e6, "MB")
+    pairs = t.nodes * (t.nodes - 1)
+    for what in ("tail", "cut"):
+        put("nodes", f"{what} lost, between nodes" if what == "tail" else "a third cut off for 10 s, between nodes", "pairs (X)",
+            k.slope("losses", f"{what}: between nodes", "pairs of nodes") * pairs / 1e6, "MB")
     put("cores", "a zone lost, to nodes", "nodes x roster (X)", k.slope(
         "losses", "zone: from cores to nodes", "nodes x roster bytes") * t.nodes * roster_b / 1e6, "MB")
     put("cores", "a node restarted, to nodes", "nodes x roster (X)", k.slope(
