Retry budget: the deployment's ratio and window; no slack that others may have spent

The options retry_ratio and retry_window_us were read and used nowhere: with a ratio of 0.1 a node granted twice what it may. And parts of the slack were spent twice: a killed node's next life began with a whole part anew, nodes that had no roster yet took all of it each, and those that stayed took over the parts of those that had just left. Now a process's first window has no slack, and the largest fleet of the window counts.

--- a/iriswheel/budget.py
+++ b/iriswheel/budget.py
@@ -1,4 +1,4 @@
-"""The retry budget: repeat sends stay within a fifth of first sends.
+"""The retry budget: repeat sends stay within a part of first sends, a fifth unless told otherwise.
 
 A pool's warden sees every election, so it keeps one budget for all nodes; each node keeps
 a tally of its own part, from which a new warden starts.
@@ -7,18 +7,18 @@
 import bisect
 
 WINDOW_US = 10_000_000
-SHARE = 5  # one repeat for so many first sends
+RATIO = 0.2  # repeats for each first send
 
 
 class Budget:
-    """The first and repeat sends over the last ten seconds.
+    """The first and repeat sends over a window, the last ten seconds unless told otherwise.
 
     A node that keeps its own share of a fleet's budget adds its part of the fleet's `slack`.
     >>> b = Budget(slack=2); [b.spend(0) for _ in range(3)]
     [True, True, False]
 
-    Where there were fewer than five first sends, one repeat in ten seconds is free: else a
-    lone requester whose node died could never come back.
+    Where there were too few first sends, one repeat in a window is free: else a lone
+    requester whose node died could never come back.
 
     >>> b = Budget()
     >>> for k in range(10): b.first(0, f"x{k}")
@@ -28,8 +28,10 @@
     (True, False)
     """
 
-    def __init__(self, slack=0):
-        self.slack = slack  # repeats in ten seconds that are free
+    def __init__(self, slack=0, ratio=RATIO, window_us=WINDOW_US):
+        self.slack = slack  # repeats in a window that are free
+        self.ratio = ratio
+        self.window_us = window_us
         self.firsts = {}  # exchange -> when it was first seen, oldest first
         self.repeats = []
 
@@ -49,7 +51,7 @@
         True
         """
         self._trim(now)
-        return not self.repeats or (len(self.repeats) + 1 - self.slack) * SHARE <= len(self.firsts)
+        return not self.repeats or len(self.repeats) + 1 - self.slack <= self.ratio * len(self.firsts) + 1e-9
 
     def spend(self, now):
         """Take a repeat send from the budget; False where there is none left.
@@ -78,7 +80,7 @@
         2000000
         """
         if self.repeats:
-            return max(1_000_000, self.repeats[0] + WINDOW_US - now)
+            return max(1_000_000, self.repeats[0] + self.window_us - now)
         return 2_000_000
 
     def told(self, now):
@@ -103,9 +105,7 @@
             bisect.insort(self.repeats, now - age)
 
     def _trim(self, now):
-        for x in list(self.firsts):
-            if self.firsts[x] > now - WINDOW_US:
-                break
+        while self.firsts and self.firsts[x := next(iter(self.firsts))] <= now - self.window_us:
             del self.firsts[x]
-        while self.repeats and self.repeats[0] <= now - WINDOW_US:
+        while self.repeats and self.repeats[0] <= now - self.window_us:
             self.repeats.pop(0)
--- a/iriswheel/door.py
+++ b/iriswheel/door.py
@@ -100,6 +100,8 @@
         self.node = node
         self.mach = node.mach
         self.tallies = {}  # pool -> budget.Budget, this node's part of the pool's retry budget
+        self.began = self.mach.now()
+        self.sizes = []  # (when, members) of the fleet over the retry window, the largest first
         self.lanes = {
             False: Lane(self.mach, room=512, hands=256, work=self.carry),
             True: Lane(self.mach, room=64, hands=48, work=self.carry),
@@ -253,11 +255,27 @@
 
         Example: `door.tally(x).first(now, "x1")`
         """
-        t = self.tallies.setdefault(x.pool_name, budget.Budget())
+        if x.pool_name not in self.tallies:
+            o = self.node.options
+            self.tallies[x.pool_name] = budget.Budget(ratio=o.retry_ratio, window_us=o.retry_window_us)
+        t = self.tallies[x.pool_name]
         if x.pool.election == "node":  # no warden keeps the fleet's budget: this node has its part of the slack
-            t.slack = self.node.options.retry_slack // (len(self.node.follower.roster.members) + 1)
+            t.slack = self.slack()
         return t
 
+    def slack(self):
+        """This node's part of the free repeats that the whole fleet has in a retry window.
+
+        Members that were there within the window may have spent their parts, so the largest
+        fleet counts; and a node's life before this one may have spent this node's.
+
+        Example: `door.slack()`
+        """
+        o, now, members = self.node.options, self.mach.now(), len(self.node.follower.roster.members)
+        since = now - o.retry_window_us
+        self.sizes = [(at, n) for at, n in self.sizes if at > since and n > members] + [(now, members)]
+        return 0 if self.began > since else o.retry_slack // (self.sizes[0][1] + 1)
+
     # ---- elect and send ----------------------------------------------------------------
 
     async def carry(self, x):
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,64 @@
+"""What a node takes for its part of the fleet's retry budget."""
+
+import types
+
+import testtools
+
+import iriswheel.blueprint as blueprint
+import iriswheel.door as door
+import iriswheel.machine as machine
+import iriswheel.options as options
+import iriswheel.outer as outer
+
+S = machine.SECOND
+
+
+class Parts(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 100 * S
+        self.members = [f"n{k}" for k in range(9)]
+        self.asks = 0
+
+    def door(self, **more):
+        """The door of a node whose process starts now."""
+        node = types.SimpleNamespace(
+            mach=machine.Machine(None, now=lambda: self.now), outer=outer.Outer(),
+            options=options.Options("node", **more),
+            follower=types.SimpleNamespace(roster=types.SimpleNamespace(members=self.members)))
+        return door.Door(node)
+
+    def spent(self, d, firsts=0):
+        """How many repeats it grants now, after some first sends."""
+        x = types.SimpleNamespace(pool_name="desk", pool=blueprint.Pool(election="node"))
+        for _ in range(firsts):
+            self.asks += 1
+            d.tally(x).first(self.now, f"x{self.asks}")
+        count = 0
+        while d.tally(x).spend(self.now):
+            count += 1
+        return count
+
+    def test_ratio_and_window_are_the_deployment_s(self):
+        for more, granted in (({}, 20), ({"retry_ratio": 0.1}, 10)):
+            d = self.door(retry_window_us=4 * S, **more)
+            self.assertEqual((granted, 0), (self.spent(d, 100), self.spent(d)))
+            self.now += 5 * S
+            self.assertEqual(granted, self.spent(d, 100))
+
+    def test_a_new_process_takes_none_of_what_its_former_life_may_have_spent(self):
+        self.now += 11 * S
+        d = self.door(retry_slack=50)
+        self.assertEqual(1, self.spent(d))  # the one that is always free
+        self.now += 11 * S
+        self.assertEqual(5, self.spent(d))
+
+    def test_those_that_left_within_the_window_may_have_spent_their_parts(self):
+        d = self.door(retry_slack=50)
+        self.now += 11 * S
+        self.assertEqual(5, d.slack())
+        del self.members[4:]
+        self.now += 5 * S
+        self.assertEqual(5, d.slack())
+        self.now += 11 * S
+        self.assertEqual(10, d.slack())
