--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -41,7 +41,6 @@
 import iriswheel.blueprint as blueprint
 import iriswheel.chain as chain
 import iriswheel.core as core
-import iriswheel.holder as holder
 import iriswheel.machine as machine
 import iriswheel.message as message
 import iriswheel.node as node
@@ -594,7 +593,7 @@
         for w in listed:
             n = seated(w)
             place, names = n.door.carrier.place("model-0"), n.door.carrier.ready("model-0")
-            place.take([(name, 22, 900, 0, 0) for name in names], True)
+            place.take([(name, 22, 900, 0) for name in names], True)
             cut = placement.chain([f"{k:08x}" for k in range(4)])
             place.pick(shared, cut, 291, names, pool, set())
             lines.put("a worker chosen at a node, its parts ranked before", "workers of the pool", "loops", w,
@@ -607,7 +606,7 @@
 
             lines.put("a worker chosen at a node, a part never ranked", "workers of the pool", "loops", w, ratio(fresh))
             lines.put("the ready workers listed for an election", "workers", "loops", w, ratio(lambda: n.door.carrier.ready("model-0")))
-            lines.put("others' loads held", "workers", "B", w, held(lambda: {k: (22, 900, 0, 0) for k in map(str.upper, names)}))
+            lines.put("others' loads held", "workers", "B", w, held(lambda: {k: (22, 900, 0) for k in map(str.upper, names)}))
         for k in keys:
             lines.put("ranks held, 90 workers", "parts ranked", "B", k, held(lambda: ranked(k, 90)))
         for x in parts:
@@ -648,16 +647,15 @@
 
 
 def tried(x):
-    """A node's sessions with x first turns, of its own and held for others, that may yet become sessions.
+    """A placement with x first turns that may yet become sessions.
 
     >>> len(tried(3).trials)
     3
     """
-    s = holder.Sessions()
+    place = hollow().door.carrier.place("model-0")
     for k in range(x):
-        s.try_out(k.to_bytes(8, "big"), f"i-{k % 2600:08x}", 60 * S + k)
-        s.pin(k.to_bytes(8, "big"), holder.Pin(f"i-{k % 2600:08x}", k, 60 * S, 100, message.TRIAL))
-    return s
+        place.turn(k.to_bytes(8, "big"), f"i-{k % 2600:08x}", blueprint.Terms(), 0)
+    return place
 
 
 def bare():
--- a/iriswheel/carry.py
+++ b/iriswheel/carry.py
@@ -11,7 +11,6 @@
 import twisted.internet.defer as defer
 
 import iriswheel.client as client
-import iriswheel.holder as holder
 import iriswheel.machine as machine
 import iriswheel.placement as placement
 import iriswheel.verdict as verdict
@@ -226,7 +225,6 @@
         self.resume = exchange.route.resume
         self.until = exchange.until
         self.keys = placement.chain(self.ask.parts)
-        self.session = holder.key_of(self.keys, self.terms.session_part)
         self.loose = max(0, self.ask.tokens_in - sum(self.ask.sizes))  # tokens that no part names
         self.own = self.loose + (self.ask.sizes[-1] if self.ask.sizes else 0)
         self.after = self.ask.after
@@ -278,14 +276,13 @@
 
         Example: `carrier.place("desk")`
         """
-        book = self.node.holder.sessions(pool).book
         if pool not in self.places:
-            p = self.places[pool] = placement.Placement(self.mach, pool, book)
+            p = self.places[pool] = placement.Placement(self.mach, pool)
             p.told_heavy, p.told_some = self.node.loads.soon.wake, self.node.loads.touch
         return self.places[pool]
 
     async def look(self):
-        """Look after streams that fell silent, and idle connections; one task.
+        """Look after streams that fell silent, idle connections and sessions; one task.
 
         Example: `mach.spawn(carrier.look())`
         """
@@ -373,9 +370,8 @@
         Example: `await carrier.run(x)`
         """
         unreached = 0
-        home = await self.node.holder.home(x)
         while True:
-            name, wait = x.placement.pick(x.ask, x.keys, x.own, self.ready(x.pool_name), x.pool, x.shun, home)
+            name, wait = x.placement.pick(x.ask, x.keys, x.own, self.ready(x.pool_name), x.pool, x.shun)
             now = self.mach.now()
             if not name:
                 raise self.give_up(x, "no_worker", "No worker can be reached now.")
@@ -394,7 +390,6 @@
                     continue
                 case Outcome.WHOLE:
                     self.counts["whole"] += 1
-                    self.node.holder.turned(x, name, home)
                     if not x.req.gone:
                         x.req.finish()
                     return
@@ -476,6 +471,8 @@
             self.flows.add(flow)
             if len(self.flows) == 1:
                 self.started.wake()
+            if x.keys:
+                place.turn(x.keys[-1], w.id, x.terms, x.pool.cap)
             x.ran_before, x.ran = x.ran, True  # until the worker says that it did not
             x.req.registerProducer(flow, True)
             line.start(raw + x.raw, flow)
--- a/iriswheel/loads.py
+++ b/iriswheel/loads.py
@@ -16,7 +16,7 @@
 OLD_US = 2 * machine.SECOND  # another core's sums count no longer without a word of it
 HEAVY = 2_000  # tokens: a change by more is told at once
 ILL = 20  # percent of suspicion, likewise
-NONE = (0, 0, 0, 0)
+NONE = (0, 0, 0)
 
 log = loguru.logger.bind(part="loads")
 
@@ -24,8 +24,8 @@
 def rows(table, keys):
     """The rows of a table for some keys, as they travel.
 
-    >>> rows({("p", "w1"): (1, 60, 0, 0)}, {("p", "w1"), ("p", "w2")})
-    {'p': [('w1', 1, 60, 0, 0), ('w2', 0, 0, 0, 0)]}
+    >>> rows({("p", "w1"): (1, 60, 0)}, {("p", "w1"), ("p", "w2")})
+    {'p': [('w1', 1, 60, 0), ('w2', 0, 0, 0)]}
     """
     out = {}
     for pool, name in sorted(keys):
@@ -63,8 +63,8 @@
 def update(table, m):
     """Bring a table up to date by a message; the keys that changed.
 
-    >>> t = {}; update(t, message.Loads("n1", True, {"p": [("w1", 1, 60, 0, 0)]})), t
-    ({('p', 'w1')}, {('p', 'w1'): (1, 60, 0, 0)})
+    >>> t = {}; update(t, message.Loads("n1", True, {"p": [("w1", 1, 60, 0)]})), t
+    ({('p', 'w1')}, {('p', 'w1'): (1, 60, 0)})
     """
     said = {(pool, name): tuple(vals) for pool, some in m.rows.items() for name, *vals in some}
     new = said if m.whole else {**table, **said}
@@ -138,11 +138,11 @@
     def take(self, m):
         """Take the others' sums.
 
-        Example: `side.take(message.Loads("c0ffee", True, {"desk": [("w1", 3, 900, 0, 0)]}))`
+        Example: `side.take(message.Loads("c0ffee", True, {"desk": [("w1", 3, 900, 0)]}))`
         """
-        carrier = self.node.door.carrier
-        for pool in dict.fromkeys([*m.rows, *(carrier.places if m.whole else ())]):
-            carrier.place(pool).take(m.rows.get(pool, []), m.whole)
+        for pool, place in self.node.door.carrier.places.items():
+            if m.whole or pool in m.rows:
+                place.take(m.rows.get(pool, []), m.whole)
 
 
 class CoreSide:
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -498,8 +498,8 @@
 
 
 class Loads(Message):
-    """Load in flight, by pool: rows of a worker, exchanges running there, prompt tokens not read yet,
-    the suspicion of it in percent, and the reserved cost of open sessions.
+    """Load in flight, by pool: rows of a worker, exchanges running there, prompt tokens not read yet, and
+    the suspicion of it in percent.
 
     From a node to its core: its own. Between cores: the sum of a core's nodes. From a core to a
     node: the sum of all other nodes. Only what changed, unless `whole`.
@@ -507,7 +507,7 @@
 
     sender: str
     whole: bool
-    rows: dict[str, list[tuple[str, int, int, int, int]]]
+    rows: dict[str, list[tuple[str, int, int, int]]]
 
 
 class Probe(Message):
@@ -537,66 +537,6 @@
     token: str  # for one exchange at its door; "" where it can't
 
 
-TRIAL, OPEN, MOVED = range(3)
-
-
-class Turns(Message):
-    """What a node tells the holders of conversations that it carried: rows of the session's key, its
-    worker, the latest turn's age in ms, and what it was: TRIAL (a first turn), OPEN (of an open session)
-    or MOVED (its worker failed, and another one took it).
-    """
-
-    pool: str
-    lifetime_us: int
-    cost: int
-    cap: int
-    rows: list[tuple[bytes, str, int, int]]
-
-
-class Turn(Message):
-    """Ask a session's holder where its next turn goes. `worker` is where the asking node saw the turn
-    before go, `others` are further ones that the session may be opened at."""
-
-    pool: str
-    key: bytes
-    worker: str
-    others: list[str]
-    lifetime_us: int
-    cost: int
-    cap: int  # of the pool: a holder's own slice of the blueprint need not have it
-
-
-class Turned(Message):
-    """Where the turn goes, "" where the asking node is to choose; whether the session is open there;
-    whether this is a further turn of a conversation at all."""
-
-    worker: str
-    open: bool
-    known: bool
-
-
-class Reserve(Message):
-    """A session's holder asks a worker's holder for a place there, for so long."""
-
-    pool: str
-    worker: str
-    key: bytes
-    left_us: int
-    cap: int
-
-
-class Reserved(Message):
-    state: str  # "yes", "full", or "later": that can't be said now
-
-
-class Places(Message):
-    """What a session's holder tells a worker's: rows of worker, key, and how long the session lasts yet
-    in ms; 0 where it is closed."""
-
-    pool: str
-    rows: list[tuple[str, bytes, int]]
-
-
 class HowGoes(Message):
     """A node that has lost the core asks its neighbours how they fare.
 
@@ -620,10 +560,9 @@
 
 
 class Hello(Message):
-    """The first message on a link, both ways; on a silent one nobody pings."""
+    """The first message on a link, both ways."""
 
     version: int
-    silent: bool = False
 
 
 class Ping(Message):
@@ -636,6 +575,5 @@
     Frame, Change, News, Alive, Listing, Seated, Leave, Elect, Granted, Denied, Done, Running,
     Gather, Gathered, Copy, Copied, Unpin, Spread, HowGoes, Goes, Ping, Entry, Roster, Hello,
     Contested, Early, Heard, Same, Relist, Loads,
-    Turns, Turn, Turned, Reserve, Reserved, Places,
     Probe, Probed, Dark, Pass, Passed, Forbid, Forbidden,
 ]
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -7,7 +7,6 @@
 
 import iriswheel.door as door
 import iriswheel.follower as follower
-import iriswheel.holder as holder
 import iriswheel.loads as loads
 import iriswheel.machine as machine
 import iriswheel.message as message
@@ -42,7 +41,6 @@
         self.sender = sender.Sender(mach, self.reach.hear)
         self.follower = follower.Follower(self, options)
         self.door = door.Door(self)
-        self.holder = holder.Holder(self)
         self.loads = loads.NodeSide(self)
         self.wardens = {}  # pool -> Warden, where the duty is here
         self.shelves = {}  # pool -> Shelf, copies of others' records
@@ -60,10 +58,9 @@
         """
         o = self.options
         self.me = message.Member(f"{o.name}-{self.mach.boot}", o.name, o.zone, o.host, port, http)
-        self.holder.renew()
         for coro in (self.follower.follow(), self.follower.watch(), self.follower.list(), self.tell_running(),
                      self.door.look_for_hangs(), self.reach.walk(), self.door.carrier.look(),
-                     self.loads.run(), self.holder.run()):
+                     self.loads.run()):
             self.mach.spawn(coro, log)
         log.info("Node {} starts in zone {}.", self.me.id, o.zone)
 
@@ -110,7 +107,7 @@
             "routes": sorted(fol.routes), "pools": sorted(fol.pools),
             "duties": message.plain(fol.roster.duties),
             "wardens": [w.state() for _, w in sorted(self.wardens.items())],
-            "carrier": self.door.carrier.state(), "holder": self.holder.state(), "open": self.door.open, "counts": self.door.counts, "refused": self.door.refused,
+            "carrier": self.door.carrier.state(), "open": self.door.open, "counts": self.door.counts, "refused": self.door.refused,
         }
 
     # ---- controllers -----------------------------------------------------------------
@@ -138,7 +135,6 @@
         for w in list(self.wardens.values()):
             w.check_workers()
         self.neighbours.keep({(m.host, m.port) for m in fol.roster.members})
-        self.holder.renew()
 
     def shelf(self, pool):
         """The copies kept here of a pool's records.
@@ -239,9 +235,6 @@
             case message.Unpin(pool=pool, sessions=idents):
                 for ident in idents:
                     self.door.pins.pop((pool, ident), None)
-                self.holder.unpin(pool, idents)
-            case message.Turns() | message.Turn() | message.Reserve() | message.Places():
-                return self.holder.serve(link, msg)
             case message.Probe(worker=w):
                 return self.reach.probe(w)
             case message.Dark(worker=w):
--- a/iriswheel/options.py
+++ b/iriswheel/options.py
@@ -75,7 +75,6 @@
     seats: int = 3
     found: bool = True
     serve_on: bool = False
-    spread_sessions: bool = True  # whether sessions have holders among all nodes, or each node keeps its own
     call_rate: float = 40.0
     drain_us: int = 0  # of a worker, where the platform's list doesn't say
     hold_us: int = 0  # how long a gone worker's address is kept from another pool's use
--- a/iriswheel/placement.py
+++ b/iriswheel/placement.py
@@ -19,6 +19,7 @@
 STEP_US = 6_000  # a step of a worker's batch
 SLOT_US = 60  # what one more running exchange costs a new one, in time to its first event
 TURN_US = 700 * machine.MILLI  # how long an exchange holds its place in a full batch
+TRIALS = 16_384  # first turns remembered
 RANKS = 1_024  # rankings remembered
 KEPT = 512  # parts remembered per worker
 LONG = 4_000  # tokens of a prompt, shared parts and all, from which on it is long
@@ -35,7 +36,7 @@
 MUTE_US = 700 * machine.MILLI  # a worker with sends under way that says nothing for so long
 COST = 100  # an open session's cost that counts like one exchange
 
-NONE = (0, 0, 0, 0)
+NONE = (0, 0, 0)
 
 log = loguru.logger.bind(part="place")
 
@@ -99,16 +100,17 @@
     Example: `p = Placement(mach, "desk")`; `name = p.pick(x, workers, pool)`; `p.begin(...)`.
     """
 
-    def __init__(self, mach, pool, book=None):
+    def __init__(self, mach, pool):
         self.mach = mach
         self.pool = pool
-        self.book = session.Book() if book is None else book  # the open sessions held here
         self.workers = {}  # id -> Worker
-        self.others = {}  # id -> (running, unread, suspicion in percent, reserved cost) of all other nodes
+        self.others = {}  # id -> (running, unread, suspicion in percent) of all other nodes together
         self.base_us, self.dev_us = 60_000.0, 30_000.0  # of first events of short prompts, beyond what was expected
         self.others_at = 0
         self.told_heavy = lambda: None  # called when a send changes a worker's load by much
         self.told_some = lambda: None  # called when anything changes
+        self.book = session.Book()
+        self.trials = collections.OrderedDict()  # last part's key -> (worker, until): may yet be a session
         self.ranks = collections.OrderedDict()  # key -> workers by weight
 
     def at(self, name):
@@ -140,7 +142,7 @@
         """What all other nodes together say of a worker, unless that is old.
 
         >>> Placement(machine.Machine(None, now=lambda: 0), "p").of_others("w1", 0)
-        (0, 0, 0, 0)
+        (0, 0, 0)
         """
         return self.others.get(name, NONE) if now - self.others_at < OLD_US else NONE
 
@@ -191,7 +193,7 @@
         Example: `us = placement.wait_us("w1", pool, now)`
         """
         w = self.at(name)
-        running, unread, *_ = self.of_others(name, now)
+        running, unread, _ = self.of_others(name, now)
         running += w.running
         unread += w.unread
         batch = pool.batch or BATCH
@@ -255,33 +257,25 @@
         w = self.workers.get(name)
         return w is not None and bool(w.running) and now - max(w.asked, w.heard) > MUTE_US
 
-    def cost(self, name):
-        """The reserved cost of all open sessions at a worker, those that others hold included.
-
-        What others said of it stands until they say something else: sessions last.
-
-        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); _ = p.book.open("s", "w1", 0, 60, 100)
-        >>> p.take([("w1", 0, 0, 0, 200)], True); p.cost("w1")
-        300
-        """
-        return self.book.load(name) + self.others.get(name, NONE)[3]
-
-    def pick(self, ask, keys, own, ready, pool, shun, home=""):
+    def pick(self, ask, keys, own, ready, pool, shun):
         """The worker for an exchange, or "" where there is none; (name, time it waits there).
 
-        `home` is the worker that its conversation is at, where there is one.
-
         Example: `name, us = placement.pick(ask, keys, 291, ["w1", "w2"], pool, set())`
         """
         now = self.mach.now()
         names = tuple(ready)
-        if home in ready and home not in shun:
-            return home, self.wait_us(home, pool, now)
+        r = self.book.pinned(keys[-1]) if keys else None
+        if r is not None and r.worker in ready and r.worker not in shun:
+            return r.worker, self.wait_us(r.worker, pool, now)
         fit = [n for n in names if n not in shun]
         well = [n for n in fit if not self.sick(n, now)]
         fit = well if 2 * len(well) >= len(fit) else fit  # where most look ill, it is not they
         if not fit:
             return "", 0
+        if keys:
+            worker, until = self.trials.get(keys[-1], ("", 0))
+            if worker in fit and until > now:
+                return worker, self.wait_us(worker, pool, now)  # a second turn: its prefix is held there
         best, least = "", None
         spared = self.spared(names)
         long = own + sum(size for key, size in zip(keys[:-1], ask.sizes)) >= LONG
@@ -291,7 +285,7 @@
         for n in fit:
             wait = self.wait_us(n, pool, now)
             us = wait + self.read_us(n, keys[:-1], ask.sizes[:-1], own, names)
-            us += self.cost(n) * SLOT_US // COST
+            us += self.book.load(n) * SLOT_US // COST  # reserved cost of open sessions
             us += int(self.ill(n, now) * ILL_US)
             us += self.mach.rng.randrange(JITTER_US)
             if least is None or us < least:
@@ -349,34 +343,66 @@
         self.told_some()
         w.unread -= tokens
 
+    # ---- sessions ---------------------------------------------------------------------
+
+    def turn(self, key, name, terms, cap):
+        """Note a turn: the second one with the same last part opens a session, if the cap allows.
+
+        Nobody says whether a prompt's last part is a conversation's or one exchange's own, and a
+        record for each of the latter would fill every cap. So the first turn leaves a trial, which
+        counts for nothing but placement.
+
+        Example: `placement.turn(keys[-1], "w1", terms, pool.cap)`
+        """
+        now = self.mach.now()
+        r = self.book.pinned(key)
+        if r is not None and r.worker != name:
+            self.book.close(key)
+            r = None
+        if r is not None:
+            r.lifetime_us, r.cost = terms.lifetime_us, terms.cost
+            self.book.extend(r, now)
+            return
+        worker, until = self.trials.pop(key, ("", 0))
+        if until > now and (not cap or self.book.count(name) < cap):
+            self.book.open(key, name, now, terms.lifetime_us, terms.cost)
+            return
+        self.trials[key] = (name, now + terms.lifetime_us)
+        if len(self.trials) > TRIALS:
+            self.trials.popitem(last=False)
+
     def sweep(self, ready):
-        """Forget workers that are ready no more.
+        """Close sessions past their lease, and those of workers that are ready no more.
 
         >>> Placement(machine.Machine(None, now=lambda: 0), "p").sweep({"w1"})
         """
+        now = self.mach.now()
+        self.book.sweep(now)
+        for name in [n for n in self.book.at if n not in ready]:
+            self.book.evict(name)
+        while self.trials and next(iter(self.trials.values()))[1] < now:
+            self.trials.popitem(last=False)
         for name in [n for n, w in self.workers.items() if n not in ready and not w.running]:
             del self.workers[name]
 
     def told(self):
-        """This node's own load, for the load exchange: rows of worker, running, unread tokens, suspicion, and
-        the cost of the sessions held here.
+        """This node's own load, for the load exchange: rows of worker, running, unread tokens, suspicion.
 
         Suspicion travels in steps of ten percent, so that its fading is not news all the time.
 
         >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.blame("w1", 0.5); p.told()
-        [('w1', 0, 0, 50, 0)]
+        [('w1', 0, 0, 50)]
         """
-        now, rows = self.mach.now(), []
-        for n in sorted(self.workers.keys() | self.book.at.keys()):
-            w = self.workers.get(n) or Worker()
-            rows.append((n, w.running, max(0, w.unread), int(self.own_ill(n, now) * 10) * 10, self.book.load(n)))
-        return [r for r in rows if r[1] or r[3] or r[4]]
+        now = self.mach.now()
+        rows = [(n, w.running, max(0, w.unread), int(self.own_ill(n, now) * 10) * 10)
+                for n, w in sorted(self.workers.items())]
+        return [r for r in rows if r[1] or r[3]]
 
     def take(self, rows, whole):
         """Take the other nodes' sums: all of them, or what changed.
 
-        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.take([("w1", 3, 900, 0, 0)], True); p.others["w1"]
-        (3, 900, 0, 0)
+        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); p.take([("w1", 3, 900, 0)], True); p.others["w1"]
+        (3, 900, 0)
         """
         if whole:
             self.others = {}
@@ -389,7 +415,10 @@
     def state(self):
         """What this placement shows of itself.
 
-        >>> Placement(machine.Machine(None, now=lambda: 0), "p").state()["running"]
+        >>> Placement(machine.Machine(None, now=lambda: 0), "p").state()["sessions"]
         {}
         """
-        return {"pool": self.pool, "running": {n: w.running for n, w in sorted(self.workers.items())}}
+        return {
+            "pool": self.pool, "sessions": {w: len(rs) for w, rs in sorted(self.book.at.items()) if rs},
+            "trials": len(self.trials), "running": {n: w.running for n, w in sorted(self.workers.items())},
+        }
--- a/iriswheel/replay.py
+++ b/iriswheel/replay.py
@@ -15,7 +15,6 @@
 WAY_US = 500_000  # from a node's last look to the arrival at a worker, over a slow link too
 LIFE_SLACK_US = 2_000_000
 SWEEP_US = 5_000_000
-TELL_US = 400_000  # nodes tell each other of turns a few times a second
 BACK_US = 12_000_000
 WINDOW_US = 10_000_000
 LONG_FIRST_US = 1_000_000
@@ -106,7 +105,7 @@
     def __init__(self, rows):
         self.rows = rows
         self.looked = collections.Counter()  # checker -> rows that it judged
-        self.talks = self.demand = self.wholes = None  # made when first asked for
+        self.talks = self.demand = None  # made when first asked for
         self.kinds = collections.defaultdict(list)
         for r in rows:
             self.kinds[r["kind"]].append(r)
@@ -427,46 +426,6 @@
     return log.talks
 
 
-def by_nodes(log, pool, a, b):
-    """Whether the workers of a pool are elected at the nodes, by some blueprint between two times.
-
-    >>> by_nodes(Log([]), "desk", 0, 5)
-    False
-    """
-    return any(doc["pools"].get(pool, {}).get("election") == "node" for doc in log.forced(a, b))
-
-
-def turns(log, name, runs):
-    """Pairs of a conversation's turns, one after the other.
-
-    Where workers are elected at the nodes, a turn is one that comes after a whole answer, and not within
-    the moment that nodes need to tell each other: what is sent before is another exchange with the same
-    parts. A node that is cut off or frozen at the time can't ask the others, and two nodes know what is not
-    carried here: if both are gone at once, nobody answers.
-    """
-    if not by_nodes(log, name[0], runs[0]["at"], runs[-1]["at"]):
-        yield from zip(runs, runs[1:])
-        return
-    if log.wholes is None:
-        log.wholes = {(r["exchange"], r["send"]): r["at"] for r in log.of("whole")}
-    later = set()
-    for k, b in enumerate(runs):
-        sent = log.sent.get((b["exchange"], b["send"]), b)["at"]
-        done = [(log.wholes.get((a["exchange"], a["send"]), NEVER), i) for i, a in enumerate(runs[:k])]
-        done = [(i in later, at, i) for at, i in done if at + TELL_US <= sent]
-        if not done:
-            continue  # of several first turns at once, either may be the one that counts
-        later.add(k)
-        last = max(done)
-        like = [i for is_later, _, i in done if not is_later and runs[i]["worker"] == b["worker"]]
-        a = runs[last[2] if last[0] or not like else like[-1]]
-        nodes = [(r["at"], log.sent.get((r["exchange"], r["send"]), r).get("node")) for r in (a, b)]
-        down = [f for f in log.faults if f.role in ("node", "all") and f.during(a["at"], b["at"], REJOIN_US)]
-        alone = any(f.addr == node and f.during(at, at, REJOIN_US) for f in down for at, node in nodes)
-        if not alone and sum(2 if f.role == "all" else 1 for f in down) < 2:
-            yield a, b
-
-
 def spans(log, field, default, a, b):
     """The values that a field of any terms may have between two times.
 
@@ -485,7 +444,7 @@
     """
     ends = [f.at for f in log.faults if f.what.split()[0] in ("kill", "power") and f.role != "worker"]
     for name, runs in sorted(talks(log).items(), key=str):
-        for a, b in turns(log, name, runs):
+        for a, b in zip(runs, runs[1:]):
             life = spans(log, "lifetime_us", 60 * SECOND, a["at"], b["at"])[0]
             if b["at"] - a["at"] > life - LIFE_SLACK_US:
                 continue
--- a/iriswheel/session.py
+++ b/iriswheel/session.py
@@ -20,7 +20,7 @@
     0
     """
 
-    __slots__ = ("id", "worker", "expires", "lifetime_us", "cost", "stamp", "turns", "pending", "opened_by", "by")
+    __slots__ = ("id", "worker", "expires", "lifetime_us", "cost", "stamp", "turns", "pending", "opened_by")
 
     def __init__(self, ident, worker, expires, lifetime_us, cost, stamp=1):
         self.id = ident
@@ -32,7 +32,6 @@
         self.turns = 0  # turns in flight
         self.opened_by = ""  # the ask of its first turn, until that reached the worker
         self.pending = False  # until copies of its opening stand
-        self.by = ()  # the links of the nodes that carried it, the latest first, where these elect its worker
 
 
 def derive(parts, session_part):
--- a/iriswheel/wire.py
+++ b/iriswheel/wire.py
@@ -1,8 +1,7 @@
 """Links between iriswheel's own processes: framed msgspec messages over TCP.
 
 A link carries tells (no answer) and calls (one answer each). Each link pings when
-it is quiet, and breaks itself off when nothing has been heard for a while; but for those
-that were opened as silent ones, which cost nothing while nobody says anything.
+it is quiet, and breaks itself off when nothing has been heard for a while.
 """
 
 import inspect
@@ -61,12 +60,10 @@
 
     MAX_LENGTH = 1 << 25
 
-    def __init__(self, mach, serve, log, silent=False):
+    def __init__(self, mach, serve, log):
         self.mach = mach
         self.serve = serve
         self.log = log
-        self.silent = silent  # no pings; whoever uses it learns elsewhere that the far side is gone
-        self.beat = None
         self.seq = 0
         self.pending = {}
         self.lost = machine.Signal()
@@ -84,9 +81,8 @@
         self.heard = self.said = self.mach.now()
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
-        if not self.silent:
-            self.beat = self.mach.later(PING_US, self._ping)
-        self._send(TELL, 0, message.Hello(self.mach.version, self.silent))
+        self.beat = self.mach.later(PING_US, self._ping)
+        self._send(TELL, 0, message.Hello(self.mach.version))
 
     def pauseProducing(self):
         self.full = True
@@ -148,11 +144,8 @@
         match parcel:
             case Parcel(kind=0, msg=message.Ping()):
                 pass
-            case Parcel(kind=0, msg=message.Hello(version=version, silent=silent)):
+            case Parcel(kind=0, msg=message.Hello(version=version)):
                 self.version = version
-                if silent and not self.silent:
-                    self.silent = True
-                    self.beat.cancel()
                 if abs(version - self.mach.version) > 1:
                     self.log.error("A neighbour speaks version {} of our messages, this process {}: refused.",
                                    version, self.mach.version)
@@ -190,7 +183,7 @@
 
     def connectionLost(self, reason=protocol.connectionDone):
         self.up = False
-        if self.beat is not None and self.beat.active():
+        if self.beat.active():
             self.beat.cancel()
         pending, self.pending = self.pending, {}
         for d in pending.values():
@@ -208,22 +201,21 @@
 
     noisy = False
 
-    def __init__(self, mach, serve, log, silent=False):
+    def __init__(self, mach, serve, log):
         self.mach = mach
         self.serve = serve
         self.log = log
-        self.silent = silent
 
     def buildProtocol(self, addr):
-        return Link(self.mach, self.serve, self.log, self.silent)
+        return Link(self.mach, self.serve, self.log)
 
 
-async def connect(mach, host, port, serve, log, silent=False):
+async def connect(mach, host, port, serve, log):
     """Open a link to an address; raises Broken(sent=False) where nobody answers.
 
     Example: `link = await connect(mach, "127.0.0.1", 7001, serve, log)`
     """
-    factory = Listener(mach, serve, log, silent)
+    factory = Listener(mach, serve, log)
     point = endpoints.TCP4ClientEndpoint(mach.reactor, host, port, timeout=CONNECT_US / machine.SECOND)
     try:
         return await point.connect(factory)
@@ -240,11 +232,10 @@
     {}
     """
 
-    def __init__(self, mach, serve, log, silent=False):
+    def __init__(self, mach, serve, log):
         self.mach = mach
         self.serve = serve
         self.log = log or loguru.logger
-        self.silent = silent
         self.links = {}
         self.opening = {}
 
@@ -266,8 +257,7 @@
             return link
         sig = self.opening[key] = machine.Signal()
         try:
-            link = self.links[key] = await connect(
-                self.mach, host, port, self.serve, self.log, self.silent)
+            link = self.links[key] = await connect(self.mach, host, port, self.serve, self.log)
         finally:
             del self.opening[key]
             sig.wake()
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -15,7 +15,6 @@
 import iriswheel.budget as budget
 import iriswheel.carry as carry
 import iriswheel.door as door
-import iriswheel.holder as holder
 import iriswheel.machine as machine
 import iriswheel.message as message
 import iriswheel.web as web
@@ -36,12 +35,7 @@
         self.node = types.SimpleNamespace(
             mach=self.mach, outer=site.formats.Formats(), follower=self.fol, stopping=False, left=False,
             loads=types.SimpleNamespace(soon=machine.Signal(), touch=lambda: None), door=types.SimpleNamespace(tally=lambda x: self.tally))
-        self.fol.roster = message.Roster((0, 0), [], [], [], [])
-        self.node.options = types.SimpleNamespace(spread_sessions=True)
-        self.node.me, self.node.serve = types.SimpleNamespace(id="n1"), lambda link, msg: None
-        self.node.holder = holder.Holder(self.node)
-        self.node.holder.renew()
-        self.carrier = self.node.door.carrier = carry.Carrier(self.node)
+        self.carrier = carry.Carrier(self.node)
         proc.reactor.listenTCP(80, web.Server(self.mach, self.handle, formats=self.node.outer))
         self.mach.spawn(self.carrier.look(), None)
         self.near = sim.Proc(self.world, "near", sim.Machine(self.world, "10.9.0.1", "a"))
