--- a/iriswheel/door.py
+++ b/iriswheel/door.py
@@ -21,9 +21,6 @@
 HANG_US = 1 * machine.SECOND  # nothing came on a send for so long
 GIVEN_UP_US = 10 * machine.SECOND  # how long wardens are told of an ask that was given up
 PASS_US = 700 * machine.MILLI
-NEW_US = 2 * machine.SECOND  # a process is new for so long
-KNOW_US = 300 * machine.MILLI  # who comes to a new one is kept for so long, until it knows enough to serve
-SOON_US = 250 * machine.MILLI
 
 log = loguru.logger.bind(part="door")
 
@@ -156,10 +153,6 @@
         """
         self.count += 1
         x = Exchange(req, f"{self.node.me.id}-{self.count}/0", self.mach.now())
-        await self.know(x)
-        if req.gone:
-            self.counts["gone"] += 1
-            return
         for f in self.filters:
             f(x)
         if x.pool.election == "node":
@@ -170,18 +163,6 @@
             raise verdict.Defect("busy", "This node holds as many exchanges as it can.")
         await x.done
 
-    async def know(self, x):
-        """Wait a moment where this process has only just started and has no blueprint or workers yet.
-
-        After a loss of power many requesters wait at a node's port; it hears what it needs some
-        hundredths of a second after it has begun to listen.
-
-        Example: `await door.know(x)`
-        """
-        fol, until = self.node.follower, min(x.arrived + KNOW_US, self.began + NEW_US)
-        while (fol.items is None or not fol.worker_news()) and not x.req.gone and (left := until - self.mach.now()) > 0:
-            await self.mach.pause(fol.known, left)
-
     # ---- filters -------------------------------------------------------------------
 
     def parse(self, x):
@@ -206,7 +187,7 @@
         """
         fol = self.node.follower
         if fol.items is None:
-            raise verdict.Defect("not_ready", "This node has no blueprint yet.", retry_us=SOON_US)
+            raise verdict.Defect("not_ready", "This node has no blueprint yet.")
         x.route = fol.find(x.said.host, x.req.path.decode("latin-1"))
         if x.route is None and (fol.stale() or not fol.settled()):
             raise verdict.Defect("not_ready", "This node is cut off for now.", self.known(x))
--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -63,7 +63,6 @@
         self.items = None  # the slice, as it came
         self.early = None  # how far the disk's state reached that this node goes by for now
         self.list_now = machine.Signal()
-        self.known = machine.Signal()  # a blueprint or workers came
         self.routes = {}
         self.pools = {}
         self.terms = {}
@@ -251,7 +250,6 @@
                     self.limits = item or blueprint.Limits()
         self.tell_core(message.Alive(self.place, self.roster.stamp))
         self.node.on_news()
-        self.known.wake()
 
     def put_route(self, name, route):
         """Put a route into the index, or take it out with None.
@@ -363,7 +361,6 @@
                 else:
                     self.drains.setdefault(ident, self.mach.now() + w.drain_us)
             self.node.on_news()
-        self.known.wake()
 
     # ---- tasks -----------------------------------------------------------------------
 
