--- a/iriswheel/carry.py
+++ b/iriswheel/carry.py
@@ -64,7 +64,6 @@
         self.done = defer.Deferred(lambda _: self.stop())
         self.began = self.last = self.mach.now()
         self.expected = 0  # how long its first event was expected to take
-        self.waiting = 0  # of that, before its prompt's turn
         self.blamed = False
         self.paused = False  # while the requester reads too slowly
         self.tokens = 0  # of the prompt, not read yet as far as is known
@@ -111,7 +110,6 @@
             self.seen = True
             self.x.placement.first(self.worker, self.tokens, self.last - self.began, self.expected)
             self.tokens = 0
-            self.carrier.told_first(self.x, self.worker, self.began, self.waiting)
         if self.x.resume:
             data, self.rest = whole_events(self.rest + data)
             if not data:
@@ -268,7 +266,6 @@
         self.outer = node.outer
         self.lines = client.Lines(node.mach)
         self.places = {}  # pool -> placement.Placement
-        self.told_first = lambda x, worker, sent, waiting: None  # called at the first event of a send
         self.flows = set()
         self.started = machine.Signal()
         self.counts = {"sends": 0, "whole": 0, "resumed": 0, "again": 0, "broke": 0, "unrun": 0, "unreached": 0,
@@ -374,8 +371,7 @@
         """
         unreached = 0
         while True:
-            name, wait = x.placement.pick(x.ask, x.keys, x.own, self.ready(x.pool_name), x.pool, x.shun,
-                                           x.route.host + x.route.path)
+            name, wait = x.placement.pick(x.ask, x.keys, x.own, self.ready(x.pool_name), x.pool, x.shun)
             now = self.mach.now()
             if not name:
                 raise self.give_up(x, "no_worker", "No worker can be reached now.")
@@ -452,7 +448,7 @@
         """
         place = x.placement
         flow = Flow(self, x, w.id)
-        flow.expected = flow.waiting = place.wait_us(w.id, x.pool, self.mach.now())
+        flow.expected = place.wait_us(w.id, x.pool, self.mach.now())
         flow.tokens = place.begin(w.id, x.keys, x.ask.sizes, x.loose)
         flow.expected += flow.tokens * 1000 // placement.READ_RATE
         late = None
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -6,7 +6,6 @@
 
 import iriswheel.blueprint as blueprint
 import iriswheel.chain as chain
-import iriswheel.eviction as eviction
 import iriswheel.loads as loads
 import iriswheel.machine as machine
 import iriswheel.message as message
@@ -224,7 +223,6 @@
         self.spread = None  # the stamp of the roster last spread from here
         self.stopping = False
         self.loads = loads.CoreSide(self)
-        self.evictions = eviction.CoreSide(self)
 
     def start(self):
         """Start all tasks.
@@ -234,7 +232,7 @@
         for coro in (
             self.disk.watch(), self.council.pulse_all(), self.council.renew(),
             self.council.mend(), self.report(), self.beat(), self.issue(), self.keep_shelves(),
-            self.loads.run(), self.evictions.run(),
+            self.loads.run(),
         ):
             self.mach.spawn(coro, log)
         if self.council.view is not None:
@@ -331,8 +329,6 @@
                     self.report_now.wake()
             case message.Loads():
                 self.loads.take(link, msg)
-            case message.Readings():
-                self.evictions.take(msg)
             case message.Listing():
                 if self.listing is None or msg.stamp > self.listing.stamp:
                     self.listing = msg
@@ -605,7 +601,7 @@
             "disk_ok": self.disk.ok, "sessions": sorted(p.member.name for p in self.posts.values()),
             "fed_bytes": {p.member.name: p.link.sent_bytes for p in self.posts.values()},
             "roster": message.plain(self.issuer.latest),
-            "counts": self.counts, "evictions": self.evictions.state(),
+            "counts": self.counts,
         }
 
     async def ask_link(self, k, make, us=ANSWER_US):
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -9,7 +9,7 @@
 import msgspec
 
 
-VERSION = 4  # of these messages; a process talks to those of its own and of the two beside it
+VERSION = 3  # of these messages; a process talks to those of its own and of the two beside it
 
 
 class Message(msgspec.Struct, tag=True, array_like=True, frozen=True):
@@ -105,13 +105,6 @@
     seated: bool = False
 
 
-class Partition(Message):
-    """A pool's workers that take the long prompts of some routes, which are mostly one-off."""
-
-    workers: list[str]
-    routes: list[str]  # host and path
-
-
 class Roster(Message):
     """The soft state that the tail issues, stamped by view and count."""
 
@@ -121,7 +114,6 @@
     duties: list[Duty]
     cores: list[Seat]
     listed: tuple[int, int, int] = (0, 0, 0)
-    partitions: dict[str, Partition] = {}  # pool -> where its one-off prompts go, while they evict shared parts
 
 
 class Session(Message):
@@ -518,19 +510,6 @@
     rows: dict[str, list[tuple[str, int, int, int]]]
 
 
-class Readings(Message):
-    """What nodes saw of long prompts in a pool, on its way to the tail.
-
-    `rows`: worker, key of the shared parts, route, tokens of these, whether they were read (else found), and
-    how many ms ago the prompt was sent and its first event came. `volume`: worker, route, tokens of the prompts' own
-    parts, and of the shared ones.
-    """
-
-    pool: str
-    rows: list[tuple[str, bytes, str, int, bool, int, int]]
-    volume: list[tuple[str, str, int, int]]
-
-
 class Probe(Message):
     """A warden asks for a witness: does this worker answer you?"""
 
@@ -595,6 +574,6 @@
     Refill, Append, Stored, Propose, Proposed, Look, Seen, Sessions, Beat, Join, Elsewhere,
     Frame, Change, News, Alive, Listing, Seated, Leave, Elect, Granted, Denied, Done, Running,
     Gather, Gathered, Copy, Copied, Unpin, Spread, HowGoes, Goes, Ping, Entry, Roster, Hello,
-    Contested, Early, Heard, Same, Relist, Loads, Readings,
+    Contested, Early, Heard, Same, Relist, Loads,
     Probe, Probed, Dark, Pass, Passed, Forbid, Forbidden,
 ]
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -6,7 +6,6 @@
 import twisted.internet.defer as defer
 
 import iriswheel.door as door
-import iriswheel.eviction as eviction
 import iriswheel.follower as follower
 import iriswheel.loads as loads
 import iriswheel.machine as machine
@@ -43,8 +42,6 @@
         self.follower = follower.Follower(self, options)
         self.door = door.Door(self)
         self.loads = loads.NodeSide(self)
-        self.evictions = eviction.NodeSide(self)
-        self.door.carrier.told_first = self.evictions.first
         self.wardens = {}  # pool -> Warden, where the duty is here
         self.shelves = {}  # pool -> Shelf, copies of others' records
         self.grants = {}  # ask -> Grant, of sends under way here
@@ -63,7 +60,7 @@
         self.me = message.Member(f"{o.name}-{self.mach.boot}", o.name, o.zone, o.host, port, http)
         for coro in (self.follower.follow(), self.follower.watch(), self.follower.list(), self.tell_running(),
                      self.door.look_for_hangs(), self.reach.walk(), self.door.carrier.look(),
-                     self.loads.run(), self.evictions.run()):
+                     self.loads.run()):
             self.mach.spawn(coro, log)
         log.info("Node {} starts in zone {}.", self.me.id, o.zone)
 
@@ -110,7 +107,7 @@
             "routes": sorted(fol.routes), "pools": sorted(fol.pools),
             "duties": message.plain(fol.roster.duties),
             "wardens": [w.state() for _, w in sorted(self.wardens.items())],
-            "carrier": self.door.carrier.state(), "cache": dict(self.evictions.counts), "open": self.door.open, "counts": self.door.counts, "refused": self.door.refused,
+            "carrier": self.door.carrier.state(), "open": self.door.open, "counts": self.door.counts, "refused": self.door.refused,
         }
 
     # ---- controllers -----------------------------------------------------------------
@@ -137,7 +134,6 @@
                 self.mach.spawn(w.run(), log)
         for w in list(self.wardens.values()):
             w.check_workers()
-        self.evictions.part()
         self.neighbours.keep({(m.host, m.port) for m in fol.roster.members})
 
     def shelf(self, pool):
--- a/iriswheel/placement.py
+++ b/iriswheel/placement.py
@@ -26,7 +26,6 @@
 SPARED = 0.34  # of the workers read no long prompts
 HEAVY = 2_000  # tokens to read from which on all other nodes are told at once
 AGAIN = 15  # reading a shared part anew counts so many times its time: others wait, and parts give way
-EVICTS = 2  # a token of a scan that evicts a shared one counts so many times its reading
 JITTER_US = 3_000  # workers nearer than this are alike
 OLD_US = 1_500 * machine.MILLI  # others' sums older than this count for nothing
 ILL_HALF_US = 2 * machine.SECOND  # suspicion of a worker halves in so long
@@ -95,27 +94,6 @@
     return hashlib.blake2b(worker.encode(), digest_size=8, key=key).digest()
 
 
-def rank(key, names):
-    """The workers by weight for a key, the heaviest first.
-
-    >>> sorted(rank(b"k", ("w1", "w2")))
-    ['w1', 'w2']
-    """
-    return sorted(names, key=lambda n: weigh(key, n), reverse=True)
-
-
-def readers(names, rank=rank):
-    """The workers that read long prompts; the same on every node.
-
-    While many shared parts are read for the first time, long prompts would fill every worker,
-    and all short ones, which are many more, would wait behind them.
-
-    >>> len(readers(tuple("abcdef"))), len(readers(("a", "b")))
-    (4, 2)
-    """
-    return rank(b"spared", names)[round(len(names) * SPARED):] if len(names) > 2 else list(names)
-
-
 class Placement:
     """One node's placement over one pool.
 
@@ -134,7 +112,6 @@
         self.book = session.Book()
         self.trials = collections.OrderedDict()  # last part's key -> (worker, until): may yet be a session
         self.ranks = collections.OrderedDict()  # key -> workers by weight
-        self.partition = None  # message.Partition, while one-off prompts evict shared parts
 
     def at(self, name):
         """What is known of a worker.
@@ -156,7 +133,7 @@
         """
         out = self.ranks.get((key, names))
         if out is None:
-            out = self.ranks[key, names] = rank(key, names)
+            out = self.ranks[key, names] = sorted(names, key=lambda n: weigh(key, n), reverse=True)
             if len(self.ranks) > RANKS:
                 self.ranks.popitem(last=False)
         return out
@@ -225,12 +202,22 @@
             us += TURN_US * (running - batch + 1) // batch
         return us
 
-    def read_us(self, name, keys, sizes, own, names, again=AGAIN, alien=False):
+    def spared(self, names):
+        """The workers that read no long prompts; the same on every node.
+
+        While many shared parts are read for the first time, long prompts would fill every worker,
+        and all short ones, which are many more, would wait behind them.
+
+        >>> p = Placement(machine.Machine(None, now=lambda: 0), "p"); len(p.spared(tuple("abcdef")))
+        2
+        """
+        return set(self.rank(b"spared", names)[:round(len(names) * SPARED)] if len(names) > 2 else ())
+
+    def read_us(self, name, keys, sizes, own, names):
         """How long a worker would read at a prompt, less what its cache is likely to hold.
 
-        The shared parts are kept at their home, the worker of `names` that ranks first for the last of
-        them, and where this node sent them lately, unless they are `alien` there: about to be evicted.
-        Reading them anew elsewhere counts `again` times.
+        The shared parts are kept at their home, the worker that ranks first for the last of them,
+        and where this node sent them lately.
 
         Example: `us = placement.read_us("w1", keys, [13300], 3720, names)`
         """
@@ -239,26 +226,13 @@
         us = own * 1000 // READ_RATE
         if home:
             return us
-        missing = alien
+        missing = False
         for key, size in zip(keys, sizes):
             missing = missing or key not in kept
             if missing:
-                us += size * 1000 * again // READ_RATE
+                us += size * 1000 * AGAIN // READ_RATE
         return us
 
-    def parted_us(self, name, keys, sizes, own, names, route):
-        """The same while the pool is partitioned: scans go to the partition's workers, or elsewhere at the price
-        of what they evict there; shared parts have their homes at the others.
-
-        Example: `us = placement.parted_us("w1", keys, [13300], 3720, names, "archive.example/")`
-        """
-        p = self.partition
-        if keys and route not in p.routes:
-            homes = tuple(n for n in names if n not in p.workers)
-            return self.read_us(name, keys, sizes, own, homes, alien=name in p.workers)
-        us = self.read_us(name, keys, sizes, own, (), again=1)
-        return us if name in p.workers else us + (own + sum(sizes)) * 1000 * EVICTS // READ_RATE
-
     def sick(self, name, now):
         """Whether a worker is to get nothing as long as others are well.
 
@@ -283,7 +257,7 @@
         w = self.workers.get(name)
         return w is not None and bool(w.running) and now - max(w.asked, w.heard) > MUTE_US
 
-    def pick(self, ask, keys, own, ready, pool, shun, route=""):
+    def pick(self, ask, keys, own, ready, pool, shun):
         """The worker for an exchange, or "" where there is none; (name, time it waits there).
 
         Example: `name, us = placement.pick(ask, keys, 291, ["w1", "w2"], pool, set())`
@@ -303,18 +277,14 @@
             if worker in fit and until > now:
                 return worker, self.wait_us(worker, pool, now)  # a second turn: its prefix is held there
         best, least = "", None
+        spared = self.spared(names)
         long = own + sum(size for key, size in zip(keys[:-1], ask.sizes)) >= LONG
         if long:
-            few = set(readers(names, self.rank))
-            names = tuple(n for n in names if n in few)
-            fit = [n for n in fit if n in few] or fit
-        parted = long and self.partition is not None and 0 < len(few.intersection(self.partition.workers)) < len(few)
+            names = tuple(n for n in names if n not in spared)
+            fit = [n for n in fit if n not in spared] or fit
         for n in fit:
             wait = self.wait_us(n, pool, now)
-            if parted:
-                us = wait + self.parted_us(n, keys[:-1], ask.sizes[:-1], own, names, route)
-            else:
-                us = wait + self.read_us(n, keys[:-1], ask.sizes[:-1], own, names)
+            us = wait + self.read_us(n, keys[:-1], ask.sizes[:-1], own, names)
             us += self.book.load(n) * SLOT_US // COST  # reserved cost of open sessions
             us += int(self.ill(n, now) * ILL_US)
             us += self.mach.rng.randrange(JITTER_US)
@@ -450,6 +420,5 @@
         """
         return {
             "pool": self.pool, "sessions": {w: len(rs) for w, rs in sorted(self.book.at.items()) if rs},
-            "trials": len(self.trials), "partition": list(self.partition.workers) if self.partition else [],
-            "running": {n: w.running for n, w in sorted(self.workers.items())},
+            "trials": len(self.trials), "running": {n: w.running for n, w in sorted(self.workers.items())},
         }
--- a/iriswheel/roster.py
+++ b/iriswheel/roster.py
@@ -85,7 +85,6 @@
         self.places = {}  # member id -> how far it has come
         self.left = set()
         self.listing = None
-        self.partitions = None  # pool -> message.Partition; None: as the tail before had them
         self.dropped = {}  # duty of a pool that was removed -> since when
         self.news = machine.Signal()
 
@@ -157,7 +156,6 @@
         self.since = None  # when the lease was first held in this view
         self.heard = {}
         self.seen = {}
-        self.partitions = None
 
     def sessions(self):
         """How many members have a session now.
@@ -220,12 +218,9 @@
         duties = self.assign(stamp, members, old)
         listing = self.listing or message.Listing([], (0, 0, 0))
         cores = list(self.council.view.seats)
-        partitions = self.partitions
-        if partitions is None:
-            partitions = old.partitions if old is not None else {}
-        new = message.Roster(stamp, members, listing.workers, duties, cores, listing.stamp, partitions)
-        if self.issuing() and (new.members, new.workers, new.duties, new.cores, new.partitions) == (
-                old.members, old.workers, old.duties, old.cores, old.partitions):
+        new = message.Roster(stamp, members, listing.workers, duties, cores, listing.stamp)
+        if self.issuing() and (new.members, new.workers, new.duties, new.cores) == (
+                old.members, old.workers, old.duties, old.cores):
             return
         self.learn(new)
 
