Timers of real processes follow the clock since boot, not the time of day

Cause: Twisted's reactors time their calls by time.time(). When the time of day was set back by four seconds, every timer of that process was held up for four seconds: heartbeats of a core, the silence watch of a node, polls of its feed. Sessions with such a core, and nodes on such a machine, went on with an old configuration.

Change: processes install an epoll reactor whose seconds() is the clock since boot, which machine.Machine goes by already.

--- a/iriswheel/process.py
+++ b/iriswheel/process.py
@@ -46,10 +46,22 @@
 def the_reactor():
     """The process's reactor, first loaded here and not while this module loads.
 
+    Twisted's reactors time their calls by the time of day, so that a clock set back by some
+    seconds would hold up every timer of the process for as long. This one goes by the clock
+    since boot, as `machine.Machine` does.
+
     Example: `the_reactor().run()`
     """
-    import twisted.internet.reactor as reactor
+    import twisted.internet.epollreactor as epollreactor
+    import twisted.internet.main as main
+
+    class SteadyReactor(epollreactor.EPollReactor):
+        """An epoll reactor whose timers follow the clock since boot."""
+
+        seconds = staticmethod(lambda: machine.boottime() / machine.SECOND)
 
+    reactor = SteadyReactor()
+    main.installReactor(reactor)
     return reactor
 
 
