--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1120,7 +1120,8 @@
     """
     lines = Lines()
     print(
-        "| fleet | role | loops/s | longest step, loops | messages in/s | B/s in | out/s | B/s out | writes to others/s |"
+        "| fleet | role | loops/s | longest step, loops | messages in/s | B/s in | out/s | B/s out "
+        "| writes to others/s |"
     )
     print("|---|---|---|---|---|---|---|---|---|")
     runs = [("nodes", n, (n, listed[0], pools[0])) for n in sizes]
@@ -1218,11 +1219,12 @@
     rng = random.Random(seed)
     names = [x.id for x in workers(listed)]
     print(
-        "| a telling every | told from a change of | rows a second | B/s into a node, as rows travel today | packed, 5 B a row |"
+        "| a telling every | told from a change of | rows a second | B/s into a node, as rows travel today "
+        "| packed, 5 B a row |"
     )
     print("|---|---|---|---|---|")
     events = []  # (when, worker, running, tokens)
-    for k in range(int(rate * (lasts + seconds))):
+    for _ in range(int(rate * (lasts + seconds))):
         at, w = rng.random() * (lasts + seconds) - lasts, rng.randrange(listed)
         tokens = LONG if rng.random() < LONG_SHARE else 400
         events += [(at, w, 1, tokens), (at + 0.1, w, 0, -tokens), (at + lasts, w, -1, 0)]
@@ -1256,7 +1258,8 @@
                         )
                     )
             print(
-                f"| {span:g} s | {step} | {short(count / seconds)} | {short(size / seconds)} | {short(5 * count / seconds)} |",
+                f"| {span:g} s | {step} | {short(count / seconds)} | {short(size / seconds)} "
+                f"| {short(5 * count / seconds)} |",
                 flush=True,
             )
 
@@ -1292,7 +1295,8 @@
     """
     lines = Lines()
     print(
-        "| what | nodes | all know after, ms | B between cores | B from cores to nodes | B between nodes | B into a node "
+        "| what | nodes | all know after, ms | B between cores | B from cores to nodes | B between nodes "
+        "| B into a node "
         "| loops of the busiest core | loops of a node | longest step of a node, loops |"
     )
     print("|---|---|---|---|---|---|---|---|---|---|")
@@ -1314,7 +1318,8 @@
                 lines.put(f"{what}: into a node", "nodes", "B", n, r["into"])
             mid = {k: statistics.median(r[k] for r in rows) for k in rows[0]}
             print(
-                f"| {what} | {n} | {mid['ms']:.0f} ({min(r['ms'] for r in rows):.0f} to {max(r['ms'] for r in rows):.0f}) | "
+                f"| {what} | {n} | {mid['ms']:.0f} ({min(r['ms'] for r in rows):.0f} to "
+                f"{max(r['ms'] for r in rows):.0f}) | "
                 + " | ".join(
                     short(mid[k]) for k in ("core core", "core node", "node node", "into", "busiest", "node", "step")
                 )
--- a/bench/days.py
+++ b/bench/days.py
@@ -351,7 +351,7 @@
 
 def drawn(s):
     """Four to eight troubles at drawn times, over one another; half of these days end with a closing fault."""
-    node, pick = (lambda: some(s, s.nodes, 0)[0]), s.rng.choice
+    pick = s.rng.choice
 
     def workers(share):
         return some(s, s.live_workers(), share)
@@ -606,7 +606,7 @@
         print(f"days: no such day or shape, or --log with more than one run: {' '.join(bad) or shape}", file=sys.stderr)
         sys.exit(2)
     jobs = [(n, s, shape, load, seconds, log) for s in range(first, first + seeds) for n in names]
-    failed, sums, began = 0, collections.defaultdict(list), time.time()
+    failed, sums, began = 0, collections.defaultdict(list), time.monotonic()
     with multiprocessing.Pool(procs or os.cpu_count(), maxtasksperchild=8) as pool:
         for (name, seed, *_), found, got, _ in pool.imap_unordered(one, jobs):
             if got:
@@ -624,8 +624,8 @@
                     if len(lines) > 3:
                         print(f"    {rule}: and {len(lines) - 3} more")
     print(
-        f"{'day':16}{'asked':>8}{'in aim':>9}{'late':>8}{'none':>8}{'worth':>8}{'worst 2 s':>10}{'conns':>7}{'calls':>7}"
-        f"{'probes':>7}{'read again':>11}"
+        f"{'day':16}{'asked':>8}{'in aim':>9}{'late':>8}{'none':>8}{'worth':>8}{'worst 2 s':>10}{'conns':>7}"
+        f"{'calls':>7}{'probes':>7}{'read again':>11}"
     )
     for name in names:
         rows = sums[name]
@@ -651,7 +651,7 @@
             print(f"{kind.name}: {', '.join(f'{k} {v:.3f}' for k, v in means.items())}, mean of {len(rows)} days")
     print(
         f"{len(jobs)} days, shape {shape}, seeds {first} to {first + seeds - 1}, load {load}: "
-        f"{len(jobs) - failed} kept all rules, {failed} did not; {time.time() - began:.0f} s on the clock"
+        f"{len(jobs) - failed} kept all rules, {failed} did not; {time.monotonic() - began:.0f} s on the clock"
     )
     sys.exit(1 if failed else 0)
 
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -12,8 +12,6 @@
 import collections
 import dataclasses
 
-import iriswheel.machine as machine
-
 URGENCY = 5  # of a request that names none; 0 comes first
 
 
@@ -63,6 +61,7 @@
     put_back: int = 0
 
     def __post_init__(self):
+        """Derive the size of the prompt and start the counts of its parts."""
         self.prompt = sum(n for _, n in self.parts)
         self.taken_up = self.done
         self.used = []  # kept parts that this one holds
@@ -80,6 +79,7 @@
 class Engine:
     """One engine on a machine's clock.
 
+    >>> import iriswheel.machine as machine
     >>> import twisted.internet.task as task
     >>> clock = task.Clock()
     >>> e = Engine(machine.Machine(clock, now=lambda: round(clock.seconds() * machine.SECOND)), Figures(enter_us=0))
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -16,7 +16,6 @@
 import sys
 import tempfile
 import time
-import typing
 import urllib.error
 import urllib.request
 
@@ -87,9 +86,11 @@
         self.platform = 0
 
     def __enter__(self):
+        """Return the fleet itself, for a `with` statement."""
         return self
 
     def __exit__(self, *_):
+        """Stop all processes."""
         self.end()
 
     def spawn(self, name, args, told=False):
@@ -381,7 +382,7 @@
         )
 
 
-def run(shape: str, *, load: int = 0, folder: typing.Optional[str] = None):
+def run(shape: str, *, load: int = 0, folder: str | None = None):
     """Run a fleet of one shape.
 
     :param shape: small, magnolia or swan
--- a/bench/guards.py
+++ b/bench/guards.py
@@ -109,9 +109,12 @@
     self.done(True)
 
 
-def _stale_headers(headers, worker, token, onward=outer.onward, last=[]):
-    last.append(onward(headers, worker))
-    return last[-2] if len(last) > 50 else last[-1]
+_sent_headers = []
+
+
+def _stale_headers(headers, worker, token, onward=outer.onward):
+    _sent_headers.append(onward(headers, worker))
+    return _sent_headers[-2] if len(_sent_headers) > 50 else _sent_headers[-1]
 
 
 # guard -> what is put in its place, the scene, its seed, the checker that must complain
--- a/bench/judge.py
+++ b/bench/judge.py
@@ -284,7 +284,8 @@
         if r["verdict"] == 421 or seen is None or t is None or r["at"] <= seen + log.bounds["drain"]:
             continue
         if log.in_touch(t["node"], r["at"]) and not log.troubled(t["node"], seen, r["at"]):
-            yield f"{r['attempt']} reached worker {r['worker']} {(r['at'] - seen) // MS} ms after it was shown as leaving"
+            after = (r["at"] - seen) // MS
+            yield f"{r['attempt']} reached worker {r['worker']} {after} ms after it was shown as leaving"
 
 
 def lost(log):
@@ -445,7 +446,7 @@
             yield f"try {name} ended as whole ahead of its last event"
         if t["how"] == "whole" and t["rest"]:
             yield f"try {name} ended as whole within an event"
-        for a, b in zip(t["events"], t["events"][1:]):
+        for a, b in zip(t["events"], t["events"][1:], strict=False):
             if a[1] != b[1]:
                 run = log.seals.get(b[1])
                 if not t["repeat"] or run is None or run["after"] != str(a[0]):
@@ -553,7 +554,7 @@
     events = [e for t in tries for e in t["events"]]
     if first_event(tries) - r["began"] > aim:
         return False
-    if any(b[2] - a[2] > pause for a, b in zip(events, events[1:])):
+    if any(b[2] - a[2] > pause for a, b in zip(events, events[1:], strict=False)):
         return False
     for e in events:
         made = log.ended.get(e[1], {}).get("times")
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -229,6 +229,15 @@
             )
 
 
+def _sent_bytes(t):
+    """What the cores have sent so far, in bytes, on all their links."""
+    return sum(
+        link.sent_bytes
+        for core in t.cores.values()
+        for link in [*(post.link for post in core.posts.values()), *core.neighbours.links.values()]
+    )
+
+
 def scale(*, nodes: list[int] = (8, 32, 128), routes: list[int] = (10, 2000), seed: int = 1):
     """Three cores with many nodes and routes: a change's way, traffic, the loss of the tail (simulated).
 
@@ -245,16 +254,11 @@
                 t.blueprint["routes"][f"r{k}"] = {"path": f"/r/{k}", "pool": t.pool}
             t.begin()
             t.go(3)
-            sent = lambda: sum(
-                x.sent_bytes
-                for c in t.cores.values()
-                for x in [*(p.link for p in c.posts.values()), *c.neighbours.links.values()]  # noqa: E731
-            )
-            began, before = t.world.time, sent()
+            before = _sent_bytes(t)
             t.go(10)
-            quiet = (sent() - before) / 10
+            quiet = (_sent_bytes(t) - before) / 10
             took = []
-            for k in range(5):
+            for _ in range(5):
                 began = t.world.time
                 done = t.office_mach.spawn(t.boss.change(t.with_probe(t.probe + 1)), town.log)
                 t.until(lambda: done.called, 30)
@@ -266,8 +270,9 @@
             t.until(lambda: done.called, 40)
             roster = len(wire.encoder.encode(max((c.issuer.latest for c in t.cores.values()), key=lambda x: x.stamp)))
             print(
-                f"{n} nodes, {r} routes: plan and confirm {sorted(took)[2]:.0f} ms (median of 5, worst {max(took):.0f}); "
-                f"the cores send {quiet / 1000:.1f} kB/s when quiet; roster {roster} bytes; "
+                f"{n} nodes, {r} routes: plan and confirm {sorted(took)[2]:.0f} ms "
+                f"(median of 5, worst {max(took):.0f}); the "
+                f" cores send {quiet / 1000:.1f} kB/s when quiet; roster {roster} bytes; "
                 f"tail lost: next change after {(t.world.time - began) / 1e6:.1f} s",
                 flush=True,
             )
--- a/bench/scenes.py
+++ b/bench/scenes.py
@@ -134,7 +134,7 @@
 
 def power_after_ack(t):
     """A core machine loses power just after an acknowledgement, with the disk or without."""
-    for k in range(1, 4):
+    for _ in range(1, 4):
         t.go(4)
         done = t.office_mach.spawn(t.boss.change(t.with_probe(t.probe + 1)), town.log)
         t.until(lambda: done.called, 20)
@@ -675,7 +675,7 @@
     """Workers whose load report is late, missing, unreadable, of wrong types, or never comes; all serve."""
     changes(t, 6, 5)
     t.go(4)
-    for name, sort in zip(sorted(t.workers), ("late", "missing", "broken", "wrong", "never")):
+    for name, sort in zip(sorted(t.workers), ("late", "missing", "broken", "wrong", "never"), strict=False):
         t.workers[name].report = sort
     t.go(25)
     for name in sorted(t.workers):
@@ -1073,7 +1073,7 @@
     """Ten times the short rate for some seconds, most of it with one shared prefix."""
     changes(t, 4, 5)
     t.go(4)
-    for k in range(int(t.rates[1] * 10 * 4)):
+    for _ in range(int(t.rates[1] * 10 * 4)):
         parts = ["phrases"] if t.rng.random() < 0.8 else ["phrases", "hot"]
         t.load.open.append(t.load.mach.spawn(t.load.exchange("short", parts), town.log))
         t.go(1 / (t.rates[1] * 10))
@@ -1084,7 +1084,7 @@
     """Requesters that leave in mid-stream, read slowly, or send bad HTTP, beside proper ones."""
     changes(t, 4, 5)
     t.go(3)
-    for k in range(60):
+    for _ in range(60):
         n = t.nodes[t.rng.choice(sorted(t.nodes))]
         t.load.mach.spawn(t.rude(n.options.host, t.rng.choice(town.RUDE)), town.log)
         t.go(0.25)
--- a/bench/serving.py
+++ b/bench/serving.py
@@ -42,10 +42,10 @@
 
 
 def answer(code, heads, body=b""):
-    """A whole answer as bytes.
+    r"""A whole answer as bytes.
 
     >>> answer(404, [("X-A", "1")], b"no")
-    b'HTTP/1.1 404 Not Found\\r\\nX-A: 1\\r\\nContent-Length: 2\\r\\n\\r\\nno'
+    b'HTTP/1.1 404 Not Found\r\nX-A: 1\r\nContent-Length: 2\r\n\r\nno'
     """
     lines = [
         f"HTTP/1.1 {code} {PHRASES.get(code, 'Some')}",
--- a/bench/site.py
+++ b/bench/site.py
@@ -1,4 +1,4 @@
-"""A simulated site of the users' platform: a fleet as platform/ starts it, its workers, clients, operators and troubles.
+"""A simulated site of the users' platform: a fleet as platform/ starts it, its workers, clients, operators, faults.
 
 The fleet's processes run on bench/sim.py's machines with the options that platform/settings.py makes of a settings
 file, speak through platform/formats.py and platform/configuration.py, and see the stand-ins of bench/serving.py and
@@ -344,7 +344,7 @@
         )
         self.traffic_until = self.world.time + int(self.seconds * S)
         self.traffics = []
-        for i, zone in enumerate(sorted(set(sh.nodes))):
+        for zone in sorted(set(sh.nodes)):
             clients = [
                 users.Client(
                     self.out,
@@ -456,7 +456,7 @@
             b["version"]: 1,
             b["routes"]: routes,
             b["pools"]: [plant],
-            b["bounds"]: dict(zip(words.BOUNDS.values(), (16384, 4194304, 3000, 15000))),
+            b["bounds"]: dict(zip(words.BOUNDS.values(), (16384, 4194304, 3000, 15000), strict=False)),
         }
 
     def change(self, how="idle", wait=60):
@@ -526,7 +526,7 @@
                 doc[words.BLUEPRINT["version"]] += 10
             waits.append(self.office.spawn(who.put(doc, base), log))
         statuses = [await d for d in waits]
-        for status, doc in zip(statuses, docs):
+        for status, doc in zip(statuses, docs, strict=False):
             if status == 200:
                 self.doc, self.version = doc, doc[words.BLUEPRINT["version"]]
         return statuses
--- a/bench/sweep.py
+++ b/bench/sweep.py
@@ -58,7 +58,7 @@
     if log and len(jobs) > 1:
         print("sweep: --log wants one scene and one seed", file=sys.stderr)
         sys.exit(2)
-    began = time.time()
+    began = time.monotonic()
     failed, total, looked = [], 0.0, collections.Counter()
     with multiprocessing.Pool(procs or os.cpu_count(), maxtasksperchild=8) as pool:
         for (scene, seed, shape, _), found, rows, cost in pool.imap_unordered(one, jobs):
@@ -79,7 +79,7 @@
     print(
         f"{len(jobs)} runs of {len(names)} scenes, shape {shape}, seeds {first} to {first + seeds - 1}: "
         f"{len(jobs) - len(failed)} clean, {len(failed)} failed; {total:.0f} s of computing, "
-        f"{time.time() - began:.0f} s on the clock"
+        f"{time.monotonic() - began:.0f} s on the clock"
     )
     print("rows judged: " + ", ".join(f"{name} {n}" for name, n in looked.items()))
     sys.exit(1 if failed else 0)
--- a/bench/town.py
+++ b/bench/town.py
@@ -404,7 +404,7 @@
             ),
             "all",
         )
-        addr = "%s:%d" % (self.options[target][0], HTTP) if role in ("node", "link") else ""
+        addr = f"{self.options[target][0]}:{HTTP}" if role in ("node", "link") else ""
         self.tape.put(
             self.world.time,
             "fault",
--- a/bench/users.py
+++ b/bench/users.py
@@ -110,9 +110,9 @@
         return self.heads.get(name.lower())
 
     def take(self, data, now):
-        """Bytes of the body.
+        r"""Bytes of the body.
 
-        Example: `call.take(b"id: 1\\n", now)`
+        Example: `call.take(b"id: 1\n", now)`
         """
         if self.first is None:
             self.first = now
@@ -155,9 +155,9 @@
         self.up = True
 
     def start(self, call, raw):
-        """Send a request.
+        r"""Send a request.
 
-        Example: `line.start(call, b"GET / HTTP/1.1\\r\\n\\r\\n")`
+        Example: `line.start(call, b"GET / HTTP/1.1\r\n\r\n")`
         """
         self.call = call
         self.transport.write(raw)
--- a/iriswheel/__main__.py
+++ b/iriswheel/__main__.py
@@ -1,3 +1,5 @@
+"""Run the command line: `python -m iriswheel`."""
+
 import iriswheel.command
 
 iriswheel.command.main()
--- a/iriswheel/blueprint.py
+++ b/iriswheel/blueprint.py
@@ -22,10 +22,13 @@
     """Reads only what it knows, and takes no number for a string or the reverse."""
 
     class Config(mashumaro.config.BaseConfig):
+        """Refuses unknown keys."""
+
         forbid_extra_keys = True
 
     @classmethod
     def __pre_deserialize__(cls, d):
+        """Refuse a value of another type than its field's, or out of range."""
         if not isinstance(d, dict):
             raise ValueError("not an object")
         for name, want in wanted(cls):
@@ -95,6 +98,7 @@
 
     @classmethod
     def __pre_deserialize__(cls, d):
+        """Drop a session part of -1, which is the default, before the types are checked."""
         part = d.get("session_part", -1) if isinstance(d, dict) else -1
         if part == -1:
             d = {k: v for k, v in d.items() if k != "session_part"} if isinstance(d, dict) else d
@@ -193,10 +197,10 @@
 
     >>> flatten({"pools": {"desk": {}}, "terms": {"default": {}}})
     {'pools/desk': {}, 'terms/default': {}}
-    >>> flatten({"routes": {"r": {"path": "x", "pool": "p"}}})
+    >>> flatten({"routes": {"r": {"path": "x", "pool": "p", "terms": "d"}}})
     Traceback (most recent call last):
     ...
-    iriswheel.blueprint.BadBlueprint: routes/r: path must begin with '/'; routes/r: no pool 'p'; routes/r: no terms 'default'
+    iriswheel.blueprint.BadBlueprint: routes/r: path must begin with '/'; routes/r: no pool 'p'; routes/r: no terms 'd'
     """
     defects, items = [], {}
     if not isinstance(doc, dict):
@@ -325,7 +329,7 @@
     try:
         return jsonpatch.JsonPatch(ops).apply(doc)
     except (jsonpatch.JsonPatchException, jsonpatch.JsonPointerException, TypeError, KeyError) as e:
-        raise BadBlueprint([f"The patch does not apply: {e}"])
+        raise BadBlueprint([f"The patch does not apply: {e}"]) from e
 
 
 def amend(doc, upsert, remove):
--- a/iriswheel/carry.py
+++ b/iriswheel/carry.py
@@ -98,9 +98,9 @@
         self.x.placement.hear(self.worker)
 
     def data(self, data):
-        """A piece of the answer came.
+        r"""A piece of the answer came.
 
-        Example: `flow.data(b"id: 1\\ndata: x\\n\\n")`
+        Example: `flow.data(b"id: 1\ndata: x\n\n")`
         """
         self.hear()
         if not 200 <= self.status < 300 or not self.carrier.outer.sound(self.status, self.low):
@@ -194,17 +194,14 @@
 
 
 def whole_events(raw):
-    """What of a stream's bytes makes whole events, and the rest.
+    r"""What of a stream's bytes makes whole events, and the rest.
 
-    >>> whole_events(b"id: 1\\n\\nid: 2\\n\\nid:")
-    (b'id: 1\\n\\nid: 2\\n\\n', b'id:')
-    >>> whole_events(b"id: 1\\n")
-    (b'', b'id: 1\\n')
+    >>> whole_events(b"id: 1\n\nid: 2\n\nid:")
+    (b'id: 1\n\nid: 2\n\n', b'id:')
+    >>> whole_events(b"id: 1\n")
+    (b'', b'id: 1\n')
     """
-    last = None
-    for last in END.finditer(raw):
-        pass
-    cut = last.end() if last is not None else 0
+    cut = max((end.end() for end in END.finditer(raw)), default=0)
     return raw[:cut], raw[cut:]
 
 
@@ -234,9 +231,9 @@
         self.shun = set()  # workers that it is not sent to any more
 
     def pass_on(self, flow, data):
-        """Hand a piece to the requester; the first one takes the answer's head along.
+        r"""Hand a piece to the requester; the first one takes the answer's head along.
 
-        Example: `x.pass_on(flow, b"data: x\\n\\n")`
+        Example: `x.pass_on(flow, b"data: x\n\n")`
         """
         if self.req.gone or self.req.finished:
             return
--- a/iriswheel/client.py
+++ b/iriswheel/client.py
@@ -275,7 +275,7 @@
             raise
         except Exception as e:
             self.gone(w.id)
-            raise Unreached(type(e).__name__)
+            raise Unreached(type(e).__name__) from e
         line.on_free = self.free
         line.on_stale = self.stale
         line.on_gone = lambda line: self.gone(line.worker)
--- a/iriswheel/command.py
+++ b/iriswheel/command.py
@@ -1,9 +1,9 @@
 """The command line: one program, and the role is a subcommand."""
 
+import contextlib
 import json
 import signal
 import sys
-import typing
 
 import defopt
 import loguru
@@ -38,14 +38,14 @@
 def core(
     *,
     options: str = "",
-    name: typing.Optional[str] = None,
-    host: typing.Optional[str] = None,
-    port: typing.Optional[int] = None,
-    http_port: typing.Optional[int] = None,
-    zone: typing.Optional[str] = None,
-    seeds: typing.Optional[list[str]] = None,
-    data: typing.Optional[str] = None,
-    log_level: typing.Optional[str] = None,
+    name: str | None = None,
+    host: str | None = None,
+    port: int | None = None,
+    http_port: int | None = None,
+    zone: str | None = None,
+    seeds: list[str] | None = None,
+    data: str | None = None,
+    log_level: str | None = None,
 ):
     """Run a core machine: a link of the chain, with a data folder.
 
@@ -70,14 +70,14 @@
 def node(
     *,
     options: str = "",
-    name: typing.Optional[str] = None,
-    host: typing.Optional[str] = None,
-    port: typing.Optional[int] = None,
-    http_port: typing.Optional[int] = None,
-    zone: typing.Optional[str] = None,
-    seeds: typing.Optional[list[str]] = None,
-    platform: typing.Optional[str] = None,
-    log_level: typing.Optional[str] = None,
+    name: str | None = None,
+    host: str | None = None,
+    port: int | None = None,
+    http_port: int | None = None,
+    zone: str | None = None,
+    seeds: list[str] | None = None,
+    platform: str | None = None,
+    log_level: str | None = None,
 ):
     """Run a light node: the requesters' door.
 
@@ -186,7 +186,7 @@
     print(f"{blueprint_file}: {len(items)} items, no mistakes.")
 
 
-def plan(file: str, *, core: list[str], patch: bool = False, base: typing.Optional[int] = None):
+def plan(file: str, *, core: list[str], patch: bool = False, base: int | None = None):
     """Send a blueprint or a JSON Patch and get a plan of what would change.
 
     Example: iriswheel plan blueprint.json --core 127.0.0.1:8001
@@ -280,15 +280,16 @@
     mach = machine.Machine(reactor, seed=seed)
     if follow:
         mach.spawn(places.follow(mach, *follow), log)
-    out = open(events, "w") if events else None
-    gen = load_generator.Load(
-        mach, places, path, seconds * machine.SECOND, long_rate, short_rate, talks, load_generator.Events(out)
-    )
-    reactor.callWhenRunning(lambda: [signal.signal(s, lambda *_: gen.end()) for s in (signal.SIGTERM, signal.SIGINT)])
-    reactor.callWhenRunning(lambda: defer.ensureDeferred(gen.run()).addBoth(lambda r: reactor.stop() or r))
-    reactor.run()
-    if out is not None:
-        out.close()
+    with contextlib.ExitStack() as files:
+        out = files.enter_context(open(events, "w")) if events else None
+        gen = load_generator.Load(
+            mach, places, path, seconds * machine.SECOND, long_rate, short_rate, talks, load_generator.Events(out)
+        )
+        reactor.callWhenRunning(
+            lambda: [signal.signal(s, lambda *_: gen.end()) for s in (signal.SIGTERM, signal.SIGINT)]
+        )
+        reactor.callWhenRunning(lambda: defer.ensureDeferred(gen.run()).addBoth(lambda r: reactor.stop() or r))
+        reactor.run()
     print(json.dumps(gen.report(), indent=2))
 
 
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -1,5 +1,7 @@
 """A core machine: its link of the chain, its nodes' sessions, its operators' door."""
 
+import contextlib
+
 import loguru
 import msgspec
 import twisted.internet.defer as defer
@@ -526,10 +528,8 @@
             puts = [(b"shelf/" + pool.encode(), freeze_shelf(self.shelves[pool], now)) for pool in sorted(self.soiled)]
             self.soiled.clear()
             if puts:
-                try:
+                with contextlib.suppress(store.DiskDefect):  # only a late copy; the guard has noted the defect
                     await self.disk.commit(puts)
-                except store.DiskDefect:
-                    pass  # it is only a late copy; the guard has noted the defect
 
     async def issue(self):
         """At the tail: look after the roster's graces.
@@ -664,8 +664,8 @@
             return await self.mach.within(defer.ensureDeferred(self.neighbours.call(seat.host, seat.port, msg, us)), us)
         except (wire.Broken, machine.Late) as e:
             if isinstance(e, wire.Broken) and not e.sent:
-                raise verdict.Defect("no_chain", "The chain's machine can't be reached.")
-            raise verdict.Defect("unknown_outcome", "No answer came in time.", verdict.Verdict.MAY_HAVE_RUN)
+                raise verdict.Defect("no_chain", "The chain's machine can't be reached.") from e
+            raise verdict.Defect("unknown_outcome", "No answer came in time.", verdict.Verdict.MAY_HAVE_RUN) from e
 
     async def look(self, ident, us=ANSWER_US):
         """Read at the tail.
@@ -675,7 +675,7 @@
         try:
             seen = await self.ask_link(-1, lambda number: message.Look(number, ident), us)
         except verdict.Defect:
-            raise verdict.Defect("no_chain", "The tail does not answer now.")
+            raise verdict.Defect("no_chain", "The tail does not answer now.") from None
         if not seen.ok:
             raise verdict.Defect("no_chain", "The tail holds no lease now.")
         return seen
@@ -863,7 +863,7 @@
                 new = blueprint.patch(blueprint.unflatten(seen.items), doc["patch"])
             items = blueprint.flatten(new)
         except blueprint.BadBlueprint as e:
-            raise verdict.Defect("bad_blueprint", "; ".join(e.defects[:50]), field="blueprint")
+            raise verdict.Defect("bad_blueprint", "; ".join(e.defects[:50]), field="blueprint") from e
         changes = blueprint.differ(seen.items, items)
         ident = blueprint.plan_id(base, changes)
         await self.propose("plan", ident, base, changes)
--- a/iriswheel/door.py
+++ b/iriswheel/door.py
@@ -439,9 +439,8 @@
         Example: `await door.end_hangs("w1")`
         """
         w = self.node.follower.states.get(name)
-        if w is not None and name not in self.node.reach.lost:
-            if (await self.node.reach.probe(w)).sort != "none":
-                return
+        if w is not None and name not in self.node.reach.lost and (await self.node.reach.probe(w)).sort != "none":
+            return
         for s in [s for s in self.sends.values() if s.worker == name and not s.via]:
             if self.mach.now() - s.last > HANG_US:
                 s.cut()
--- a/iriswheel/load.py
+++ b/iriswheel/load.py
@@ -21,11 +21,11 @@
 
 
 class Events:
-    """An event log: one JSON object a line, for `iriswheel replay`.
+    r"""An event log: one JSON object a line, for `iriswheel replay`.
 
     >>> import io
     >>> out = io.StringIO(); Events(out).put(5, "sent", exchange="e1"); out.getvalue()
-    '{"at": 5, "kind": "sent", "exchange": "e1"}\\n'
+    '{"at": 5, "kind": "sent", "exchange": "e1"}\n'
     """
 
     def __init__(self, out=None):
--- a/iriswheel/loads.py
+++ b/iriswheel/loads.py
@@ -39,7 +39,7 @@
     >>> plus((3, 60, 0), (1, 0, 50), (2, 60, 0))
     (2, 0, 50)
     """
-    return tuple(a + b - c for a, b, c in zip(have, more, less))
+    return tuple(a + b - c for a, b, c in zip(have, more, less, strict=False))
 
 
 def changes(old, new):
--- a/iriswheel/machine.py
+++ b/iriswheel/machine.py
@@ -194,6 +194,7 @@
         self.items = collections.deque()
 
     def __len__(self):
+        """Return how many items wait."""
         return len(self.items)
 
     def put(self, item):
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-
 VERSION = 3  # of these messages; a process talks to those of its own and of the two beside it
 
 
@@ -498,10 +497,10 @@
 
 
 class Loads(Message):
-    """Load in flight, by pool: rows of a worker, exchanges running there, prompt tokens not read yet, and
-    the suspicion of it in percent.
+    """Load in flight, by pool.
 
-    From a node to its core: its own. Between cores: the sum of a core's nodes. From a core to a
+    A row holds a worker, exchanges running there, prompt tokens not read yet, and the suspicion of it in
+    percent. From a node to its core: its own. Between cores: the sum of a core's nodes. From a core to a
     node: the sum of all other nodes. Only what changed, unless `whole`.
     """
 
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -228,7 +228,7 @@
 
         ds = [defer.ensureDeferred(ask(m)) for m in members]
         res = await defer.DeferredList(ds, consumeErrors=True)
-        return {m.id: val if ok else None for m, (ok, val) in zip(members, res)}
+        return {m.id: val if ok else None for m, (ok, val) in zip(members, res, strict=False)}
 
     def serve(self, link, msg):
         """Answer one message from another node.
--- a/iriswheel/options.py
+++ b/iriswheel/options.py
@@ -179,9 +179,9 @@
             with open(path, "rb") as f:
                 vals = tomllib.load(f)
         except OSError as e:
-            raise BadOptions([f"options: {path}: {e.strerror}"])
+            raise BadOptions([f"options: {path}: {e.strerror}"]) from e
         except tomllib.TOMLDecodeError as e:
-            raise BadOptions([f"options: {path}: {e}"])
+            raise BadOptions([f"options: {path}: {e}"]) from e
     known = {f.name for f in dataclasses.fields(Options)} - {"role"}
     unknown = [f"{k}: unknown option" for k in sorted(set(vals) - known)]
     vals = {k: v for k, v in vals.items() if k in known}
--- a/iriswheel/outer.py
+++ b/iriswheel/outer.py
@@ -163,7 +163,7 @@
             drain = int(w.get("drain_deadline_ms", 0)) * 1000
             out.append(message.Worker(str(w["id"]), str(w["host"]), int(w["port"]), str(w["pool"]), state, drain))
     except (ValueError, KeyError, TypeError) as e:
-        raise ValueError(f"The platform's list can't be read: {e!r}")
+        raise ValueError(f"The platform's list can't be read: {e!r}") from e
     return sorted(out, key=lambda w: w.id)
 
 
@@ -177,7 +177,7 @@
         doc = json.loads(raw)
         return int(doc["running"]), int(doc["queued"])
     except (ValueError, KeyError, TypeError) as e:
-        raise ValueError(f"The load report can't be read: {e!r}")
+        raise ValueError(f"The load report can't be read: {e!r}") from e
 
 
 WORKERS_PATH = "/workers"
--- a/iriswheel/placement.py
+++ b/iriswheel/placement.py
@@ -65,7 +65,7 @@
         >>> w = Worker(); w.note([7], [100]); list(w.kept.items())
         [(7, 100)]
         """
-        for key, size in zip(keys, sizes):
+        for key, size in zip(keys, sizes, strict=False):
             self.kept.pop(key, None)
             self.kept[key] = size
         while len(self.kept) > KEPT:
@@ -179,7 +179,8 @@
     def forgive(self, name):
         """A worker gave a whole answer.
 
-        >>> p = Placement(machine.Machine(None, now=lambda: 5), "p"); p.blame("w1", 0.5); p.forgive("w1"); p.sick("w1", 5)
+        >>> p = Placement(machine.Machine(None, now=lambda: 5), "p")
+        >>> p.blame("w1", 0.5); p.forgive("w1"); p.sick("w1", 5)
         False
         """
         w = self.at(name)
@@ -227,7 +228,7 @@
         if home:
             return us
         missing = False
-        for key, size in zip(keys, sizes):
+        for key, size in zip(keys, sizes, strict=False):
             missing = missing or key not in kept
             if missing:
                 us += size * 1000 * AGAIN // READ_RATE
@@ -278,7 +279,7 @@
                 return worker, self.wait_us(worker, pool, now)  # a second turn: its prefix is held there
         best, least = "", None
         spared = self.spared(names)
-        long = own + sum(size for key, size in zip(keys[:-1], ask.sizes)) >= LONG
+        long = own + sum(size for key, size in zip(keys[:-1], ask.sizes, strict=False)) >= LONG
         if long:
             names = tuple(n for n in names if n not in spared)
             fit = [n for n in fit if n not in spared] or fit
@@ -301,7 +302,7 @@
         """
         w = self.at(name)
         tokens = own
-        for key, size in zip(keys, sizes):
+        for key, size in zip(keys, sizes, strict=False):
             if key not in w.kept:
                 tokens += size
         w.note(keys, sizes)
--- a/iriswheel/replay.py
+++ b/iriswheel/replay.py
@@ -61,7 +61,7 @@
             if k == len(lines):
                 cut = True
                 break
-            raise Damaged(f"line {k} is no event")
+            raise Damaged(f"line {k} is no event") from None
         rows.append(row)
     rows.sort(key=lambda r: r["at"])
     return rows, cut
@@ -178,10 +178,7 @@
                 return True
             if f.role == "link" and f.addr == node and a <= f.at <= b:
                 return True  # it was under way when the link broke
-        for r in self.listed.get(worker, []):  # it was told to end its streams, or vanished from the list
-            if r["state"] != "ready" and a <= r["at"] <= b:
-                return True
-        return False
+        return any(r["state"] != "ready" and a <= r["at"] <= b for r in self.listed.get(worker, []))
 
     def delayed(self, a, b):
         """Whether a small fault elsewhere may have made an exchange start late.
@@ -275,11 +272,11 @@
 
 
 def events(text):
-    """The events of an answer, as documents; None where it is not whole and in order.
+    r"""The events of an answer, as documents; None where it is not whole and in order.
 
-    >>> events('data: {"k": 0, "of": 1}\\n\\ndata: [DONE]\\n\\n')
+    >>> events('data: {"k": 0, "of": 1}\n\ndata: [DONE]\n\n')
     [{'k': 0, 'of': 1}]
-    >>> events('data: {"k": 1, "of": 2}\\n\\ndata: [DONE]\\n\\n') is None
+    >>> events('data: {"k": 1, "of": 2}\n\ndata: [DONE]\n\n') is None
     True
     """
     parts = text.split("\n\n")
@@ -468,7 +465,7 @@
     """
     ends = [f.at for f in log.faults if f.what.split()[0] in ("kill", "power") and f.role != "worker"]
     for name, runs in sorted(talks(log).items(), key=str):
-        for a, b in zip(runs, runs[1:]):
+        for a, b in zip(runs, runs[1:], strict=False):
             life = spans(log, "lifetime_us", 60 * SECOND, a["at"], b["at"])[0]
             if b["at"] - a["at"] > life - LIFE_SLACK_US:
                 continue
@@ -538,7 +535,7 @@
     Judged where a conversation opens: a cap that is lowered closes nobody's.
     """
     for name, runs in sorted(talks(log).items(), key=str):
-        for before, r in zip([None] + runs, runs):
+        for before, r in zip([None] + runs, runs, strict=False):
             fresh = before is None or before["worker"] != r["worker"] or r["at"] - before["at"] > SECOND
             if not fresh:
                 continue
@@ -663,7 +660,8 @@
             yield f"{r['exchange']} was refused only after {r['took'] / SECOND:.1f} s ({r['code']})"
         why = refusal(log, r, sent)
         if why is not None:
-            yield f"{r['exchange']} send {r['send']} was turned away ({r['code']}) at {sent['at'] / SECOND:.1f} s: {why}"
+            at = sent["at"] / SECOND
+            yield f"{r['exchange']} send {r['send']} was turned away ({r['code']}) at {at:.1f} s: {why}"
     for r in log.of("lost") + log.of("torn"):
         sent = log.sent.get((r["exchange"], r["send"]))
         if sent is None:
@@ -671,7 +669,8 @@
         log.looked["served"] += 1
         worker = log.runs.get((r["exchange"], r["send"]), {}).get("worker")
         if not log.at_fault(sent["at"], r["at"], sent.get("node"), worker):
-            yield f"{r['exchange']} was {r['kind']} at {r['at'] / SECOND:.1f} s, neither its node nor its worker at fault"
+            at = r["at"] / SECOND
+            yield f"{r['exchange']} was {r['kind']} at {at:.1f} s, neither its node nor its worker at fault"
     for r in log.of("probe"):
         log.looked["served"] += 1
         if r["status"] not in (200, 404):
@@ -785,7 +784,7 @@
     faults = log.of("fault") + log.of("mend")
     faults.sort(key=lambda r: r["at"])
     out = []
-    for f, nxt in zip(faults, faults[1:] + [{"at": log.end + 1}]):
+    for f, nxt in zip(faults, faults[1:] + [{"at": log.end + 1}], strict=False):
         until = min(nxt["at"], f["at"] + BACK_US)
         n = sum(1 for r in log.of("sent") if r["send"] == 1 and f["at"] <= r["at"] < until)
         failed = [sent for end, sent in ends if f["at"] <= end < nxt["at"] and sent < until]
--- a/iriswheel/roster.py
+++ b/iriswheel/roster.py
@@ -119,7 +119,7 @@
             self.learn(m.roster)
         self.list(m.listing)
         ids = {x.id for x in m.members}
-        for x, place in zip(m.members, m.places):
+        for x, place in zip(m.members, m.places, strict=False):
             if x.id not in self.left:
                 self.seen[x.id] = (now, x, m.core)
                 self.places[x.id] = max(place, self.places.get(x.id, 0))
@@ -216,7 +216,7 @@
             del self.seen[i]
         self.places = {i: n for i, n in self.places.items() if i in self.seen}
         names = {}
-        for i, (seen, m, core) in sorted(self.seen.items(), key=lambda x: (x[1][0], x[0])):
+        for _, (_, m, _) in sorted(self.seen.items(), key=lambda x: (x[1][0], x[0])):
             names[m.name] = m  # a node's newest life drives out the ones before
         members = sorted(names.values(), key=lambda m: m.name)
         count = old.stamp[1] + 1 if self.issuing() else 1
--- a/iriswheel/store.py
+++ b/iriswheel/store.py
@@ -59,7 +59,7 @@
                 self.size = max(self.size, 2 * os.path.getsize(os.path.join(path, "data.mdb")))
             self.env = lmdb.open(path, map_size=self.size, sync=True)
         except (OSError, lmdb.Error) as e:
-            raise DiskDefect(f"The data folder can't be used: {e}")
+            raise DiskDefect(f"The data folder can't be used: {e}") from e
         if self.reactor is not None:
             self.pool.start()
 
@@ -102,7 +102,7 @@
         except lmdb.MapFullError:
             raise
         except (OSError, lmdb.Error) as e:
-            raise DiskDefect(str(e))
+            raise DiskDefect(str(e)) from e
 
     def commit(self, puts):
         """Write off the reactor's thread; the Deferred fires once it is synced.
--- a/iriswheel/verdict.py
+++ b/iriswheel/verdict.py
@@ -66,10 +66,10 @@
         self.retry_after = max(1, -(-retry_us // 1_000_000)) if waits else None
 
     def body(self):
-        """The JSON answer of this defect.
+        r"""The JSON answer of this defect.
 
         >>> Defect("no_route", "No route fits.").body()
-        b'{"code": "no_route", "verdict": "not_run", "text": "No route fits."}\\n'
+        b'{"code": "no_route", "verdict": "not_run", "text": "No route fits."}\n'
         """
         out = {"code": self.code, "verdict": self.verdict.value, "text": self.text}
         if self.field:
--- a/iriswheel/view.py
+++ b/iriswheel/view.py
@@ -448,7 +448,7 @@
 
         ds = [defer.ensureDeferred(ask(s)) for s in seats]
         res = await defer.DeferredList(ds, consumeErrors=True)
-        return {s.id: val if ok else None for s, (ok, val) in zip(seats, res)}
+        return {s.id: val if ok else None for s, (ok, val) in zip(seats, res, strict=False)}
 
     async def mend(self):
         """Watch the chain, and propose a better view where one is due.
--- a/iriswheel/web.py
+++ b/iriswheel/web.py
@@ -50,7 +50,8 @@
         self.refused = verdict.Defect(code, text)
         body = self.refused.body()
         head = (
-            f"HTTP/1.1 {self.refused.status} {status.HTTPStatus(self.refused.status).phrase}\r\nContent-Type: application/json\r\n"
+            f"HTTP/1.1 {self.refused.status} {status.HTTPStatus(self.refused.status).phrase}\r\n"
+            "Content-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         )
         self.channel.transport.write(head.encode() + body)
@@ -127,7 +128,7 @@
         try:
             return json.loads(self.content.read())
         except (ValueError, RecursionError):
-            raise verdict.Defect("bad_request", "The body is not JSON.", field="body")
+            raise verdict.Defect("bad_request", "The body is not JSON.", field="body") from None
 
 
 class Channel(http.HTTPChannel):
--- a/iriswheel/wire.py
+++ b/iriswheel/wire.py
@@ -225,7 +225,7 @@
     except defer.CancelledError:
         raise
     except Exception as e:
-        raise Broken(sent=False, refused=isinstance(e, error.ConnectionRefusedError))
+        raise Broken(sent=False, refused=isinstance(e, error.ConnectionRefusedError)) from e
 
 
 class Neighbours:
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The tests: `python -m tests`."""
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -15,9 +15,9 @@
 
 
 def known_red(text):
-    """The tests known to fail, as test id -> (cause, issue); raises ValueError for a line that is none.
+    r"""The tests known to fail, as test id -> (cause, issue); raises ValueError for a line that is none.
 
-    >>> known_red("tests.test_a.A.test_b | late by one beat | 12\\n\\n")
+    >>> known_red("tests.test_a.A.test_b | late by one beat | 12\n\n")
     {'tests.test_a.A.test_b': ('late by one beat', '12')}
     """
     out = {}
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -85,7 +85,7 @@
             ] + [quiet["node"]["in_bytes"]]
             grown[listed].append(len(wire.encoder.encode(f.nodes["n1"].follower.workers)))
             self.assertTrue(0 < quiet["node"]["loops"] < quiet["warden"]["loops"])
-        node, lister, quiet, size = (more - few for few, more in zip(grown[9], grown[90]))
+        node, lister, quiet, size = (more - few for few, more in zip(grown[9], grown[90], strict=False))
         self.assertTrue(
             abs(quiet) < 0.02 * size, quiet
         )  # a second, by 81 workers more: signs of life come as they fall
@@ -126,6 +126,6 @@
             )
             capacity.exchange(listed=26, rate=30, seconds=3, spans=[0.5], steps=[1, 3])
         got = rows(out.getvalue())
-        self.assertTrue(0 < got["a worker chosen at a node, its parts ranked before", "workers of the pool"][0])
+        self.assertTrue(got["a worker chosen at a node, its parts ranked before", "workers of the pool"][0] > 0)
         told = [float(x) for x in re.findall(r"^\| 0.5 s \| [13] \| ([0-9.]+) ", out.getvalue(), re.M)]
         self.assertTrue(told[0] > told[1] > 0, told)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -73,9 +73,12 @@
     self.left = True
 
 
-def _stale_head(self, req, size, *more, head=site.formats.Formats.head, last=[]):
-    last.append(head(self, req, size, *more))
-    return last[-2] if len(last) > 50 else last[-1]
+_sent_heads = []
+
+
+def _stale_head(self, req, size, *more, head=site.formats.Formats.head):
+    _sent_heads.append(head(self, req, size, *more))
+    return _sent_heads[-2] if len(_sent_heads) > 50 else _sent_heads[-1]
 
 
 def _no_target(self, *args, head=site.formats.Formats.head):
@@ -173,6 +176,6 @@
 
 
 for _run in CLEAN:
-    setattr(Days, "test_day_%s_seed_%d_%s" % _run, _clean(*_run))
+    setattr(Days, "test_day_{}_seed_{}_{}".format(*_run), _clean(*_run))
 for _guard in GUARDS:
     setattr(Days, f"test_without_guard_{_guard}", _complains(_guard))
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -1,5 +1,7 @@
 """The engine's model does what an engine does: batches, pieces, kept parts, memory, urgency."""
 
+import itertools
+
 import testtools
 import twisted.internet.task as task
 
@@ -68,7 +70,7 @@
         self.go(500)
         times = [t[2] for t in self.told["x"]]
         self.assertEqual(20, round((times[1] - times[0]) / MS))
-        self.assertEqual(100, round(max(b - a for a, b in zip(times, times[1:])) / MS))  # four pieces of 20 ms
+        self.assertEqual(100, round(max(b - a for a, b in itertools.pairwise(times)) / MS))  # four pieces of 20 ms
 
     def test_a_kept_part_is_not_read_again(self):
         e = self.make()
@@ -168,7 +170,7 @@
         jobs = [
             self.job(
                 f"x{k}",
-                [("s%d" % rng.randrange(3), 700), (f"o{k}", rng.randrange(1, 600))],
+                [(f"s{rng.randrange(3)}", 700), (f"o{k}", rng.randrange(1, 600))],
                 tokens=rng.randrange(1, 60),
                 urgency=rng.randrange(2),
             )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -66,7 +66,7 @@
         try:
             new = make(self.items)
         except blueprint.BadBlueprint as e:
-            raise verdict.Defect("bad_blueprint", str(e))
+            raise verdict.Defect("bad_blueprint", str(e)) from e
         self.items = {**new, "marks/operator": {**new["marks/operator"], "number": number}}
         self.taken.add(ident)
 
@@ -85,7 +85,7 @@
             try:
                 return json.loads(raw if raw is not None else json.dumps(doc))
             except ValueError:
-                raise verdict.Defect("bad_request", "")
+                raise verdict.Defect("bad_request", "") from None
 
         out = []
         req = types.SimpleNamespace(
