Changes that were taken stay known for 16,384 later ones, not 512

Cause: whether an order had been taken was told from the plans, of which 512 confirmed ones are kept. The same order sent again after more changes than that was refused with base_moved, though it had been acknowledged.

Ruled out: keeping more plans. They carry a base, a size and changes, and forgetting them sorts them all at each entry.

Beyond that bound the highest number dropped is kept; an order at or below it that is not known is answered 504 unknown_outcome and never 409. A whole configuration that is exactly what stands, under the same number, is acknowledged on whichever base it was sent. A refusal, also one for an invalid document, is only given after a read at the tail made for that order: an old copy on a machine that is cut off could call a valid patch invalid.

--- a/iriswheel/blueprint.py
+++ b/iriswheel/blueprint.py
@@ -368,6 +368,16 @@
     return f"c{built_on}-{number}-{hashlib.sha256(raw).hexdigest()[:16]}"
 
 
+def change_number(ident):
+    """The operator's number in a change's id; 0 for the id of a plan.
+
+    >>> change_number("c5-7-2f63a8da44f9e5d5"), change_number("3-ca06da3a935a")
+    (7, 0)
+    """
+    parts = ident.split("-")
+    return int(parts[1]) if ident.startswith("c") and len(parts) == 3 else 0
+
+
 def plan_id(base, changes):
     """The id of a plan names its base: the same changes on the same base, the same id.
 
--- a/iriswheel/chain.py
+++ b/iriswheel/chain.py
@@ -19,6 +19,8 @@
 GREW_BYTES = 32 << 20  # a frame after so many bytes of plans; entries kept behind it up to this size
 PLANS = 512  # plans remembered, of each sort: open, confirmed
 PLAN_BYTES = 16 << 20  # and open ones up to this size together
+TAKEN = 16_384  # ids of changes that were taken, remembered at least
+TAKEN_SLACK = 1_024  # and so many more before the oldest are dropped together
 
 log = loguru.logger.bind(part="chain")
 pack = msgspec.msgpack.encode
@@ -35,10 +37,24 @@
     size: int = 0  # bytes of the changes
 
 
+class Snapshot(msgspec.Struct, array_like=True):
+    """A ledger as it is stored and sent. Snapshots of format 2 end after `plans`."""
+
+    n: int
+    made: int
+    stamp: int
+    items: dict[str, typing.Any]
+    plans: list[tuple[str, Plan]]
+    taken: dict[str, int] | None = None
+    forgotten: int = 0
+
+
 class Ledger(typing.NamedTuple):
     """The state after entry n. Ledgers share what they have in common.
 
-    `fed` is `items` as nodes may have them: without the operator's labels.
+    `fed` is `items` as nodes may have them: without the operator's labels. `taken` maps the id
+    of each change that was taken to its stamp; `forgotten` is the highest operator's number
+    among those that were dropped from it.
 
     >>> one = Ledger().apply(message.Entry(1, 1, "plan", "0-a", 0, [("pools/p", {})]))
     >>> two = one.apply(message.Entry(2, 1, "confirm", "0-a"))
@@ -52,6 +68,8 @@
     items: immutables.Map = immutables.Map()
     plans: immutables.Map = immutables.Map()
     fed: immutables.Map = immutables.Map()
+    taken: immutables.Map = immutables.Map()
+    forgotten: int = 0
 
     def apply(self, e):
         """The state after one more entry.
@@ -66,10 +84,24 @@
             case message.Entry(kind="confirm"):
                 plan = self.plans[e.plan]
                 plans = forget(self.plans.set(e.plan, plan._replace(changes=[], stamp=e.n, n=e.n, size=0)))
-                return self._replace(n=e.n, made=e.made, stamp=e.n, plans=plans).change(plan.changes)
+                return self._replace(n=e.n, made=e.made, stamp=e.n, plans=plans).take(e).change(plan.changes)
             case message.Entry(kind="apply"):
                 plans = forget(self.plans.set(e.plan, Plan(e.n, e.base, [], e.n)))
-                return self._replace(n=e.n, made=e.made, stamp=e.n, plans=plans).change(e.changes)
+                return self._replace(n=e.n, made=e.made, stamp=e.n, plans=plans).take(e).change(e.changes)
+
+    def take(self, entry):
+        """The state with an entry's change remembered as taken; the oldest are dropped above the bound.
+
+        >>> Ledger().take(message.Entry(4, 1, "apply", "c5-7-0a")).taken["c5-7-0a"]
+        4
+        """
+        taken = self.taken.set(entry.plan, entry.n)
+        if len(taken) <= TAKEN + TAKEN_SLACK:
+            return self._replace(taken=taken)
+        by_age = sorted(taken, key=taken.get)
+        dropped, kept = by_age[:-TAKEN], by_age[-TAKEN:]
+        forgotten = max(self.forgotten, *map(blueprint.change_number, dropped))
+        return self._replace(taken=immutables.Map({k: taken[k] for k in kept}), forgotten=forgotten)
 
     def change(self, changes):
         """The state with some items changed; None removes.
@@ -93,8 +125,17 @@
         >>> Ledger.thaw(Ledger(n=3).freeze()).n
         3
         """
-        plans = [(k, list(p)) for k, p in sorted(self.plans.items())]
-        return pack([self.n, self.made, self.stamp, dict(sorted(self.items.items())), plans])
+        return pack(
+            Snapshot(
+                self.n,
+                self.made,
+                self.stamp,
+                dict(sorted(self.items.items())),
+                sorted(self.plans.items()),
+                dict(sorted(self.taken.items())),
+                self.forgotten,
+            )
+        )
 
     @classmethod
     def thaw(cls, raw):
@@ -103,10 +144,33 @@
         >>> Ledger.thaw(Ledger(stamp=2).freeze()).stamp
         2
         """
-        n, made, stamp, items, plans = msgspec.msgpack.decode(raw)
-        plans = immutables.Map({k: Plan(*p) for k, p in plans})
-        fed = immutables.Map({k: blueprint.bare(v) for k, v in items.items()})
-        return cls(n, made, stamp, immutables.Map(items), plans, fed)
+        kept = unpack_snapshot(raw)
+        plans = immutables.Map(kept.plans)
+        fed = immutables.Map({k: blueprint.bare(v) for k, v in kept.items.items()})
+        taken, forgotten = kept.taken, kept.forgotten
+        if taken is None:
+            taken, forgotten = taken_in_format_2(plans)
+        items = immutables.Map(kept.items)
+        return cls(kept.n, kept.made, kept.stamp, items, plans, fed, immutables.Map(taken), forgotten)
+
+
+unpack_snapshot = msgspec.msgpack.Decoder(Snapshot).decode
+
+
+def taken_in_format_2(plans):
+    """The changes taken and the highest number forgotten, of a snapshot that remembers only plans.
+
+    Where so many plans are confirmed that older ones may have been dropped, every number
+    below the lowest that is left counts as forgotten.
+
+    >>> taken_in_format_2({"c0-4-0a": Plan(9, 0, [], 9), "9-0b": Plan(10, 9, [])})
+    ({'c0-4-0a': 9}, 0)
+    """
+    taken = {k: p.stamp for k, p in plans.items() if p.stamp}
+    if len(taken) < PLANS:
+        return taken, 0
+    numbers = [blueprint.change_number(k) for k in taken]
+    return taken, max(0, min((n for n in numbers if n), default=0) - 1)
 
 
 def forget(plans):
@@ -391,11 +455,12 @@
             if not self.disk.ok:
                 return self.refuse("no_chain", "The head's disk does not work.")
             plan = self.tip.plans.get(m.plan)
+            taken = self.tip.taken.get(m.plan)
             match m:
                 case message.Propose(kind="plan") if plan is not None:
                     n = plan.n
-                case message.Propose(kind="apply") if plan is not None and plan.stamp:
-                    n = plan.stamp
+                case message.Propose(kind="apply" | "confirm") if taken is not None:
+                    n = taken
                 case message.Propose(kind="apply") if m.base != self.tip.stamp:
                     return self.refuse(
                         "base_moved", f"The blueprint is at {self.tip.stamp}, the change's base is {m.base}."
@@ -409,8 +474,6 @@
                     if 0 <= base < self.tip.stamp:
                         return message.Proposed("not_found", "may_have_run", "The plan is no longer remembered.")
                     return self.refuse("not_found", "There is no such plan.")
-                case message.Propose(kind="confirm") if plan.stamp:
-                    n = plan.stamp
                 case message.Propose(kind="confirm") if plan.base != self.tip.stamp:
                     return self.refuse(
                         "base_moved", f"The blueprint is at {self.tip.stamp}, the plan's base is {plan.base}."
@@ -446,4 +509,5 @@
         told = None
         if plan is not None:
             told = {"id": m.plan, "base": plan.base, "stamp": plan.stamp, "changes": plan.changes}
-        return message.Seen(True, self.base.stamp, dict(self.base.items), told)
+        taken = self.base.taken.get(m.plan, 0)
+        return message.Seen(True, self.base.stamp, dict(self.base.items), told, taken, self.base.forgotten)
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -1,5 +1,7 @@
 """A core machine: its link of the chain, its nodes' sessions, its operators' door."""
 
+import typing
+
 import loguru
 import msgspec
 import twisted.internet.defer as defer
@@ -21,7 +23,7 @@
 REPORT_US = 5 * machine.MILLI  # what else the nodes say within this goes to the tail in one word
 FRESH_US = 1_100 * machine.MILLI
 ANSWER_US = 3 * machine.SECOND
-FORMAT = 2  # of what stands on the disk
+FORMAT = 3  # of what stands on the disk
 EARLY_US = 15 * machine.SECOND  # a core that has run for longer and does not serve is cut off: its state may be past
 FORCE_US = 3 * machine.SECOND
 CHANGE_US = 900 * machine.MILLI  # a change is answered within this, known or not
@@ -32,6 +34,30 @@
 log = loguru.logger.bind(part="core")
 
 
+class Order(typing.NamedTuple):
+    """An operator's numbered change, built on the number `built_on`.
+
+    make(items) gives the new items, or raises BadBlueprint. `whole` says that these don't
+    depend on the old ones.
+    """
+
+    ident: str
+    number: int
+    built_on: int
+    make: typing.Callable
+    whole: bool = False
+
+
+class Known(typing.NamedTuple):
+    """The state that an order is judged by; `sure` where it was read at the tail for this order."""
+
+    stamp: int
+    items: typing.Any
+    taken: int
+    forgotten: int
+    sure: bool
+
+
 class Post:
     """One node's session: the feed of its slice and of the roster.
 
@@ -760,71 +786,126 @@
             )
 
         ident = blueprint.change_id(number, built_on, doc)
-        return number, await self.change(ident, number, built_on, make)
+        return number, await self.change(Order(ident, number, built_on, make, "blueprint" in doc))
 
-    async def change(self, ident, number, built_on, make):
-        """Bring a numbered change into force, built on the operator's number `built_on`.
+    async def change(self, order):
+        """Bring a numbered change into force: its stamp; raises Defect.
 
-        make(items) gives the new items, or raises BadBlueprint. The same change (the same
-        id) said again finds itself taken, also when later ones were taken since. The head
-        compares stamps, so of two changes on one base just one is taken. "base_moved" is
-        said only after a read at the tail, under its lease, that shows another number and
-        does not know this change: numbers rise, so it can't be taken any more. Answers
-        within CHANGE_US; once it stands, it waits a little for nodes that don't have it yet.
+        The same change (the same id) said again finds itself taken, also when later ones were
+        taken since. The head compares stamps, so of two changes on one base just one is taken.
+        A refusal is given only after a read at the tail, under its lease, made for this order.
+        Answers within CHANGE_US; once it stands, it waits a little for nodes that don't have
+        it yet.
 
-        Example: `stamp = await core.change("c5-7-0a", 7, 5, lambda items: {**items, "pools/p": {}})`
+        Example: `stamp = await core.change(Order("c5-7-0a", 7, 5, lambda items: {**items, "pools/p": {}}))`
         """
         until = self.mach.now() + CHANGE_US
         self.counts["changes"] += 1
-        base = self.chain.base
-        plan = base.plans.get(ident)
-        known = (base.stamp, base.items, plan.stamp if plan is not None else 0)
-        sure, maybe, why = False, False, None
-        while True:
-            left = until - self.mach.now()
-            if left <= 0:
-                break
+        known = self.known_here(order)
+        maybe, why = False, None
+        while self.mach.now() < until:
             try:
                 if known is None:
-                    seen = await self.look(ident, left)
-                    known, sure = (seen.stamp, seen.items, seen.plan["stamp"] if seen.plan else 0), True
-                stamp, items, done = known
-                if not done and blueprint.number(items) != built_on:
-                    if not sure:
-                        known = None
-                        continue
-                    raise verdict.Defect("base_moved", f"The blueprint is at number {blueprint.number(items)}.")
-                if not done:
-                    changes = blueprint.differ(items, self.renumber(number, built_on, make, items))
-                    done = (await self.propose("apply", ident, stamp, changes, max(0, until - self.mach.now()))).stamp
-                await self.show(done, until)
-                return done
+                    known = await self.known_at_tail(order, until - self.mach.now())
+                stamp = known.taken or self.stands_already(known, order)
+                refusal = None if stamp else self.refusal(known, order)
+                if refusal is None:
+                    stamp = stamp or await self.apply(known, order, until)
+                    await self.show(stamp, until)
+                    return stamp
             except verdict.Defect as d:
-                moved = d.code == "base_moved" and not (known and sure and blueprint.number(known[1]) != built_on)
-                if not moved and d.status < 500:
-                    raise
                 maybe = maybe or d.verdict is verdict.Verdict.MAY_HAVE_RUN
                 known, why = None, d
+            else:
+                if known.sure:
+                    raise refusal
+                known = None
+                continue
             await self.mach.sleep(AGAIN_US)
         if maybe or why is None:
             raise verdict.Defect(
-                "unknown_outcome", "Nobody can say yet whether the change stands.", verdict.Verdict.MAY_HAVE_RUN
+                "unknown_outcome", "It is not known yet whether the change was taken.", verdict.Verdict.MAY_HAVE_RUN
             )
         raise verdict.Defect("no_chain", f"The change can't be taken now: {why.text}")
 
-    def renumber(self, number, built_on, make, items):
-        """The items that a change makes, under its number; raises Defect.
+    def known_here(self, order):
+        """What this machine's own copy says of an order; it may be old.
+
+        Example: `known = core.known_here(order)`
+        """
+        base = self.chain.base
+        return Known(base.stamp, base.items, base.taken.get(order.ident, 0), base.forgotten, False)
+
+    async def known_at_tail(self, order, us):
+        """What the tail says of an order, under its lease; raises Defect.
+
+        Example: `known = await core.known_at_tail(order, 500_000)`
+        """
+        seen = await self.look(order.ident, us)
+        return Known(seen.stamp, seen.items, seen.taken, seen.forgotten, True)
+
+    def stands_already(self, known, order):
+        """The stamp of a state that is exactly what a whole order would have made, or 0.
+
+        Example: `stamp = core.stands_already(known, order)`
+        """
+        if not order.whole or blueprint.number(known.items) != order.number:
+            return 0
+        try:
+            made = self.renumber(order, known.items)
+        except verdict.Defect:
+            return 0
+        return known.stamp if not blueprint.differ(known.items, made) else 0
+
+    def refusal(self, known, order):
+        """Why an order that is not among those taken can't be taken on a state; None where it can.
+
+        Numbers rise, so a number that was passed can't be taken any more. Where its id may
+        have been forgotten, nobody knows whether it was.
+
+        Example: `defect = core.refusal(known, order)`
+        """
+        current = blueprint.number(known.items)
+        if current != order.built_on:
+            if order.number <= known.forgotten:
+                text = "Changes of that age are no longer remembered."
+                return verdict.Defect("unknown_outcome", text, verdict.Verdict.MAY_HAVE_RUN)
+            return verdict.Defect("base_moved", f"The blueprint is at number {current}.")
+        try:
+            self.renumber(order, known.items)
+        except verdict.Defect as d:
+            return d
+        return None
+
+    async def apply(self, known, order, until):
+        """Propose an order on a known state: the stamp under which it was taken; raises Defect.
+
+        Example: `stamp = await core.apply(known, order, until)`
+        """
+        changes = blueprint.differ(known.items, self.renumber(order, known.items))
+        left = max(0, until - self.mach.now())
+        try:
+            return (await self.propose("apply", order.ident, known.stamp, changes, left)).stamp
+        except verdict.Defect as d:
+            if d.code != "base_moved":
+                raise
+        raise verdict.Defect("no_chain", "Another change came first.")  # the tail says what became of this one
+
+    def renumber(self, order, items):
+        """The items that an order makes, under its number; raises Defect.
 
-        Example: `core.renumber(7, 5, make, items)`
+        Example: `core.renumber(order, items)`
         """
-        defects = [] if number > built_on else [f"marks/operator: number {number} is not above {built_on}"]
+        defects = []
+        if order.number <= order.built_on:
+            defects.append(f"marks/operator: number {order.number} is not above {order.built_on}")
         try:
-            new = make(items)
+            new = order.make(items)
         except blueprint.BadBlueprint as e:
             defects += e.defects
         if defects:
             raise verdict.Defect("bad_blueprint", "; ".join(defects[:50]), field="blueprint")
-        return {**new, "marks/operator": {**new.get("marks/operator", {}), "number": number}}
+        return {**new, "marks/operator": {**new.get("marks/operator", {}), "number": order.number}}
 
     async def show(self, stamp, until):
         """Wait a little until every member has come as far as a stamp.
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -268,6 +268,8 @@
     stamp: int = 0
     items: dict[str, typing.Any] = {}
     plan: dict[str, typing.Any] | None = None
+    taken: int = 0  # the stamp under which the change of that id was taken
+    forgotten: int = 0  # the highest number of a change taken whose id is no longer remembered
 
 
 class Sessions(Message):
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -5,6 +5,8 @@
 
 import bench.town as town
 import iriswheel.blueprint as blueprint
+import iriswheel.chain as chain
+import iriswheel.message as message
 
 S = town.S
 
@@ -82,6 +84,59 @@
                 self.assertIn(f"routes/r{k}", self.items(t))
                 t.go(2)
 
+    def take(self, t, count):
+        """Numbered changes, one after the other; returns their (number, built on, content)."""
+        orders = [(k + 1, k, route(k % 3)) for k in range(count)]
+        for order in orders:
+            self.assertEqual([200], self.wait(t, self.start(t, *order)))
+        return orders
+
+    def test_a_taken_change_is_acknowledged_again_after_many_later_ones_and_a_fall_of_the_whole_core(self):
+        self.patch(chain, "PLANS", 4)
+        self.patch(chain, "KEEP", 8)
+        t = self.quiet()
+        orders = self.take(t, 24)
+        again = [orders[k] for k in (-1, -2, -6, -20, 0)]
+        self.assertEqual([200] * 5, self.wait(t, *(self.start(t, *order) for order in again)))
+        for c in t.cores.values():
+            c.proc.kill()
+        t.go(1)
+        for name in t.cores:
+            t.start_core(name, *t.options[name])
+        self.assertEqual([200] * 5, self.wait(t, *(self.start(t, *order) for order in again)))
+        self.assertEqual([409], self.wait(t, self.start(t, 1, 0, route(9))))
+        self.assertEqual(24, blueprint.number(self.items(t)))
+
+    def test_a_change_older_than_the_memory_gets_no_clear_answer(self):
+        self.patch(chain, "TAKEN", 4)
+        self.patch(chain, "TAKEN_SLACK", 2)
+        t = self.quiet()
+        orders = self.take(t, 8)
+        self.assertEqual(
+            [0, 200, 409],
+            [
+                self.wait(t, t.office_mach.spawn(town.Operator(t, t.office_mach, "boss").number(*order, tries=3)))[0]
+                for order in (orders[0], orders[-2], (8, 6, route(9)))
+            ],
+        )
+
+    def test_eight_at_once_with_equal_ones_among_them(self):
+        t = self.quiet()
+        orders = [(5, 0, route(k // 2)) for k in range(8)]
+        results = self.wait(t, *(self.start(t, *order) for order in orders))
+        self.assertEqual([200] * 2 + [409] * 6, sorted(results))
+        self.assertEqual({(200, 200), (409, 409)}, {tuple(results[k : k + 2]) for k in (0, 2, 4, 6)})
+
+    def test_a_whole_configuration_that_stands_is_acknowledged_on_another_base(self):
+        t = self.quiet()
+        doc, other = t.with_probe(1), t.with_probe(2)
+        self.assertEqual([200], self.wait(t, self.start(t, 4, 0, {"blueprint": doc})))
+        n = t.tail().chain.base.n
+        self.assertEqual([200], self.wait(t, self.start(t, 4, 3, {"blueprint": doc})))
+        self.assertEqual([409], self.wait(t, self.start(t, 4, 3, {"blueprint": other})))
+        self.assertEqual([409], self.wait(t, self.start(t, 5, 3, {"blueprint": doc})))
+        self.assertEqual(n, t.tail().chain.base.n)
+
     def test_it_is_taken_where_no_node_is_there(self):
         t = self.quiet()
         for n in t.nodes.values():
@@ -102,3 +157,39 @@
         t.start_core("c1", *t.options["c1"])
         self.assertEqual([200], self.wait(t, self.start(t, 3, 2, route(3))))
         self.assertIn("routes/r1", self.items(t))
+
+
+class Taken(testtools.TestCase):
+    """The memory of changes that were taken."""
+
+    def apply(self, count):
+        ledger = chain.Ledger()
+        for n in range(1, count + 1):
+            changes = [("marks/operator", {"number": n})]
+            ledger = ledger.apply(message.Entry(n, 1, "apply", f"c{n - 1}-{n}-0a", n - 1, changes))
+        return ledger
+
+    def test_it_outlives_the_plans_and_is_in_the_snapshot(self):
+        ledger = self.apply(1_100)
+        self.assertNotIn("c0-1-0a", ledger.plans)
+        again = chain.Ledger.thaw(ledger.freeze())
+        self.assertEqual(
+            (1, 100, 1_100, 0), (*(again.taken[f"c{n - 1}-{n}-0a"] for n in (1, 100, 1_100)), again.forgotten)
+        )
+        self.assertEqual(ledger, again)
+
+    def test_it_is_bounded(self):
+        ledger = self.apply(chain.TAKEN + chain.TAKEN_SLACK + 2)
+        self.assertEqual((chain.TAKEN + 1, chain.TAKEN_SLACK + 1), (len(ledger.taken), ledger.forgotten))
+        self.assertLess(len(ledger.freeze()), 1 << 20)
+        self.assertEqual(ledger, chain.Ledger.thaw(ledger.freeze()))
+
+    def old(self, ledger):
+        """The snapshot as format 2 had it: number, view, stamp, items and plans."""
+        plans = [(k, list(p)) for k, p in sorted(ledger.plans.items())]
+        return chain.pack([ledger.n, ledger.made, ledger.stamp, dict(ledger.items), plans])
+
+    def test_a_snapshot_of_format_2_is_read(self):
+        few, many = (chain.Ledger.thaw(self.old(self.apply(count))) for count in (20, 600))
+        self.assertEqual((20, 0, 7), (len(few.taken), few.forgotten, few.taken["c6-7-0a"]))
+        self.assertEqual((512, 88, 600), (len(many.taken), many.forgotten, blueprint.number(many.items)))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -56,19 +56,19 @@
     def __init__(self):
         self.items, self.taken = {}, set()
 
-    async def change(self, ident, number, built_on, make):
-        if ident in self.taken:
+    async def change(self, order):
+        if order.ident in self.taken:
             return
-        if built_on != blueprint.number(self.items):
+        if order.built_on != blueprint.number(self.items):
             raise verdict.Defect("base_moved", "")
-        if number <= built_on:
+        if order.number <= order.built_on:
             raise verdict.Defect("bad_blueprint", "")
         try:
-            new = make(self.items)
+            new = order.make(self.items)
         except blueprint.BadBlueprint as e:
             raise verdict.Defect("bad_blueprint", str(e))
-        self.items = {**new, "marks/operator": {**new["marks/operator"], "number": number}}
-        self.taken.add(ident)
+        self.items = {**new, "marks/operator": {**new["marks/operator"], "number": order.number}}
+        self.taken.add(order.ident)
 
     async def read(self):
         return self.items
