A new tail reads nothing old; a change is acknowledged by its own entry only

Four faults found by reading, each shown by a small test: - A tail counts as whole, and may have its lease, a moment before it has committed what it holds (at least one synced write of its record, 0.4 s on a slow disk). A read in between answered by an older state than the tail before it may have shown. Chain.settled is the newest view in which all that is held is committed; reads wait for it. A lone tail below the number of copies commits nothing, and answers reads only where it holds nothing beyond. - A head whose synced write outlasts its view put the entry into its log after it had answered Place without it. A refill built on that answer left the entry there. Chain.outcome looks whose it is. - core.ask_link cancelled its own replica's write at its time limit, so that the log in memory and the one on disk could differ, and a stalled disk was forgotten after 0.9 s, before the 1 s that mark it. The answer is shielded.

Operators' calls end after 0.9 s and a lease lasts 1.5 s, so that the second and third could only reach a caller of confirm (3 s).

The four tests of test_chain and the new one of test_web were run with the mend taken out: all five fail.

--- a/iriswheel/chain.py
+++ b/iriswheel/chain.py
@@ -219,6 +219,7 @@
         self.grew = 0  # bytes of changes since the frame
         self.history = {self.base.n: self.base}
         self.synced = self.tip.n
+        self.settled = 0  # the newest view in which this machine, as its tail, had all committed that it holds
         self.lock = defer.DeferredLock()
         self.grown = machine.Signal()
         self.committed = machine.Signal()
@@ -271,8 +272,12 @@
         Example: `chain.settle_tail(4)`
         """
         v = self.council.view
-        if self.place(number) == len(v.chain) - 1 and self.whole() and len(v.chain) >= self.council.copies:
+        if self.place(number) != len(v.chain) - 1 or not self.whole():
+            return
+        if len(v.chain) >= self.council.copies:
             self.commit(self.synced)
+        if self.base.n >= self.synced:
+            self.settled = number
 
     def commit(self, n):
         """Let entries up to n stand.
@@ -370,9 +375,7 @@
         """
         match msg:
             case message.Place(view=number):
-                if not self.place(number):
-                    return message.Placed(False)
-                return message.Placed(True, self.synced, self.tip.made)
+                return await self.tell_place(number)
             case message.Refill(view=number):
                 return await self.take(number, msg.entries, msg.frame, first=True)
             case message.Append(view=number):
@@ -382,6 +385,19 @@
             case message.Look():
                 return self.look(msg)
 
+    async def tell_place(self, number):
+        """Answer how far this copy has come, once no write is under way that could move it.
+
+        Example: `res = await chain.tell_place(4)`
+        """
+        await self.lock.acquire()
+        try:
+            if not self.place(number):
+                return message.Placed(False)
+            return message.Placed(True, self.synced, self.tip.made)
+        finally:
+            self.lock.release()
+
     async def take(self, number, entries, frame, first):
         """Store what the link before sends, pass it on, answer once it stands below.
 
@@ -399,6 +415,7 @@
                 if base.n >= self.base.n:
                     self.base, self.framed = base, base.n
                     self.history[base.n] = base
+                    self.committed.wake()
             new = [e for e in entries if e.n > self.synced]
             if new and new[0].n != self.synced + 1:
                 return message.Stored(False)
@@ -492,18 +509,32 @@
                     self.settle_tail(number)  # where one copy is enough, the head may be the tail
         finally:
             self.lock.release()
+        return await self.outcome(m, n)
+
+    async def outcome(self, m, n):
+        """The answer to a change that became entry n, once that stands or its view has ended.
+
+        Example: `res = await chain.outcome(message.Propose(4, "confirm", plan="3-ab"), 17)`
+        """
+        unknown = message.Proposed("unknown_outcome", "may_have_run", "The chain changed meanwhile.")
         while self.base.n < n:
+            if self.place(m.view) is None:
+                return unknown
             await self.committed.wait()
-            if self.place(number) is None and self.base.n < n:
-                return message.Proposed("unknown_outcome", "may_have_run", "The chain changed meanwhile.")
+        entry = self.log.get(n)
+        if self.place(m.view) is None and (entry is None or entry.plan != m.plan):
+            return unknown  # another view may have made another entry of that number
         return message.Proposed("", "ran", "", m.base if m.kind == "plan" else n)
 
     def look(self, m):
         """Answer a read, at the tail and under its lease only.
 
+        A tail that is new holds entries that the one before it may have answered reads by;
+        until these are committed here, it answers none.
+
         Example: `chain.look(message.Look(view=4, plan="3-ab"))`
         """
-        if not self.council.leased():
+        if not self.council.leased() or self.settled != self.council.view.number:
             return message.Seen(False)
         plan = self.base.plans.get(m.plan)
         told = None
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -5,6 +5,7 @@
 import loguru
 import msgspec
 import twisted.internet.defer as defer
+import twisted.python.failure as failure
 
 import iriswheel.blueprint as blueprint
 import iriswheel.chain as chain
@@ -34,6 +35,28 @@
 log = loguru.logger.bind(part="core")
 
 
+def shield(d):
+    """A Deferred that fires as d does; cancelling it leaves d to go on.
+
+    What has begun to write must know of its write when that ends, whoever still waits for it.
+
+    >>> d = defer.Deferred()
+    >>> shield(d).addErrback(lambda f: None).cancel()
+    >>> d.called
+    False
+    """
+    out = defer.Deferred()
+
+    def done(res):
+        if not out.called:
+            out.callback(res)
+        elif isinstance(res, failure.Failure):
+            log.error("An answer that nobody waited for any more broke off: {}", res.getTraceback())
+
+    d.addBoth(done)
+    return out
+
+
 class Order(typing.NamedTuple):
     """An operator's numbered change, built on the number `built_on`.
 
@@ -686,7 +709,7 @@
         msg = make(v.number)
         try:
             if seat.id == self.council.me.id:
-                return await self.mach.within(defer.ensureDeferred(self.chain.answer(msg)), us)
+                return await self.mach.within(shield(defer.ensureDeferred(self.chain.answer(msg))), us)
             return await self.mach.within(defer.ensureDeferred(self.neighbours.call(seat.host, seat.port, msg, us)), us)
         except (wire.Broken, machine.Late) as e:
             if isinstance(e, wire.Broken) and not e.sent:
--- a/iriswheel/web.py
+++ b/iriswheel/web.py
@@ -83,6 +83,8 @@
 
         Example: `request.answer_defect(verdict.Defect("busy", "All seats are taken."))`
         """
+        if self.gone:
+            return
         if self.startedWriting:
             self.break_off()
             return
--- /dev/null
+++ b/tests/test_chain.py
@@ -0,0 +1,117 @@
+"""One replica of the chain: what it answers while its view changes and its disk is slow."""
+
+import types
+
+import loguru
+import testtools
+import twisted.internet.defer as defer
+
+import iriswheel.chain as chain
+import iriswheel.machine as machine
+import iriswheel.message as message
+
+
+class Disk:
+    """A disk whose writes end when the test says so."""
+
+    ok = True
+
+    def __init__(self):
+        self.writes = []
+
+    async def commit(self, puts):
+        done = defer.Deferred()
+        self.writes.append(done)
+        await done
+
+    def finish(self):
+        """End all writes under way."""
+        writes, self.writes = self.writes, []
+        for done in writes:
+            done.callback(None)
+
+
+class Council:
+    """A view that the test sets; every replica is whole, and its tail holds the lease."""
+
+    copies = 2
+
+    def __init__(self, number, *ids):
+        self.me = types.SimpleNamespace(id="a")
+        self.agree(number, *ids)
+
+    def agree(self, number, *ids):
+        self.view = message.View(number, [], [message.ChainLink(i, "1") for i in ids])
+        self.record = types.SimpleNamespace(whole=number)
+
+    def serving(self, number):
+        return number == self.view.number
+
+    def leased(self):
+        return self.view.chain[-1].id == self.me.id
+
+    async def grow_whole(self, number):
+        pass
+
+
+def entry(n, made, ident):
+    return message.Entry(n, made, "apply", ident, 0, [("marks/operator", {"number": n})])
+
+
+class Replica(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        loguru.logger.remove()
+        self.disk = Disk()
+
+    def replica(self, council, entries=()):
+        state = {b"e%016d" % e.n: chain.pack(e) for e in entries}
+        made = chain.Chain(machine.Machine(None, now=lambda: 0), self.disk, state, None)
+        made.council = council
+        return made
+
+    def put(self, replica, msg):
+        return defer.ensureDeferred(replica.answer(msg))
+
+    def test_a_new_tail_answers_no_read_before_what_it_holds_is_committed(self):
+        replica = self.replica(Council(4, "b", "a"), [entry(1, 3, "c0-1-0a")])
+        self.assertFalse(self.put(replica, message.Look(4)).result.ok)
+        replica.settle_tail(4)
+        seen = self.put(replica, message.Look(4, "c0-1-0a")).result
+        self.assertEqual((True, 1, 1), (seen.ok, seen.stamp, seen.taken))
+        replica.council.agree(5, "b", "a")
+        self.assertFalse(self.put(replica, message.Look(5)).result.ok)
+
+    def test_a_tail_that_may_not_commit_alone_answers_no_read_by_less_than_it_holds(self):
+        replica = self.replica(Council(4, "a"), [entry(1, 3, "c0-1-0a")])
+        replica.settle_tail(4)
+        self.assertFalse(self.put(replica, message.Look(4)).result.ok)
+        blank = self.replica(Council(4, "a"))
+        blank.settle_tail(4)
+        self.assertTrue(self.put(blank, message.Look(4)).result.ok)
+
+    def test_a_change_synced_after_its_view_ended_is_not_acknowledged_by_another_entry(self):
+        replica = self.replica(Council(4, "a", "b"))
+        proposed = self.put(replica, message.Propose(4, "apply", "c0-1-0a", 0, [("marks/operator", {"number": 1})]))
+        replica.council.agree(5, "b", "a")
+        placed = self.put(replica, message.Place(5, "b"))
+        self.assertFalse(placed.called)
+        self.disk.finish()
+        self.assertEqual("unknown_outcome", proposed.result.code)
+        self.assertEqual((1, 4), (placed.result.n, placed.result.made))
+        other = chain.Ledger().apply(entry(1, 5, "c0-1-0b"))
+        refilled = self.put(replica, message.Refill(5, other.freeze(), []))
+        self.disk.finish()
+        self.assertTrue(refilled.result.ok)
+        self.assertEqual({"c0-1-0b": 1}, dict(replica.base.taken))
+
+    def test_a_change_taken_again_after_a_refill_by_snapshot_is_told_apart(self):
+        replica = self.replica(Council(4, "a", "b"))
+        proposed = self.put(replica, message.Propose(4, "apply", "c0-1-0a", 0, []))
+        self.disk.finish()
+        self.assertFalse(proposed.called)
+        replica.council.agree(5, "b", "a")
+        other = chain.Ledger().apply(entry(1, 5, "c0-1-0b"))
+        self.put(replica, message.Refill(5, other.freeze(), []))
+        self.disk.finish()
+        self.assertEqual("unknown_outcome", proposed.result.code)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,11 +1,16 @@
 """What a requester may send, and how long it may take over it: the blueprint's limits at the door."""
 
+import loguru
 import testtools
+import twisted.internet.defer as defer
+import twisted.internet.error as error
 import twisted.internet.task as task
 import twisted.internet.testing as testing
+import twisted.python.failure as failure
 
 import iriswheel.blueprint as blueprint
 import iriswheel.machine as machine
+import iriswheel.verdict as verdict
 import iriswheel.web as web
 
 
@@ -57,6 +62,21 @@
             self.wait(1)
         self.assertFalse(transport.connected)
 
+    def test_a_refusal_for_a_client_that_has_gone_away_is_dropped(self):
+        loguru.logger.remove()
+        lines, answer = [], defer.Deferred()
+        self.addCleanup(loguru.logger.remove, loguru.logger.add(lines.append, level="ERROR"))
+
+        async def handle(req):
+            await answer
+
+        self.server.handle = handle
+        channel, _ = self.connect()
+        channel.dataReceived(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        channel.connectionLost(failure.Failure(error.ConnectionLost()))
+        answer.errback(verdict.Defect("no_chain", "The tail holds no lease now."))
+        self.assertEqual([], lines)
+
     def test_an_idle_connection_may_stay_for_its_time(self):
         channel, transport = self.connect()
         channel.dataReceived(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
