A linearizability checker for operators' histories

iriswheel/linearizability.py searches for one order of all operators' calls that explains every answer (Wing and Gong, with memory of the places seen; calls that leave the state as it is are taken at once). The object is a configuration under a number: changes compare the number in place, the same change sent again is acknowledged again, lost answers leave a change open, reads give the number and, where the log has it, the content.

iriswheel/history.py reads three kinds of rows: the platform's configurations, numbered changes, confirmed plans. 'iriswheel history FILE' judges any log; both judges of simulated runs have it as the checker 'linearizable'. Logs now have the moment at which a read or a numbered change began.

Tests: generated correct histories pass (hypothesis, derandomized); a stale read, two winners on one base or under one number, a lost acknowledged change, a refusal of a taken order, a refusal on the base in place each fail.

--- a/bench/judge.py
+++ b/bench/judge.py
@@ -14,6 +14,7 @@
 import defopt
 
 import bench.words as words
+import iriswheel.history as history
 
 MS, S = 1_000, 1_000_000
 PROMISES = (408, 421, 429, 503)
@@ -467,6 +468,11 @@
             yield f"{sum(a['ok'] for a in after)} of {len(after)} were served after the closing fault"
 
 
+def linearizable(log):
+    """Operators' calls and reads that no order explains."""
+    yield from history.complaints(log.rows)
+
+
 RULES = dict(
     mixed=mixed,
     unasked=unasked,
@@ -477,6 +483,7 @@
     drain=drain,
     lost=lost,
     config=config,
+    linearizable=linearizable,
     acks=acks,
     budget=budget,
     order=order,
--- a/bench/town.py
+++ b/bench/town.py
@@ -13,6 +13,7 @@
 import bench.stand as stand
 import iriswheel.command as command
 import iriswheel.core as core
+import iriswheel.linearizability as linearizability
 import iriswheel.load as load
 import iriswheel.machine as machine
 import iriswheel.node as node
@@ -104,6 +105,7 @@
         self.cores, self.nodes, self.workers = {}, {}, {}
         self.options = {}
         self.seeds = []
+        self.numbered_calls = 0  # calls with a numbered change so far
         self.probe = 0  # which probe route was confirmed last
         self.probing = True
         self.probes = 0
@@ -574,6 +576,9 @@
         doc = {"number": number, "built_on": built_on, **what}
         places = [f"{self.town.options[c][0]}:{HTTP}" for c in self.town.cores]
         self.mach.rng.shuffle(places)
+        self.town.numbered_calls += 1
+        row = dict(call=f"{self.name}-{self.town.numbered_calls}", number=number, built_on=built_on, who=self.name)
+        self.town.tape.put(self.mach.now(), "number_sent", content=linearizability.digest(what), **row)
         for k in range(tries):
             try:
                 status, _ = await self.mach.within(
@@ -583,9 +588,7 @@
             except Exception:
                 status = 504
             if status < 500:
-                self.town.tape.put(
-                    self.mach.now(), "numbered", number=number, built_on=built_on, status=status, who=self.name
-                )
+                self.town.tape.put(self.mach.now(), "numbered", status=status, **row)
                 return status
             await self.mach.sleep(100 * machine.MILLI)
         return 0
@@ -595,9 +598,11 @@
 
         Example: `await operator.read()`
         """
+        began = self.mach.now()
         for _ in range(tries):
             status, doc = await self.ask("GET", "/blueprint")
             if status == 200:
-                self.town.tape.put(self.mach.now(), "read", stamp=doc["stamp"], blueprint=doc["blueprint"])
+                row = dict(stamp=doc["stamp"], blueprint=doc["blueprint"], began=began, who=self.name)
+                self.town.tape.put(self.mach.now(), "read", **row)
                 return
             await self.mach.sleep(500 * machine.MILLI)
--- a/bench/users.py
+++ b/bench/users.py
@@ -687,7 +687,9 @@
 
         Example: `doc = await operator.read()`
         """
+        began = self.mach.now()
         status, raw = await self.until_clear("GET", [], b"", seconds)
         doc = json.loads(raw) if status == 200 else None
-        self.tape.put(self.mach.now(), "config_read", code=status, doc=doc)
+        version = doc.get(words.BLUEPRINT["version"]) if doc is not None else None
+        self.tape.put(self.mach.now(), "config_read", code=status, doc=doc, version=version, began=began, who=self.name)
         return doc
--- a/iriswheel/command.py
+++ b/iriswheel/command.py
@@ -12,6 +12,7 @@
 import twisted.web.http_headers as http_headers
 
 import iriswheel.blueprint as blueprint
+import iriswheel.history as operators_history
 import iriswheel.load as load_generator
 import iriswheel.machine as machine
 import iriswheel.options as options_reader
@@ -292,15 +293,13 @@
     print(json.dumps(gen.report(), indent=2))
 
 
-def replay(*files: str):
-    """Judge event logs by the brief's twelve points; exit 1 where there is a complaint.
-
-    Example: iriswheel replay run.events
+def read_logs(paths):
+    """The events of some logs by their times, or an exit that says what is damaged.
 
-    :param files: event logs of one run, merged by their times
+    Example: `rows = read_logs(["run.events"])`
     """
     lines, cuts = [], []
-    for path in files:
+    for path in paths:
         try:
             with open(path) as f:
                 rows, cut = judge.read(f)
@@ -313,6 +312,17 @@
     lines.sort(key=lambda r: r["at"])
     for path in cuts:
         print(f"{path}: cut short; judged up to there")
+    return lines
+
+
+def replay(*files: str):
+    """Judge event logs by the brief's twelve points; exit 1 where there is a complaint.
+
+    Example: iriswheel replay run.events
+
+    :param files: event logs of one run, merged by their times
+    """
+    lines = read_logs(files)
     found = judge.judge(lines)
     for name, texts in found.items():
         for text in texts:
@@ -323,12 +333,27 @@
     sys.exit(1 if found else 0)
 
 
+def history(*files: str):
+    """Judge operators' calls in event logs: whether one order explains every answer; exit 1 where none does.
+
+    Example: iriswheel history run.events
+
+    :param files: event logs of one run, merged by their times
+    """
+    rows = read_logs(files)
+    found = operators_history.complaints(rows)
+    for text in found:
+        print(text)
+    print(f"{operators_history.count(rows)} calls, {len(found)} complaints")
+    sys.exit(1 if found else 0)
+
+
 def main():
     """The program.
 
     Example: `python -m iriswheel --help`
     """
     try:
-        defopt.run([core, node, load, check, plan, confirm, change, show, replay])
+        defopt.run([core, node, load, check, plan, confirm, change, show, replay, history])
     except KeyboardInterrupt:
         sys.exit(130)
--- /dev/null
+++ b/iriswheel/linearizability.py
@@ -0,0 +1,348 @@
+"""Linearizability of operators' histories: a search for an order of all calls that explains every answer.
+
+The object is a configuration under a number. A change replaces it where the number in place is
+the one that it builds on. The very same change may be sent again, and is acknowledged again. A
+read gives the configuration in place. An answer may be lost; a change without an answer may
+have taken effect at any moment after it was sent, or never.
+
+The search is that of Wing and Gong, with Lowe's memory of states seen: it takes calls one by
+one, each before the first answer among those left, and goes back where it can't go on.
+"""
+
+import enum
+import hashlib
+import json
+import typing
+
+import msgspec
+
+NEVER = 1 << 62
+SEARCH_BOUND = 200_000  # steps of the search, then it gives up
+
+INITIAL = "initial"  # the content before the first change
+
+
+class Outcome(enum.Enum):
+    """What is known of a call that changes the configuration."""
+
+    ACKNOWLEDGED = "acknowledged"
+    REFUSED = "refused"  # another number is in place
+    INVALID = "invalid"  # says nothing of the state
+    UNKNOWN = "unknown"
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A change, with its first sending and its last answer.
+
+    Two changes are the same where number, base and content are.
+    """
+
+    number: int
+    base: int
+    content: str
+
+    @property
+    def valid_number(self):
+        """Whether the number rises.
+
+        >>> Change(7, 5, "a").valid_number
+        True
+        """
+        return self.number > self.base
+
+
+class Read(msgspec.Struct, frozen=True):
+    """A read; what it gave stands in its response."""
+
+
+class Invocation(msgspec.Struct, frozen=True):
+    """A call, when it was sent."""
+
+    at: int
+    call: str
+    operation: Change | Read
+
+
+class ChangeResponse(msgspec.Struct, frozen=True):
+    """The answer to a change."""
+
+    at: int
+    call: str
+    outcome: Outcome
+
+
+class ReadResponse(msgspec.Struct, frozen=True):
+    """The answer to a read: the number and the content in place. Content "" says nothing of it."""
+
+    at: int
+    call: str
+    number: int
+    content: str = ""
+
+
+Event = Invocation | ChangeResponse | ReadResponse
+
+
+class Operation(msgspec.Struct, frozen=True):
+    """A call from its sending to its answer, which never comes for an unknown outcome."""
+
+    sent: int
+    answered: int
+    call: str
+    operation: Change | Read
+    outcome: Outcome = Outcome.ACKNOWLEDGED
+    seen: tuple[int, str] | None = None
+
+
+class State(typing.NamedTuple):
+    """The configuration in place, and the changes that made it and those before it."""
+
+    number: int = 0
+    content: str = INITIAL
+    taken: frozenset = frozenset()
+
+
+class BadHistory(ValueError):
+    """Events that are no history: a response without its call, or a call under a name in use."""
+
+
+class SearchTooLong(Exception):
+    """The search was given up; the history is neither judged good nor bad."""
+
+
+def operations(events):
+    """The calls of a history, each with its answer; raises BadHistory.
+
+    >>> operations([Invocation(1, "a", Read()), ReadResponse(3, "a", 0)])[0].answered
+    3
+    """
+    calls, responses = {}, {}
+    for event in sorted(events, key=lambda e: (e.at, not isinstance(e, Invocation))):
+        match event:
+            case Invocation(call=call) if call in calls:
+                raise BadHistory(f"call {call} is sent twice")
+            case Invocation(call=call):
+                calls[call] = event
+            case _ if event.call not in calls or event.call in responses:
+                raise BadHistory(f"call {event.call} is answered without being under way")
+            case _:
+                responses[event.call] = event
+    return [operation(invocation, responses.get(call)) for call, invocation in calls.items()]
+
+
+def operation(invocation, response):
+    """One call with its answer, or without.
+
+    >>> operation(Invocation(1, "a", Change(7, 5, "x")), None).outcome
+    <Outcome.UNKNOWN: 'unknown'>
+    """
+    match response:
+        case ReadResponse():
+            seen = (response.number, response.content)
+            return Operation(invocation.at, response.at, invocation.call, invocation.operation, seen=seen)
+        case ChangeResponse(outcome=outcome) if outcome is not Outcome.UNKNOWN:
+            return Operation(invocation.at, response.at, invocation.call, invocation.operation, outcome)
+        case _:
+            return Operation(invocation.at, NEVER, invocation.call, invocation.operation, Outcome.UNKNOWN)
+
+
+def results(state, operation):
+    """The states that a call may leave, given its answer; none where the answer doesn't fit.
+
+    >>> results(State(5), Operation(0, 1, "a", Change(7, 5, "x"), Outcome.REFUSED))
+    []
+    >>> [s.number for s in results(State(5), Operation(0, 1, "a", Change(7, 5, "x")))]
+    [7]
+    """
+    match operation:
+        case Operation(operation=Read(), seen=(number, content)):
+            fits = number == state.number and content in ("", state.content)
+            return [state] if fits else []
+        case Operation(operation=Change() as change, outcome=Outcome.ACKNOWLEDGED):
+            if change in state.taken or (change.number, change.content) == (state.number, state.content):
+                return [state]
+            return [applied(state, change)] if applies(state, change) else []
+        case Operation(operation=Change() as change, outcome=Outcome.REFUSED):
+            return [] if change in state.taken or change.base == state.number else [state]
+        case Operation(operation=Change() as change, outcome=Outcome.UNKNOWN) if applies(state, change):
+            return [applied(state, change)]
+        case _:
+            return []
+
+
+def applies(state, change):
+    """Whether a change takes effect on a state.
+
+    >>> applies(State(5), Change(7, 5, "x")), applies(State(6), Change(7, 5, "x"))
+    (True, False)
+    """
+    return change.valid_number and change.base == state.number and change not in state.taken
+
+
+def applied(state, change):
+    """The state after a change.
+
+    >>> applied(State(), Change(7, 0, "x")).number
+    7
+    """
+    return State(change.number, change.content, state.taken | {change})
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """Whether a history is linearizable, and where not, the answers that nothing explains."""
+
+    linearizable: bool
+    longest: int  # answered calls explained at most
+    unexplained: list[str]
+
+
+class Point(typing.NamedTuple):
+    """A place in the search: the state, and which answered calls are explained.
+
+    These are all before `low`, and those in `beyond`.
+    """
+
+    state: State
+    low: int = 0
+    beyond: frozenset = frozenset()
+
+    @property
+    def explained(self):
+        """How many answered calls are explained.
+
+        >>> Point(State(), 3, frozenset({5})).explained
+        4
+        """
+        return self.low + len(self.beyond)
+
+    def after(self, k, state):
+        """The place after call k, which left a state.
+
+        >>> Point(State(), 0, frozenset({1})).after(0, State()).low
+        2
+        """
+        beyond = set(self.beyond) | {k}
+        low = self.low
+        while low in beyond:
+            beyond.remove(low)
+            low += 1
+        return Point(state, low, frozenset(beyond))
+
+
+class Search:
+    """The search through one history.
+
+    >>> Search([Operation(1, 2, "a", Read(), seen=(0, ""))], 10).run(State()).linearizable
+    True
+    """
+
+    def __init__(self, calls, bound):
+        calls = sorted(calls, key=lambda c: (c.sent, c.answered, c.call))
+        self.answered = [c for c in calls if c.outcome in (Outcome.ACKNOWLEDGED, Outcome.REFUSED)]
+        self.unknown = [c for c in calls if c.outcome is Outcome.UNKNOWN and isinstance(c.operation, Change)]
+        self.steps = 0
+        self.bound = bound
+
+    def run(self, initial):
+        """Search from a state; raises SearchTooLong.
+
+        Example: `Search(calls, SEARCH_BOUND).run(State())`
+        """
+        best = Point(initial)
+        frontier, seen = [best], {best}
+        while frontier:
+            point = self.past_fixed(frontier.pop())
+            if point.explained > best.explained:
+                best = point
+            if point.low == len(self.answered):
+                return Verdict(True, point.low, [])
+            for after in self.changed(point):
+                self.count_step()
+                if after not in seen:
+                    seen.add(after)
+                    frontier.append(after)
+        window, _ = self.window(best)
+        return Verdict(False, best.explained, [described(self.answered[k]) for k in window])
+
+    def count_step(self):
+        """Count one step; raises SearchTooLong above the bound.
+
+        Example: `search.count_step()`
+        """
+        self.steps += 1
+        if self.steps > self.bound:
+            raise SearchTooLong(f"{len(self.answered)} calls, given up after {self.bound} steps")
+
+    def window(self, point):
+        """The calls that may be next: those sent before any of them was answered; and that moment.
+
+        Example: `window, first_answer = search.window(point)`
+        """
+        first_answer, window = NEVER, []
+        for k in range(point.low, len(self.answered)):
+            if self.answered[k].sent > first_answer:
+                break
+            if k not in point.beyond:
+                window.append(k)
+                first_answer = min(first_answer, self.answered[k].answered)
+        return [k for k in window if self.answered[k].sent <= first_answer], first_answer
+
+    def past_fixed(self, point):
+        """The place after all calls that may be next and leave the state as it is.
+
+        Taking them at once loses nothing: what follows may follow all the same.
+
+        Example: `point = search.past_fixed(point)`
+        """
+        while True:
+            window, _ = self.window(point)
+            fixed = [k for k in window if results(point.state, self.answered[k]) == [point.state]]
+            if not fixed:
+                return point
+            for k in fixed:
+                self.count_step()
+                point = point.after(k, point.state)
+
+    def changed(self, point):
+        """The places after one more call that changes the state.
+
+        Example: `for after in search.changed(point): ...`
+        """
+        window, first_answer = self.window(point)
+        for call in self.unknown:
+            if call.sent <= first_answer:
+                yield from (point._replace(state=state) for state in results(point.state, call))
+        for k in window:
+            yield from (point.after(k, state) for state in results(point.state, self.answered[k]))
+
+
+def check(events, initial=State(), bound=SEARCH_BOUND):  # noqa: B008, a frozen value
+    """Judge a history; raises BadHistory, or SearchTooLong after so many steps.
+
+    >>> check([Invocation(1, "a", Read()), ReadResponse(3, "a", 4)]).unexplained
+    ['call a, sent at 1: read number 4']
+    """
+    return Search(operations(events), bound).run(initial)
+
+
+def described(call):
+    """A call in words.
+
+    >>> described(Operation(2, 3, "a", Read(), seen=(4, "x")))
+    'call a, sent at 2: read number 4'
+    """
+    match call.operation:
+        case Read():
+            what = f"read number {call.seen[0]}"
+        case Change(number=number, base=base):
+            what = f"change to {number} on {base} {call.outcome.value}"
+    return f"call {call.call}, sent at {call.sent}: {what}"
+
+
+def digest(doc):
+    """A short name of a document's content.
+
+    >>> digest({"a": 1, "b": 2}) == digest({"b": 2, "a": 1})
+    True
+    """
+    return hashlib.sha256(json.dumps(doc, sort_keys=True).encode()).hexdigest()[:16]
--- a/iriswheel/replay.py
+++ b/iriswheel/replay.py
@@ -8,6 +8,8 @@
 import collections
 import json
 
+import iriswheel.history as history
+
 SECOND = 1_000_000
 NEVER = 1 << 62
 LEARN_US = 3_600_000  # 3 s, and the platform's list is asked every half second
@@ -741,7 +743,28 @@
             yield f"{f.what} of {f.target} at {f.at / SECOND:.1f} s: 12 s later only {n} of {len(asked)} came through"
 
 
-CHECKERS = [once, not_run, own, leaving, in_force, kept, allowed, pinned, capped, budget, served, answered, back]
+def linearizable(log):
+    """6: one order of all operators' calls explains what each was told."""
+    log.looked["linearizable"] += history.count(log.rows)
+    yield from history.complaints(log.rows)
+
+
+CHECKERS = [
+    once,
+    not_run,
+    own,
+    leaving,
+    in_force,
+    kept,
+    linearizable,
+    allowed,
+    pinned,
+    capped,
+    budget,
+    served,
+    answered,
+    back,
+]
 
 
 def examine(rows):
--- /dev/null
+++ b/tests/test_linearizability.py
@@ -0,0 +1,201 @@
+"""The checker of operators' histories: correct ones pass, each kind of wrong answer fails."""
+
+import hypothesis
+import hypothesis.strategies as strategies
+import testtools
+
+import bench.judge as judge
+import iriswheel.history as history
+import iriswheel.linearizability as linearizability
+import iriswheel.replay as replay
+
+Change = linearizability.Change
+Outcome = linearizability.Outcome
+
+CALM = hypothesis.settings(derandomize=True, database=None, max_examples=60, deadline=None)
+
+
+def change(call, sent, answered, number, base, content="x", outcome=Outcome.ACKNOWLEDGED):
+    """The events of one change."""
+    return [
+        linearizability.Invocation(sent, call, Change(number, base, content)),
+        linearizability.ChangeResponse(answered, call, outcome),
+    ]
+
+
+def read(call, sent, answered, number, content=""):
+    """The events of one read."""
+    return [
+        linearizability.Invocation(sent, call, linearizability.Read()),
+        linearizability.ReadResponse(answered, call, number, content),
+    ]
+
+
+@strategies.composite
+def correct_histories(draw):
+    """What callers of a correct register may see: it acts at one moment of each call."""
+    state, events, sent = linearizability.State(), [], []
+    for k in range(draw(strategies.integers(1, 14))):
+        moment = 10 * k + 10
+        before, after = draw(strategies.integers(1, 60)), draw(strategies.integers(1, 60))
+        if draw(strategies.integers(0, 3)) == 0:
+            events += read(f"c{k}", moment - before, moment + after, state.number, state.content)
+            continue
+        fresh = Change(
+            state.number + draw(strategies.integers(1, 3)),
+            draw(strategies.sampled_from([state.number, state.number, 0])),
+            draw(strategies.sampled_from("ab")),
+        )
+        order = draw(strategies.sampled_from([fresh, fresh, *sent]))
+        sent.append(order)
+        taken = order in state.taken or (order.number, order.content) == (state.number, state.content)
+        if not taken and linearizability.applies(state, order):
+            state, taken = linearizability.applied(state, order), True
+        outcome = Outcome.ACKNOWLEDGED if taken else Outcome.REFUSED
+        if draw(strategies.integers(0, 3)) == 0:
+            outcome = Outcome.UNKNOWN
+        events += change(f"c{k}", moment - before, moment + after, order.number, order.base, order.content, outcome)
+    return events
+
+
+class Histories(testtools.TestCase):
+    def good(self, *parts):
+        self.assertTrue(linearizability.check([event for part in parts for event in part]).linearizable)
+
+    def bad(self, *parts):
+        self.assertFalse(linearizability.check([event for part in parts for event in part]).linearizable)
+
+    def test_correct_histories_pass(self):
+        @CALM
+        @hypothesis.given(correct_histories())
+        def passes(events):
+            self.assertTrue(linearizability.check(events).linearizable)
+
+        passes()
+
+    def test_a_stale_read_after_a_correct_history_fails(self):
+        @CALM
+        @hypothesis.given(correct_histories(), strategies.integers(1, 5))
+        def fails(events, step):
+            last = 1_000
+            newest = max(
+                (
+                    e.operation.number
+                    for e in events
+                    if isinstance(e, linearizability.Invocation) and isinstance(e.operation, Change)
+                ),
+                default=0,
+            )
+            newer = [
+                *read("before", last, last + 1, newest + step),
+                *change("last", last + 2, last + 3, newest + 2 * step, newest + step),
+            ]
+            forced = change("forced", last - 2, last - 1, newest + step, 0, outcome=Outcome.UNKNOWN)
+            stale = read("stale", last + 4, last + 5, newest + step)
+            self.assertFalse(linearizability.check([*events, *forced, *newer, *stale]).linearizable)
+
+        fails()
+
+    def test_each_wrong_answer_fails(self):
+        first = change("a", 1, 2, 5, 0)
+        self.good(first, read("r", 3, 4, 5, "x"))
+        self.bad(first, read("r", 3, 4, 0))  # a stale read
+        self.bad(first, read("r", 3, 4, 5, "y"))  # another content
+        self.bad(first, change("b", 1, 4, 7, 0))  # two winners on one base
+        self.bad(first, change("b", 1, 4, 5, 0, "y"))  # and under one number
+        self.bad(first, change("b", 3, 4, 7, 5), read("r", 5, 6, 5))  # an acknowledged change was lost
+        self.bad(first, change("b", 3, 4, 5, 0, outcome=Outcome.REFUSED))  # a refusal of what was taken
+        self.bad(change("a", 1, 2, 5, 0, outcome=Outcome.REFUSED))  # a refusal though the base is in place
+        self.bad(change("a", 1, 2, 5, 0, outcome=Outcome.REFUSED), read("r", 3, 4, 5, "x"))
+        self.bad(first, read("r", 3, 6, 0), read("s", 4, 5, 5))
+        self.bad(change("a", 1, 9, 5, 0), read("r", 2, 3, 5), read("s", 4, 5, 0))  # back to an older state
+
+    def test_what_may_happen_passes(self):
+        lost = change("a", 1, 2, 5, 0, outcome=Outcome.UNKNOWN)
+        self.good(lost, read("r", 3, 4, 0), read("s", 5, 6, 5))  # takes effect after its answer was lost
+        self.good(lost, change("b", 3, 4, 7, 0))  # or never
+        self.good(lost, change("b", 3, 4, 5, 0), change("c", 5, 6, 8, 5), change("d", 7, 8, 5, 0))
+        self.good(lost, change("b", 3, 4, 7, 0, outcome=Outcome.REFUSED), read("r", 5, 6, 5))
+        self.good(change("a", 1, 4, 5, 0), read("r", 2, 3, 0), read("s", 2, 3, 5))
+        self.good(change("a", 1, 9, 5, 0), change("b", 1, 9, 5, 0), change("c", 1, 9, 6, 0, outcome=Outcome.REFUSED))
+
+    def test_hundreds_of_changes_with_eight_at_once_are_judged(self):
+        events = []
+        for k in range(300):
+            events += change(f"w{k}", 10 * k, 10 * k + 9, k + 1, k, "w")
+            for j in range(7):
+                events += change(f"l{k}-{j}", 10 * k, 10 * k + 9, k + 1, k, f"l{j}", Outcome.REFUSED)
+        self.good(events)
+        self.bad(events, read("r", 4_000, 4_001, 299))
+
+    def test_events_that_are_no_history_are_named(self):
+        first = change("a", 1, 2, 5, 0)
+        self.assertRaises(linearizability.BadHistory, linearizability.check, first[1:])
+        self.assertRaises(linearizability.BadHistory, linearizability.check, [first[0], first[0]])
+        self.assertRaises(linearizability.SearchTooLong, linearizability.check, first, bound=0)
+
+
+class Logs(testtools.TestCase):
+    """Rows of event logs."""
+
+    def config(self, at, version, base, code, doc=None, valid=True):
+        row = dict(send=f"boss-{at}", version=version, base=base)
+        doc = {"version": version, "channels": [], "plants": [], **(doc or {})}
+        return [
+            dict(at=at, kind="config_sent", doc=doc, valid=valid, **row),
+            dict(at=at + 1, kind="config_answer", code=code, text="", **row),
+        ]
+
+    def numbered(self, at, number, base, status):
+        row = dict(call=f"boss-{at}", number=number, built_on=base, who="boss")
+        return [
+            dict(at=at, kind="number_sent", content=f"x{number}", **row),
+            dict(at=at + 1, kind="numbered", status=status, **row),
+        ]
+
+    def test_configurations(self):
+        first = self.config(1, 1, 0, 200)
+        back = dict(at=9, began=8, kind="config_read", code=200, doc=first[0]["doc"], version=1)
+        self.assertEqual([], history.complaints([*first, back]))
+        for wrong in (
+            self.config(3, 1, 0, 412),  # said again, and refused
+            self.config(3, 2, 1, 400),  # proper, and called invalid
+            self.config(3, 2, 0, 200, {"a": 1}),
+            self.config(3, 2, 1, 200),  # and then an old one is read
+        ):
+            rows = [*first, *wrong, back]
+            self.assertTrue(history.complaints(rows), wrong)
+            self.assertIn("linearizable", judge.examine(rows))
+        self.assertEqual([], history.complaints([*first, *self.config(3, 2, 1, 0), back]))
+        self.assertEqual([], history.complaints([*first, *self.config(3, 2, 1, 400, valid=False), back]))
+
+    def test_numbered_changes(self):
+        first = self.numbered(1, 4, 0, 200)
+        back = dict(at=9, began=8, kind="read", stamp=3, blueprint={"marks": {"operator": {"number": 4}}})
+        self.assertEqual([], history.complaints([*first, back]))
+        for wrong in (self.numbered(3, 4, 0, 409), self.numbered(3, 5, 0, 200), self.numbered(3, 9, 4, 200)):
+            self.assertIn("linearizable", replay.judge([*first, *wrong, back]))
+
+    def test_confirmed_plans(self):
+        def plan(at, name, base, stamp=None, code=None):
+            rows = [dict(at=at, kind="confirm_sent", plan=name, base=base, blueprint={})]
+            if stamp is not None:
+                rows.append(dict(at=at + 1, kind="confirmed", plan=name, stamp=stamp))
+            if code is not None:
+                rows.append(dict(at=at + 2, kind="confirm_refused", plan=name, code=code, verdict="not_run"))
+            return rows
+
+        def seen(at, stamp):
+            return dict(at=at, began=at - 1, kind="read", stamp=stamp, blueprint={})
+
+        first = plan(1, "0-a", 0, 2)
+        self.assertEqual([], history.complaints([*first, *plan(4, "2-b", 2), seen(9, 4), *plan(10, "4-c", 4, 6)]))
+        self.assertEqual([], history.complaints([*first, *plan(1, "0-b", 0, code="base_moved"), seen(9, 2)]))
+        for wrong in (
+            [seen(9, 0)],
+            plan(5, "0-b", 0, 4),
+            plan(5, "0-a", 0, code="base_moved"),
+            [*plan(5, "2-b", 2, 4), seen(9, 2)],
+        ):
+            rows = sorted([*first, *wrong], key=lambda r: r["at"])
+            self.assertTrue(history.complaints(rows), wrong)
