--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -642,7 +642,7 @@
         path = req.path.decode("latin-1").split("?")[0].strip("/").split("/")
         match (req.method, path):
             case (b"GET", ["blueprint"]):
-                seen = await self.look("")
+                seen = await self.read_state()
                 req.answer_json(200, {"stamp": seen.stamp, "blueprint": blueprint.unflatten(seen.items)})
             case (b"POST", ["plans"]):
                 req.answer_json(200, await self.plan(req.json()))
@@ -730,14 +730,21 @@
         return seen
 
     async def read(self):
-        """The items that stand, read at the tail; asked for again for a moment where it has no lease.
+        """The items that stand, read at the tail.
 
         Example: `items = await core.read()`
         """
+        return (await self.read_state()).items
+
+    async def read_state(self):
+        """The state that stands, read at the tail; asked for again for a moment where it has no lease.
+
+        Example: `seen = await core.read_state()`
+        """
         until = self.mach.now() + CHANGE_US
         while True:
             try:
-                return (await self.look("", max(1, until - self.mach.now()))).items
+                return await self.look("", max(1, until - self.mach.now()))
             except verdict.Defect:
                 if self.mach.now() >= until:
                     raise
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,113 @@
+"""Operators at a core machine that is cut off: no old read, no wrong refusal, no false acknowledgement."""
+
+import loguru
+import testtools
+import twisted.internet.defer as defer
+
+import bench.town as town
+import iriswheel.command as command
+import iriswheel.history as history
+import iriswheel.machine as machine
+
+S = town.S
+CUT_SECONDS = 20
+
+
+class Caller:
+    """An operator who is bound to one core machine, and notes each call with its answer."""
+
+    def __init__(self, simulated, core):
+        self.town = simulated
+        self.mach = simulated.office_mach
+        self.place = f"{simulated.options[core][0]}:{town.HTTP}"
+        self.name = f"at-{core}"
+        self.slowest = 0
+
+    async def ask(self, method, path, doc=None):
+        """One call: its status and document, and when it was sent."""
+        began = self.mach.now()
+        asked = defer.ensureDeferred(command.ask(self.mach, [self.place], method, path, doc))
+        try:
+            status, answer = await self.mach.within(asked, 3 * S)
+        except machine.Late:
+            status, answer = 0, {}
+        except Exception:
+            status, answer = 0, {}
+        if status:
+            self.slowest = max(self.slowest, self.mach.now() - began)
+        return status, answer, began
+
+    async def read(self):
+        status, doc, began = await self.ask("GET", "/blueprint")
+        if status == 200:
+            row = dict(stamp=doc["stamp"], blueprint=doc["blueprint"], began=began, who=self.name)
+            self.town.tape.put(self.mach.now(), "read", **row)
+            number = doc["blueprint"].get("marks", {}).get("operator", {}).get("number", 0)
+            self.town.newest = max(self.town.newest, number)
+        return status
+
+    async def order(self, number, built_on, path):
+        what = {"upsert": {"routes": {"r": {"path": path, "pool": self.town.pool}}}}
+        self.town.numbered_calls += 1
+        row = dict(call=f"{self.name}-{self.town.numbered_calls}", number=number, built_on=built_on)
+        self.town.tape.put(self.mach.now(), "number_sent", content=path, **row)
+        status, _, _ = await self.ask("POST", "/changes", {"number": number, "built_on": built_on, **what})
+        self.town.tape.put(self.mach.now(), "numbered", status=status, **row)
+        return status
+
+    async def work(self, until):
+        """Read, and order on the newest number known to anybody, until a moment."""
+        while self.mach.now() < until:
+            await self.read()
+            newest = self.town.newest
+            number = newest + self.mach.rng.randrange(1, 3)
+            path = f"/{self.name}/{self.mach.rng.randrange(2)}"
+            for _ in range(2):  # the same again, as after a lost answer
+                if await self.order(number, newest, path) == 200:
+                    self.town.newest = max(self.town.newest, number)
+            await self.mach.sleep(self.mach.rng.randrange(S // 2, 2 * S))
+
+
+class CutOff(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        loguru.logger.remove()
+
+    def play(self, seed, place, inward, outward, cores=3):
+        """A day on which the chain's machine at a place is cut from the others for twenty seconds."""
+        t = town.Town(seed, "small", long_rate=0, short_rate=0, talks=0, cores=cores, seats=cores)
+        t.probing = False
+        t.begin()
+        t.newest = 0
+        t.go(2)
+        chain = t.head().council.view.chain
+        cut = next(c for c in t.cores.values() if c.council.me.id == chain[place].id)
+        others = [c.options.host for c in t.cores.values() if c is not cut]
+        callers = [Caller(t, name) for name in t.cores]
+        until = t.world.time + (CUT_SECONDS + 10) * S
+        work = [t.office_mach.spawn(caller.work(until), town.log) for caller in callers]
+        t.go(2 + t.rng.random())
+        if outward:
+            t.world.cut([cut.options.host], others, both=False)
+        if inward:
+            t.world.cut(others, [cut.options.host], both=False)
+        before = len(t.tape.rows)
+        t.go(CUT_SECONDS)
+        rows = t.tape.rows[before:]
+        t.world.heal()
+        t.until(lambda: all(d.called for d in work), 30)
+        return t, callers, rows
+
+    def test_a_core_machine_cut_off_tells_its_operators_nothing_wrong(self):
+        head, middle, tail = 0, 1, 2
+        for case in ((head, True, True), (middle, True, False), (tail, False, True), (tail, True, True)):
+            t, callers, during = self.play(40, *case)
+            self.assertEqual([], history.complaints(t.tape.rows), case)
+            self.assertTrue(any(r["kind"] == "numbered" and r["status"] == 200 for r in during), case)
+            self.assertTrue(any(r["kind"] == "read" for r in during), case)
+            self.assertLess(max(caller.slowest for caller in callers), S, case)
+
+    def test_five_machines_with_the_leader_cut_off(self):
+        t, callers, during = self.play(50, 0, True, True, cores=5)
+        self.assertEqual([], history.complaints(t.tape.rows))
+        self.assertTrue(any(r["kind"] == "numbered" and r["status"] == 200 for r in during))
