--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,5 +1,7 @@
 """Operators at a core machine that is cut off: no old read, no wrong refusal, no false acknowledgement."""
 
+import unittest.mock
+
 import loguru
 import testtools
 import twisted.internet.defer as defer
@@ -7,7 +9,9 @@
 import twisted.web.client as client
 
 import bench.town as town
+import iriswheel.chain as chain
 import iriswheel.command as command
+import iriswheel.core as core
 import iriswheel.history as history
 import iriswheel.machine as machine
 
@@ -107,6 +111,23 @@
             self.assertTrue(any(r["kind"] == "read" for r in during), case)
             self.assertLess(max(caller.slowest for caller in callers), S, case)
 
+    def test_without_the_lease_old_reads_are_found(self):
+        lookup = chain.Chain.look
+
+        def look(self, msg):
+            with unittest.mock.patch.object(self.council, "leased", lambda: True):
+                return lookup(self, msg)
+
+        self.patch(chain.Chain, "look", look)
+        t, _, _ = self.play(40, 2, True, True)
+        self.assertIn("read number", "".join(history.complaints(t.tape.rows)))
+
+    def test_without_a_read_at_the_tail_wrong_refusals_are_found(self):
+        known_here = core.Core.known_here
+        self.patch(core.Core, "known_here", lambda self, order: known_here(self, order)._replace(sure=True))
+        t, _, _ = self.play(40, 2, True, True)
+        self.assertIn("refused", "".join(history.complaints(t.tape.rows)))
+
     def test_five_machines_with_the_leader_cut_off(self):
         t, _, during = self.play(50, 0, True, True, cores=5)
         self.assertEqual([], history.complaints(t.tape.rows))
