--- a/iriswheel/history.py
+++ b/iriswheel/history.py
@@ -183,10 +183,10 @@
     for name, find in HISTORIES.items():
         try:
             judged = linearizability.check(find(rows))
-        except linearizability.SearchTooLong as e:
+        except linearizability.SearchLimitError as e:
             out.append(f"{name}: not judged: {e}")
             continue
-        except linearizability.BadHistory as e:
+        except linearizability.HistoryError as e:
             out.append(f"{name}: no history: {e}")
             continue
         if not judged.linearizable:
--- a/iriswheel/linearizability.py
+++ b/iriswheel/linearizability.py
@@ -102,16 +102,16 @@
     taken: frozenset = frozenset()
 
 
-class BadHistory(ValueError):
+class HistoryError(ValueError):
     """Events that are no history: a response without its call, or a call under a name in use."""
 
 
-class SearchTooLong(Exception):
+class SearchLimitError(Exception):
     """The search was given up; the history is neither judged good nor bad."""
 
 
 def operations(events):
-    """The calls of a history, each with its answer; raises BadHistory.
+    """The calls of a history, each with its answer; raises HistoryError.
 
     >>> operations([Invocation(1, "a", Read()), ReadResponse(3, "a", 0)])[0].answered
     3
@@ -120,11 +120,11 @@
     for event in sorted(events, key=lambda e: (e.at, not isinstance(e, Invocation))):
         match event:
             case Invocation(call=call) if call in calls:
-                raise BadHistory(f"call {call} is sent twice")
+                raise HistoryError(f"call {call} is sent twice")
             case Invocation(call=call):
                 calls[call] = event
             case _ if event.call not in calls or event.call in responses:
-                raise BadHistory(f"call {event.call} is answered without being under way")
+                raise HistoryError(f"call {event.call} is answered without being under way")
             case _:
                 responses[event.call] = event
     return [operation(invocation, responses.get(call)) for call, invocation in calls.items()]
@@ -244,7 +244,7 @@
         self.bound = bound
 
     def run(self, initial):
-        """Search from a state; raises SearchTooLong.
+        """Search from a state; raises SearchLimitError.
 
         Example: `Search(calls, SEARCH_BOUND).run(State())`
         """
@@ -265,13 +265,13 @@
         return Verdict(False, best.explained, [described(self.answered[k]) for k in window])
 
     def count_step(self):
-        """Count one step; raises SearchTooLong above the bound.
+        """Count one step; raises SearchLimitError above the bound.
 
         Example: `search.count_step()`
         """
         self.steps += 1
         if self.steps > self.bound:
-            raise SearchTooLong(f"{len(self.answered)} calls, given up after {self.bound} steps")
+            raise SearchLimitError(f"{len(self.answered)} calls, given up after {self.bound} steps")
 
     def window(self, point):
         """The calls that may be next: those sent before any of them was answered; and that moment.
@@ -317,7 +317,7 @@
 
 
 def check(events, initial=State(), bound=SEARCH_BOUND):  # noqa: B008, a frozen value
-    """Judge a history; raises BadHistory, or SearchTooLong after so many steps.
+    """Judge a history; raises HistoryError, or SearchLimitError after so many steps.
 
     >>> check([Invocation(1, "a", Read()), ReadResponse(3, "a", 4)]).unexplained
     ['call a, sent at 1: read number 4']
--- a/tests/test_linearizability.py
+++ b/tests/test_linearizability.py
@@ -130,9 +130,9 @@
 
     def test_events_that_are_no_history_are_named(self):
         first = change("a", 1, 2, 5, 0)
-        self.assertRaises(linearizability.BadHistory, linearizability.check, first[1:])
-        self.assertRaises(linearizability.BadHistory, linearizability.check, [first[0], first[0]])
-        self.assertRaises(linearizability.SearchTooLong, linearizability.check, first, bound=0)
+        self.assertRaises(linearizability.HistoryError, linearizability.check, first[1:])
+        self.assertRaises(linearizability.HistoryError, linearizability.check, [first[0], first[0]])
+        self.assertRaises(linearizability.SearchLimitError, linearizability.check, first, bound=0)
 
 
 class Logs(testtools.TestCase):
