--- a/iriswheel/chain.py
+++ b/iriswheel/chain.py
@@ -19,6 +19,8 @@
 GREW_BYTES = 32 << 20  # a frame after so many bytes of plans; entries kept behind it up to this size
 PLANS = 512  # plans remembered, of each sort: open, confirmed
 PLAN_BYTES = 16 << 20  # and open ones up to this size together
+TAKEN = 16_384  # ids of changes that were taken, remembered at least
+TAKEN_SLACK = 1_024  # and so many more before the oldest are dropped together
 
 log = loguru.logger.bind(part="chain")
 pack = msgspec.msgpack.encode
@@ -35,10 +37,24 @@
     size: int = 0  # bytes of the changes
 
 
+class Snapshot(msgspec.Struct, array_like=True):
+    """A ledger as it is stored and sent. Snapshots of format 2 end after `plans`."""
+
+    n: int
+    made: int
+    stamp: int
+    items: dict[str, typing.Any]
+    plans: list[tuple[str, Plan]]
+    taken: dict[str, int] | None = None
+    forgotten: int = 0
+
+
 class Ledger(typing.NamedTuple):
     """The state after entry n. Ledgers share what they have in common.
 
-    `fed` is `items` as nodes may have them: without the operator's labels.
+    `fed` is `items` as nodes may have them: without the operator's labels. `taken` maps the id
+    of each change that was taken to its stamp; `forgotten` is the highest operator's number
+    among those that were dropped from it.
 
     >>> one = Ledger().apply(message.Entry(1, 1, "plan", "0-a", 0, [("pools/p", {})]))
     >>> two = one.apply(message.Entry(2, 1, "confirm", "0-a"))
@@ -52,6 +68,8 @@
     items: immutables.Map = immutables.Map()
     plans: immutables.Map = immutables.Map()
     fed: immutables.Map = immutables.Map()
+    taken: immutables.Map = immutables.Map()
+    forgotten: int = 0
 
     def apply(self, e):
         """The state after one more entry.
@@ -66,10 +84,24 @@
             case message.Entry(kind="confirm"):
                 plan = self.plans[e.plan]
                 plans = forget(self.plans.set(e.plan, plan._replace(changes=[], stamp=e.n, n=e.n, size=0)))
-                return self._replace(n=e.n, made=e.made, stamp=e.n, plans=plans).change(plan.changes)
+                return self._replace(n=e.n, made=e.made, stamp=e.n, plans=plans).take(e).change(plan.changes)
             case message.Entry(kind="apply"):
                 plans = forget(self.plans.set(e.plan, Plan(e.n, e.base, [], e.n)))
-                return self._replace(n=e.n, made=e.made, stamp=e.n, plans=plans).change(e.changes)
+                return self._replace(n=e.n, made=e.made, stamp=e.n, plans=plans).take(e).change(e.changes)
+
+    def take(self, entry):
+        """The state with an entry's change remembered as taken; the oldest are dropped above the bound.
+
+        >>> Ledger().take(message.Entry(4, 1, "apply", "c5-7-0a")).taken["c5-7-0a"]
+        4
+        """
+        taken = self.taken.set(entry.plan, entry.n)
+        if len(taken) <= TAKEN + TAKEN_SLACK:
+            return self._replace(taken=taken)
+        by_age = sorted(taken, key=taken.get)
+        dropped, kept = by_age[:-TAKEN], by_age[-TAKEN:]
+        forgotten = max(self.forgotten, *map(blueprint.change_number, dropped))
+        return self._replace(taken=immutables.Map({k: taken[k] for k in kept}), forgotten=forgotten)
 
     def change(self, changes):
         """The state with some items changed; None removes.
@@ -93,8 +125,17 @@
         >>> Ledger.thaw(Ledger(n=3).freeze()).n
         3
         """
-        plans = [(k, list(p)) for k, p in sorted(self.plans.items())]
-        return pack([self.n, self.made, self.stamp, dict(sorted(self.items.items())), plans])
+        return pack(
+            Snapshot(
+                self.n,
+                self.made,
+                self.stamp,
+                dict(sorted(self.items.items())),
+                sorted(self.plans.items()),
+                dict(sorted(self.taken.items())),
+                self.forgotten,
+            )
+        )
 
     @classmethod
     def thaw(cls, raw):
@@ -103,10 +144,33 @@
         >>> Ledger.thaw(Ledger(stamp=2).freeze()).stamp
         2
         """
-        n, made, stamp, items, plans = msgspec.msgpack.decode(raw)
-        plans = immutables.Map({k: Plan(*p) for k, p in plans})
-        fed = immutables.Map({k: blueprint.bare(v) for k, v in items.items()})
-        return cls(n, made, stamp, immutables.Map(items), plans, fed)
+        kept = unpack_snapshot(raw)
+        plans = immutables.Map(kept.plans)
+        fed = immutables.Map({k: blueprint.bare(v) for k, v in kept.items.items()})
+        taken, forgotten = kept.taken, kept.forgotten
+        if taken is None:
+            taken, forgotten = taken_in_format_2(plans)
+        items = immutables.Map(kept.items)
+        return cls(kept.n, kept.made, kept.stamp, items, plans, fed, immutables.Map(taken), forgotten)
+
+
+unpack_snapshot = msgspec.msgpack.Decoder(Snapshot).decode
+
+
+def taken_in_format_2(plans):
+    """The changes taken and the highest number forgotten, of a snapshot that remembers only plans.
+
+    Where so many plans are confirmed that older ones may have been dropped, every number
+    below the lowest that is left counts as forgotten.
+
+    >>> taken_in_format_2({"c0-4-0a": Plan(9, 0, [], 9), "9-0b": Plan(10, 9, [])})
+    ({'c0-4-0a': 9}, 0)
+    """
+    taken = {k: p.stamp for k, p in plans.items() if p.stamp}
+    if len(taken) < PLANS:
+        return taken, 0
+    numbers = [blueprint.change_number(k) for k in taken]
+    return taken, max(0, min((n for n in numbers if n), default=0) - 1)
 
 
 def forget(plans):
@@ -155,6 +219,7 @@
         self.grew = 0  # bytes of changes since the frame
         self.history = {self.base.n: self.base}
         self.synced = self.tip.n
+        self.settled = 0  # the newest view in which this machine, as its tail, had all committed that it holds
         self.lock = defer.DeferredLock()
         self.grown = machine.Signal()
         self.committed = machine.Signal()
@@ -207,8 +272,12 @@
         Example: `chain.settle_tail(4)`
         """
         v = self.council.view
-        if self.place(number) == len(v.chain) - 1 and self.whole() and len(v.chain) >= self.council.copies:
+        if self.place(number) != len(v.chain) - 1 or not self.whole():
+            return
+        if len(v.chain) >= self.council.copies:
             self.commit(self.synced)
+        if self.base.n >= self.synced:
+            self.settled = number
 
     def commit(self, n):
         """Let entries up to n stand.
@@ -306,9 +375,7 @@
         """
         match msg:
             case message.Place(view=number):
-                if not self.place(number):
-                    return message.Placed(False)
-                return message.Placed(True, self.synced, self.tip.made)
+                return await self.tell_place(number)
             case message.Refill(view=number):
                 return await self.take(number, msg.entries, msg.frame, first=True)
             case message.Append(view=number):
@@ -318,6 +385,19 @@
             case message.Look():
                 return self.look(msg)
 
+    async def tell_place(self, number):
+        """Answer how far this copy has come, once no write is under way that could move it.
+
+        Example: `res = await chain.tell_place(4)`
+        """
+        await self.lock.acquire()
+        try:
+            if not self.place(number):
+                return message.Placed(False)
+            return message.Placed(True, self.synced, self.tip.made)
+        finally:
+            self.lock.release()
+
     async def take(self, number, entries, frame, first):
         """Store what the link before sends, pass it on, answer once it stands below.
 
@@ -335,6 +415,7 @@
                 if base.n >= self.base.n:
                     self.base, self.framed = base, base.n
                     self.history[base.n] = base
+                    self.committed.wake()
             new = [e for e in entries if e.n > self.synced]
             if new and new[0].n != self.synced + 1:
                 return message.Stored(False)
@@ -391,11 +472,12 @@
             if not self.disk.ok:
                 return self.refuse("no_chain", "The head's disk does not work.")
             plan = self.tip.plans.get(m.plan)
+            taken = self.tip.taken.get(m.plan)
             match m:
                 case message.Propose(kind="plan") if plan is not None:
                     n = plan.n
-                case message.Propose(kind="apply") if plan is not None and plan.stamp:
-                    n = plan.stamp
+                case message.Propose(kind="apply" | "confirm") if taken is not None:
+                    n = taken
                 case message.Propose(kind="apply") if m.base != self.tip.stamp:
                     return self.refuse(
                         "base_moved", f"The blueprint is at {self.tip.stamp}, the change's base is {m.base}."
@@ -409,8 +491,6 @@
                     if 0 <= base < self.tip.stamp:
                         return message.Proposed("not_found", "may_have_run", "The plan is no longer remembered.")
                     return self.refuse("not_found", "There is no such plan.")
-                case message.Propose(kind="confirm") if plan.stamp:
-                    n = plan.stamp
                 case message.Propose(kind="confirm") if plan.base != self.tip.stamp:
                     return self.refuse(
                         "base_moved", f"The blueprint is at {self.tip.stamp}, the plan's base is {plan.base}."
@@ -429,21 +509,36 @@
                     self.settle_tail(number)  # where one copy is enough, the head may be the tail
         finally:
             self.lock.release()
+        return await self.outcome(m, n)
+
+    async def outcome(self, m, n):
+        """The answer to a change that became entry n, once that stands or its view has ended.
+
+        Example: `res = await chain.outcome(message.Propose(4, "confirm", plan="3-ab"), 17)`
+        """
+        unknown = message.Proposed("unknown_outcome", "may_have_run", "The chain changed meanwhile.")
         while self.base.n < n:
+            if self.place(m.view) is None:
+                return unknown
             await self.committed.wait()
-            if self.place(number) is None and self.base.n < n:
-                return message.Proposed("unknown_outcome", "may_have_run", "The chain changed meanwhile.")
+        entry = self.log.get(n)
+        if self.place(m.view) is None and (entry is None or entry.plan != m.plan):
+            return unknown  # another view may have made another entry of that number
         return message.Proposed("", "ran", "", m.base if m.kind == "plan" else n)
 
     def look(self, m):
         """Answer a read, at the tail and under its lease only.
 
+        A tail that is new holds entries that the one before it may have answered reads by;
+        until these are committed here, it answers none.
+
         Example: `chain.look(message.Look(view=4, plan="3-ab"))`
         """
-        if not self.council.leased():
+        if not self.council.leased() or self.settled != self.council.view.number:
             return message.Seen(False)
         plan = self.base.plans.get(m.plan)
         told = None
         if plan is not None:
             told = {"id": m.plan, "base": plan.base, "stamp": plan.stamp, "changes": plan.changes}
-        return message.Seen(True, self.base.stamp, dict(self.base.items), told)
+        taken = self.base.taken.get(m.plan, 0)
+        return message.Seen(True, self.base.stamp, dict(self.base.items), told, taken, self.base.forgotten)
