View: refused writes, lone promises and leaving machines no longer break the chain

The sign of life now says that a link is sealed, and the tail proposes the next view 0.3 s per rank later. - A core machine that leaves went after 3 s, or at once where the others were no majority, also when it held the only whole copy. It now goes once a chain without it stands in which a majority of the voters is whole, and stays for its whole grace otherwise; at the end of that the platform kills it. Where all voters leave they go at once. A proposal that leaves it out before then sealed it, so that it could not bring the others up to date: voters that leave now count until a majority stays and is whole. - The data folder's files had no synced folder entry after the first start: a loss of power could take the whole database. The folder and those above it that were made are synced in open.

Ruled out: adopting no view while the disk refuses writes; the machine would then serve its nodes by no view at all, and knowing an agreed view needs no disk.

--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -27,7 +27,6 @@
 CHANGE_US = 900 * machine.MILLI  # a change is answered within this, known or not
 SHOW_US = 500 * machine.MILLI  # of it, how long nodes that don't have it yet are waited for
 AGAIN_US = 30 * machine.MILLI
-LEAVE_US = 3 * machine.SECOND  # how long a core machine that stops waits for a chain without it
 
 log = loguru.logger.bind(part="core")
 
@@ -337,7 +336,9 @@
         match msg:
             case message.Pulse() | message.Prepare() | message.Accept() | message.Decided() | message.LeaseAsk():
                 return self.council.answer(msg)
-            case message.Place() | message.Refill() | message.Append() | message.Propose() | message.Look():
+            case message.Place() | message.Piece() | message.Refill() | message.Append():
+                return self.chain.answer(msg)
+            case message.Propose() | message.Look():
                 return self.chain.answer(msg)
             case message.Sessions():
                 before = self.issuer.forced(self.chain.base.n)
@@ -874,12 +875,15 @@
     async def stop(self):
         """Send the nodes elsewhere, let the others agree on a chain without this machine, finish.
 
+        Where they can't go on without this machine it stays as long as it is let: the whole grace, at whose
+        end the platform kills it.
+
         Example: `await core.stop()`
         """
         self.stopping = True
         self.wake_posts()
         self.council.leave()
-        until = self.mach.now() + min(LEAVE_US, self.options.grace_us // 2)
+        until = self.mach.now() + self.options.grace_us
         await self.mach.sleep(100 * machine.MILLI)
         while self.council.needed() and self.mach.now() < until:
             self.council.pulse_now.wake()
--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -161,6 +161,7 @@
     whole: int
     disk_ok: bool
     leaving: bool = False
+    sealed: bool = False  # whether a promise closed the view there, so that nothing is acknowledged in it
 
 
 class Prepare(Message):
@@ -214,17 +215,52 @@
 
 
 class Placed(Message):
+    """How far a link has come: its newest synced entry, and how much of a snapshot has arrived in pieces."""
+
     ok: bool
     n: int = 0
     made: int = 0
+    pieces: bool = False  # whether it takes snapshots in pieces; older programs do not
+    snapshot: str = ""  # digest of the snapshot that is arriving
+    received: int = 0  # bytes of it
+
+
+class Position(Message):
+    """A place in the log: an entry's number, and the view in which it was made."""
+
+    n: int
+    made: int
+
+
+class Piece(Message):
+    """One piece of a snapshot for the next link; changes nothing there until a last Refill names the snapshot."""
+
+    view: int
+    snapshot: str  # digest of the whole snapshot
+    total: int
+    offset: int
+    content: bytes
+
+
+class PieceTaken(Message):
+    """How much of the snapshot has arrived."""
+
+    ok: bool
+    received: int = 0
 
 
 class Refill(Message):
-    """Bring the next link up to date: a frame where the log does not reach."""
+    """Bring the next link up to date: entries after its own newest one, or after a snapshot sent before in pieces.
+
+    `frame` holds a whole snapshot, for programs that take none in pieces.
+    """
 
     view: int
     frame: bytes | None
     entries: list[Entry]
+    after: Position | None = None  # the entry that these follow
+    snapshot: str = ""  # digest of the snapshot that these follow
+    last: bool = True  # whether the link then holds all that the sender holds
 
 
 class Append(Message):
@@ -580,6 +616,9 @@
     LeaseGiven,
     Place,
     Placed,
+    Position,
+    Piece,
+    PieceTaken,
     Refill,
     Append,
     Stored,
--- a/iriswheel/store.py
+++ b/iriswheel/store.py
@@ -24,6 +24,34 @@
     code = "disk"
 
 
+def sync_folders(path, top):
+    """Sync a folder and those above it up to `top`: files made in them then outlive a loss of power.
+
+    Example: `sync_folders("/data/core/state", "/data")`
+    """
+    while True:
+        handle = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+        if path == top or path == os.path.dirname(path):
+            return
+        path = os.path.dirname(path)
+
+
+def nearest_folder(path):
+    """The folder next above a path that is there.
+
+    >>> nearest_folder("/proc/none/at/all")
+    '/proc'
+    """
+    path = os.path.dirname(path)
+    while not os.path.isdir(path):
+        path = os.path.dirname(path)
+    return path
+
+
 class Disk:
     """A data folder on a real disk.
 
@@ -45,12 +73,16 @@
     def open(self):
         """Open the folder, made where it is missing; a second process is refused.
 
+        All that is made here is synced with its folders before anything is written: the database's own
+        sync does not cover the names of its files.
+
         >>> Disk("/proc/none").open()
         Traceback (most recent call last):
         ...
         iriswheel.store.DiskDefect: The data folder can't be used: ...
         """
         try:
+            top = nearest_folder(os.path.abspath(self.folder))
             os.makedirs(self.folder, exist_ok=True)
             self.lock = open(os.path.join(self.folder, "lock"), "w")
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -58,6 +90,7 @@
             with contextlib.suppress(FileNotFoundError):  # it may have grown in an earlier life
                 self.size = max(self.size, 2 * os.path.getsize(os.path.join(path, "data.mdb")))
             self.env = lmdb.open(path, map_size=self.size, sync=True)
+            sync_folders(os.path.abspath(path), top)
         except (OSError, lmdb.Error) as e:
             raise DiskDefect(f"The data folder can't be used: {e}")
         if self.reactor is not None:
--- a/iriswheel/view.py
+++ b/iriswheel/view.py
@@ -180,6 +180,7 @@
             self.record.whole,
             self.disk.ok,
             self.leaving,
+            self.sealed(),
         )
 
     def seat(self, ident):
@@ -195,14 +196,26 @@
     def alive(self):
         """The cores that live and stay, and whose disk works, with their boots.
 
+        Voters that leave count where those that stay are no majority, since nothing could be agreed
+        without them; and links that leave until a majority of the voters is whole and stays, since
+        nobody else may be able to bring the others up to date.
+
         Example: `council.alive()["c0ffee"]`
         """
         now = self.mach.now()
-        out = {
-            i: p.boot for i, (heard, p) in self.pulses.items() if now - heard < DEAD_US and p.disk_ok and not p.leaving
-        }
-        if self.disk.ok and not self.leaving:
-            out[self.me.id] = self.mach.boot
+        pulses = [p for heard, p in self.pulses.values() if now - heard < DEAD_US and p.disk_ok]
+        pulses += [self.pulse()] if self.disk.ok else []
+        out = {p.id: p.boot for p in pulses if not p.leaving}
+        if self.view is None:
+            return out
+        voters = [p for p in pulses if any(s.id == p.id for s in self.view.seats)]
+        stay = [p for p in voters if not p.leaving]
+        whole = [p for p in stay if p.whole == self.view.number]
+        enough = majority(len(self.view.seats))
+        for p in voters:
+            link = message.ChainLink(p.id, p.boot) in self.view.chain
+            if len(stay) < enough or (link and len(whole) < enough):
+                out[p.id] = p.boot
         return out
 
     # ---- answers to other cores ----------------------------------------------
@@ -267,9 +280,13 @@
                 return self._refuse(m.number)
             if self.mach.now() < until and holder != m.sender:
                 return self._refuse(m.number)
-            r.promised = m.ballot
+            before, r.promised = r.promised, m.ballot  # seals the view here while the write is under way
             self.lease = 0
-            await self._sync()
+            try:
+                await self._sync()
+            except store.DiskDefect:
+                r.promised = before
+                return self._refuse(m.number)
             return message.Promise(
                 True, m.ballot, r.accepted, None, self.me.id, self.mach.boot, r.whole, self.disk.ok, self.tip()
             )
@@ -286,9 +303,13 @@
             r = self.record
             if not self._votes(m.view.number, m.sender) or m.ballot < r.promised:
                 return message.Accepted(False, self._newer(m.view.number))
-            r.promised = m.ballot
-            r.accepted = (m.ballot, m.view)
-            await self._sync()
+            before = r.promised, r.accepted
+            r.promised, r.accepted = m.ballot, (m.ballot, m.view)
+            try:
+                await self._sync()
+            except store.DiskDefect:
+                r.promised, r.accepted = before
+                return message.Accepted(False, None)
             return message.Accepted(True, None)
         finally:
             self.lock.release()
@@ -303,21 +324,34 @@
             r = self.record
             if r.view is not None and r.view.number >= view.number:
                 return
-            was = r.whole
             r.view, r.promised, r.accepted = view, (0, ""), None
             self.lease = 0
             self.wanted_since = None
-            if view.chain[0].id == self.me.id:
-                r.whole = view.number
+            leads = view.chain[0].id == self.me.id
             try:
-                await self._sync()
-            except store.DiskDefect:
-                r.whole = was
+                await self._sync(view.number if leads else r.whole)
+            except store.DiskDefect:  # a view that was agreed may be known without the disk; being whole in it may not
+                if leads:
+                    self.mach.spawn(self.lead_later(view), log)
             self.on_view(view)
         finally:
             self.lock.release()
         log.info("View {}: {}.", view.number, " ".join(link.id for link in view.chain))
 
+    async def lead_later(self, view):
+        """At the head of a view whose disk refused the note that it is whole: try again as long as the view lasts.
+
+        Example: `mach.spawn(council.lead_later(view))`
+        """
+        while self.view.number == view.number and self.record.whole < view.number:
+            await self.mach.sleep(RENEW_US)
+            try:
+                await self.grow_whole(view.number)
+            except store.DiskDefect:
+                continue
+        if self.view.number == view.number:
+            self.on_view(view)
+
     async def grow_whole(self, number):
         """Note, synced, that this copy is whole in a view.
 
@@ -325,14 +359,17 @@
         """
         await self.lock.acquire()
         try:
-            if self.view.number == number and not self.sealed() and self.record.whole < number:
-                self.record.whole = number
-                await self._sync()
+            if self.view.number != number or self.sealed() or self.record.whole >= number:
+                return
+            await self._sync(number)
         finally:
             self.lock.release()
 
-    async def _sync(self):
-        await self.disk.commit([(b"council", msgspec.msgpack.encode(self.record))])
+    async def _sync(self, whole=None):
+        """Write the record; `whole` counts here only once it is on the disk."""
+        record = self.record if whole is None else msgspec.structs.replace(self.record, whole=whole)
+        await self.disk.commit([(b"council", msgspec.msgpack.encode(record))])
+        self.record.whole = record.whole
 
     def give(self, m):
         """Answer a LeaseAsk.
@@ -372,23 +409,23 @@
     def needed(self):
         """Whether this machine should stay while it leaves.
 
-        It should as long as it is in the chain where others could go on, and until a
-        majority has shown the view without it: until its lease ran out they could not
-        agree on one by themselves.
+        It should until a chain without it stands, of which as many links as make a majority of
+        the voters have shown that they are whole: before that it may hold the only whole copy, or be
+        the voter without whom nothing can be agreed. Where all voters leave, the whole fleet
+        stops, and nobody is there to hand over to.
 
         Example: `while council.needed(): await mach.sleep(50_000)`
         """
         v = self.view
-        if v is None or len([s for s in v.seats if s.id in self.alive()]) < majority(len(v.seats)):
+        in_chain = v is not None and message.ChainLink(self.me.id, self.mach.boot) in v.chain
+        if not in_chain and not self.record.whole:
             return False
-        told = [
-            s
-            for s in v.seats
-            if s.id in self.pulses
-            and self.pulses[s.id][1].view is not None
-            and self.pulses[s.id][1].view.number >= v.number
-        ]
-        return message.ChainLink(self.me.id, self.mach.boot) in v.chain or len(told) < majority(len(v.seats))
+        others = [self.pulses[s.id][1] for s in v.seats if s.id != self.me.id and s.id in self.pulses]
+        if len([p for p in others if p.leaving]) == len([s for s in v.seats if s.id != self.me.id]):
+            return False
+        links, alive = {link.id for link in v.chain}, self.alive()
+        whole = [p for p in others if p.id in links and p.whole == v.number and p.id in alive]
+        return in_chain or len(whole) < majority(len(v.seats))
 
     def learn_seeds(self, seeds):
         """Look for core machines at further addresses; nobody founds a fleet by them.
@@ -516,6 +553,18 @@
                     seats.append(message.Seat(p.id, p.host, p.port, p.zone))
         return seats
 
+    def sealed_link(self):
+        """Whether a link of the view is sealed: the chain is broken there until the next view.
+
+        The voters that keep the tail's lease refuse the sealed machine's own proposals, so that the
+        tail has to see this too.
+
+        Example: `council.sealed_link()`
+        """
+        now = self.mach.now()
+        pulses = [p for heard, p in self.pulses.values() if now - heard < DEAD_US] + [self.pulse()]
+        return any(p.sealed and p.view is not None and p.view.number == self.view.number for p in pulses)
+
     def due(self):
         """Whether this machine should propose a view now.
 
@@ -529,16 +578,18 @@
         want = {(i, b) for i, b in alive.items() if i in ids}
         have = {(link.id, link.boot) for link in v.chain}
         live = [s.id for s in v.seats if s.id in alive]
-        if (want == have and seats == v.seats and not self.sealed()) or len(live) < majority(len(v.seats)):
+        same = want == have and seats == v.seats
+        if (same and not self.sealed_link()) or len(live) < majority(len(v.seats)):
             self.wanted_since = None
             return False
         if self.wanted_since is None:
             self.wanted_since = now
         tail = v.chain[-1]
-        if self.tail():
+        if self.tail() and not same:
             return True
         rank = live.index(self.me.id) if self.me.id in live else len(live)
-        patience = DEAD_US if alive.get(tail.id) == tail.boot and not self.sealed() else 0
+        waits = alive.get(tail.id) == tail.boot and not self.sealed() and not self.tail()
+        patience = DEAD_US if waits else 0
         return now - self.wanted_since >= patience + rank * RANK_US
 
     async def propose(self):
--- /dev/null
+++ b/tests/test_disk_errors.py
@@ -0,0 +1,109 @@
+"""Disks that refuse a write: in the middle of agreeing on a view, and of taking a snapshot."""
+
+import os
+import tempfile
+
+import loguru
+import testtools
+import twisted.internet.defer as defer
+
+import bench.sim as sim
+import bench.town as town
+import iriswheel.message as message
+import iriswheel.store as store
+import iriswheel.view as view
+
+S = town.S
+SEATS = [message.Seat(i, f"10.0.1.{k}", town.PEER, "a") for k, i in enumerate("abc", 1)]
+
+
+class Council(testtools.TestCase):
+    """One machine's part, without the others."""
+
+    def setUp(self):
+        super().setUp()
+        loguru.logger.remove()
+        self.world = sim.World(1)
+        self.host = sim.Machine(self.world, "10.0.1.2", "a")
+        self.start()
+        self.wait(self.council.adopt(self.epoch(1)))
+        self.world.run(self.world.time + 2 * S)  # a restarted voter waits one lease before it promises
+
+    def start(self):
+        self.proc = sim.Proc(self.world, "b", self.host)
+        mach = self.proc.mach()
+        self.disk = sim.Disk(self.proc)
+        state = self.disk.read()
+        record = view.msgspec.msgpack.decode(state[b"council"], type=view.Record) if state else view.Record()
+        self.installed = []
+        guard = store.Guard(mach, self.disk)
+        self.council = view.Council(mach, guard, record, SEATS[1], [], None, self.installed.append)
+
+    def epoch(self, number, order="abc"):
+        boots = {"b": self.council.mach.boot}
+        return message.View(number, SEATS, [message.ChainLink(i, boots.get(i, "x")) for i in order])
+
+    def wait(self, coro):
+        done = defer.ensureDeferred(coro)
+        self.world.run(self.world.time + S)
+        self.assertTrue(done.called)
+        return done.result
+
+    def test_a_promise_that_the_disk_refuses_is_a_refusal_and_seals_nothing(self):
+        self.host.disk = "full"
+        answer = self.wait(self.council.answer(message.Prepare(2, (5, "a"), "a")))
+        self.assertEqual((False, (0, "")), (answer.ok, answer.ballot))
+        self.assertFalse(self.council.sealed())
+        self.host.disk = "ok"
+        self.assertTrue(self.wait(self.council.answer(message.Prepare(2, (4, "c"), "c"))).ok)
+
+    def test_an_acceptance_that_the_disk_refuses_is_told_to_nobody(self):
+        self.assertTrue(self.wait(self.council.answer(message.Prepare(2, (5, "a"), "a"))).ok)
+        self.host.disk = "full"
+        answer = self.wait(self.council.answer(message.Accept((5, "a"), self.epoch(2, "ab"), "a")))
+        self.assertFalse(answer.ok)
+        self.host.disk = "ok"
+        promise = self.wait(self.council.answer(message.Prepare(2, (6, "c"), "c")))
+        self.assertEqual((True, None), (promise.ok, promise.accepted))
+
+    def test_a_promise_that_was_given_outlives_a_refused_one_and_a_restart(self):
+        self.assertTrue(self.wait(self.council.answer(message.Prepare(2, (5, "a"), "a"))).ok)
+        self.host.disk = "full"
+        self.assertFalse(self.wait(self.council.answer(message.Prepare(2, (9, "c"), "c"))).ok)
+        self.host.disk = "ok"
+        self.assertTrue(self.wait(self.council.answer(message.Accept((5, "a"), self.epoch(2, "ab"), "a"))).ok)
+        self.start()
+        self.world.run(self.world.time + 2 * S)
+        self.assertFalse(self.wait(self.council.answer(message.Prepare(2, (4, "c"), "c"))).ok)
+        promise = self.wait(self.council.answer(message.Prepare(2, (6, "c"), "c")))
+        self.assertEqual(((5, "a"), "ab"), (promise.accepted[0], "".join(x.id for x in promise.accepted[1].chain)))
+
+    def test_a_copy_counts_as_whole_only_once_that_is_on_the_disk(self):
+        self.host.disk = "full"
+        done = defer.ensureDeferred(self.council.grow_whole(1))
+        done.addErrback(lambda f: f.trap(store.DiskDefect))
+        self.world.run(self.world.time + S)
+        self.assertEqual((True, 0), (done.called, self.council.record.whole))
+
+    def test_a_head_whose_disk_refused_the_view_leads_once_the_disk_works(self):
+        self.host.disk = "full"
+        self.wait(self.council.adopt(self.epoch(2, "bac")))
+        self.assertEqual((2, 0), (self.council.view.number, self.council.record.whole))
+        self.host.disk = "ok"
+        installed = len(self.installed)
+        self.world.run(self.world.time + S)
+        self.assertEqual(2, self.council.record.whole)
+        self.assertEqual(installed + 1, len(self.installed))  # so that the chain starts
+
+
+class Folder(testtools.TestCase):
+    def test_a_new_data_folder_is_synced_up_to_the_one_that_was_there(self):
+        synced, real = [], os.fsync
+        self.patch(os, "fsync", lambda fd: (synced.append(os.readlink(f"/proc/self/fd/{fd}")), real(fd)))
+        with tempfile.TemporaryDirectory() as d:
+            d = os.path.realpath(d)
+            disk = store.Disk(os.path.join(d, "one", "two"))
+            disk.open()
+            disk.close()
+            folders = {os.path.relpath(p, d) for p in synced if os.path.isdir(p)}
+        self.assertEqual({".", "one", "one/two", "one/two/state"}, folders)
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,5 +1,6 @@
 """How processes stop, go on, and take in options that changed while they run; where nodes keep their sessions."""
 
+import functools
 import os
 import tempfile
 
@@ -12,6 +13,7 @@
 
 import bench.town as town
 import iriswheel.machine as machine
+import iriswheel.message as message
 import iriswheel.options as options
 import iriswheel.web as web
 
@@ -119,6 +121,70 @@
             t.start_core(c.options.name, *t.options[c.options.name])
             self.assertTrue(t.until(lambda: t.tail() is not None and len(t.tail().council.view.chain) == 3, 5))
 
+    def stop(self, t, c):
+        return c.mach.spawn(c.stop(), town.log)
+
+    def test_a_core_machine_that_holds_the_only_whole_copy_stays_until_another_has_it(self):
+        t = self.quiet(grace_us=8 * S)
+        head = t.head()
+        others = [c for c in t.cores.values() if c is not head]
+        for c in others:
+            c.proc.host.fail()
+            c.proc.host.synced.clear()
+        done = self.stop(t, head)
+        t.go(4.5)
+        self.assertFalse(done.called)
+        for c in others:
+            t.start_core(c.options.name, *t.options[c.options.name])
+        t.go(3)
+        self.assertFalse(done.called)  # two blank machines can't take it over: of the voters it is the only one
+
+    def test_a_core_machine_hands_over_to_newcomers_that_are_still_catching_up(self):
+        t = self.quiet(grace_us=30 * S)
+        head, held = t.head(), [True]
+
+        async def answer(msg, real):
+            late = held and isinstance(msg, message.Refill)
+            return message.Stored(False) if late else await real(msg)
+
+        newcomers = []
+        for c in [c for c in t.cores.values() if c is not head]:
+            c.proc.host.fail()
+            c.proc.host.synced.clear()
+            t.start_core(c.options.name, *t.options[c.options.name])
+            newcomers.append(t.cores[c.options.name])
+            newcomers[-1].chain.answer = functools.partial(answer, real=newcomers[-1].chain.answer)
+            ident = newcomers[-1].council.me.id
+            self.assertTrue(t.until(lambda ident=ident: ident in [x.id for x in head.council.view.chain], 10))
+        self.assertEqual(3, len(head.council.view.chain))
+        done = self.stop(t, head)
+        t.go(5)
+        self.assertFalse(done.called)
+        self.assertFalse(any(c.chain.whole() for c in newcomers))
+        held.clear()
+        self.assertTrue(t.until(lambda: done.called, 5))
+        self.assertTrue(all(c.chain.whole() for c in newcomers))
+
+    def test_a_core_machine_without_which_no_majority_is_left_stays_for_its_grace(self):
+        t = self.quiet(grace_us=8 * S)
+        lost, leaving = t.tail(), t.head()
+        lost.proc.host.fail()
+        t.go(4)
+        done = self.stop(t, leaving)
+        t.go(4.5)
+        self.assertFalse(done.called)
+        lost.proc.host.synced.clear()
+        t.start_core(lost.options.name, *t.options[lost.options.name])
+        self.assertTrue(t.until(lambda: done.called, 3))
+        leaving.proc.kill()
+        self.assertTrue(t.until(lambda: t.tail() is not None and len(t.tail().council.view.chain) == 2, 5))
+
+    def test_a_fleet_whose_core_machines_all_stop_ends_at_once(self):
+        t = self.quiet(grace_us=8 * S)
+        done = [self.stop(t, c) for c in t.cores.values()]
+        t.go(1)
+        self.assertEqual([True] * 3, [d.called for d in done])
+
     def test_nodes_keep_their_session_in_their_own_zone_where_a_core_machine_serves_there(self):
         t = self.quiet(halls=["a", "a", "b", "c", "d"])
         zones = {host: zone for host, zone in (t.options[c] for c in t.cores)}
--- a/tests/test_town.py
+++ b/tests/test_town.py
@@ -10,6 +10,7 @@
 import bench.sim as sim
 import bench.town as town
 import iriswheel.load as load
+import iriswheel.message as message
 import iriswheel.sender as sender
 import iriswheel.web as web
 
@@ -192,6 +193,19 @@
         self.assertTrue(t.until(lambda: done.called, 20))
         self.assertTrue(done.result > 0)
 
+    def test_a_machine_that_alone_promised_does_not_break_the_chain_for_good(self):
+        t = self.quiet()
+        head = t.head()
+        number = head.council.view.number + 1
+        c = head.council
+        c.grant = ("", 0)  # as after a short cut, in which its grant ran out
+        t.office_mach.spawn(c.answer(message.Prepare(number, (1, c.me.id), c.me.id)), town.log)
+        t.go(0.1)
+        self.assertTrue(c.sealed())
+        done = t.office_mach.spawn(t.boss.change(t.with_probe(1)), town.log)
+        self.assertTrue(t.until(lambda: done.called, 5))
+        self.assertTrue(done.result > 0)
+
     def plan_refused(self, t):
         """Code and verdict that a plan gets now."""
         got = []
