Catching up in resumable pieces; a late write no longer hides newer entries

A refill was one message with 2 s, whatever its size (3.6 MB in the test), and began anew after each lost answer.

The receiver replaces its own copy in one write, with the last of the entries, so that it holds either all it held or all that its sender holds. Programs of the version before still get and send the single message.

Faults found in the same place, each with a test that fails without the change: - An Append of an older view that was still being written when the next link was asked for its place made it pass over entries of the newer view with the same numbers: a change was acknowledged that the tail did not hold.

--- a/bench/sim.py
+++ b/bench/sim.py
@@ -272,6 +272,7 @@
         self.power = True
         self.synced = {}
         self.disk = "ok"  # ok, full, slow, stalled
+        self.slow_us = 400_000  # what each sync takes more on a slow disk
         self.held = collections.deque()
         self.trap = self.trap_sprung = None  # at which step of the next write power is lost
         world.machines[host] = self
@@ -352,7 +353,7 @@
         Example: `d = disk.commit([(b"k", b"v")])`
         """
         world, d = self.proc.world, defer.Deferred()
-        cost = 2_000 + world.rng.randrange(2_000) + (400_000 if self.mach.disk == "slow" else 0)
+        cost = 2_000 + world.rng.randrange(2_000) + (self.mach.slow_us if self.mach.disk == "slow" else 0)
         self.busy = max(self.busy, world.time) + cost
 
         def land():
--- a/iriswheel/chain.py
+++ b/iriswheel/chain.py
@@ -11,6 +11,7 @@
 import iriswheel.machine as machine
 import iriswheel.message as message
 import iriswheel.store as store
+import iriswheel.transfer as transfer
 import iriswheel.wire as wire
 
 CALL_US = 2 * machine.SECOND
@@ -25,6 +26,15 @@
 unpack_entry = msgspec.msgpack.Decoder(message.Entry).decode
 
 
+def entry_key(n):
+    """The disk's key of an entry.
+
+    >>> entry_key(7)
+    b'e0000000000000007'
+    """
+    return b"e%016d" % n
+
+
 class Plan(typing.NamedTuple):
     """A plan as the chain keeps it; stamp is 0 until it is confirmed."""
 
@@ -156,6 +166,9 @@
         self.history = {self.base.n: self.base}
         self.synced = self.tip.n
         self.lock = defer.DeferredLock()
+        self.recovered = self.synced > self.base.n  # which of the entries from the disk stand is not known yet
+        self.pinned = None  # the snapshot that is being sent to the next link
+        self.incoming = transfer.Incoming()
         self.grown = machine.Signal()
         self.committed = machine.Signal()
         self.on_commit = lambda: None
@@ -193,6 +206,8 @@
 
         Example: `mach.spawn(chain.start(view))`
         """
+        async with self.lock:
+            pass  # a write that an earlier view began ends first
         k = self.place(view.number)
         if k is None:
             return
@@ -207,7 +222,14 @@
         Example: `chain.settle_tail(4)`
         """
         v = self.council.view
-        if self.place(number) == len(v.chain) - 1 and self.whole() and len(v.chain) >= self.council.copies:
+        if self.place(number) != len(v.chain) - 1 or not self.whole():
+            return
+        if len(v.chain) >= self.council.copies:
+            self.recovered = False
+            self.commit(self.synced)
+        elif self.recovered:
+            # some of these were acknowledged before the restart, and the disk does not say which
+            self.recovered = False
             self.commit(self.synced)
 
     def commit(self, n):
@@ -243,10 +265,11 @@
                 kept += len(pack(self.log[k]))
                 if k <= self.base.n - KEEP or k <= self.base.n and kept > GREW_BYTES:
                     old.append(k)
-            puts = [(b"frame", self.base.freeze())] + [(b"e%016d" % k, None) for k in old]
+            await self.disk.commit([(b"frame", self.base.freeze())] + [(entry_key(k), None) for k in old])
             for k in old:
                 del self.log[k]
-            await self.disk.commit(puts)
+            if self.pinned is not None and not self.reaches(self.pinned.position.n):
+                self.pinned = None
         except store.DiskDefect:
             self.framed -= KEEP // 2  # again a little later
         finally:
@@ -266,35 +289,122 @@
                 continue
             try:
                 if sent is None:
-                    got = await self.neighbours.call(
-                        seat.host, seat.port, message.Place(view.number, self.council.me.id), CALL_US
-                    )
-                    msg = self.refill(view.number, got) if got.ok else None
+                    sent = await self.catch_up(view.number, seat)
                 else:
-                    batch = [self.log[k] for k in range(sent + 1, min(self.synced, sent + BATCH) + 1)]
-                    msg = message.Append(view.number, batch)
-                if msg is not None:
-                    res = await self.neighbours.call(seat.host, seat.port, msg, CALL_US)
-                    if res.ok:
-                        sent = res.n
-                        if self.place(view.number) is not None and len(view.chain) >= self.council.copies:
-                            self.commit(sent)
-                        continue
-                sent = None
+                    sent = await self.deliver(seat, message.Append(view.number, self.batch(sent + 1)))
+                if sent is not None:
+                    if self.place(view.number) is not None and len(view.chain) >= self.council.copies:
+                        self.commit(sent)
+                    continue
             except (wire.Broken, machine.Late):
                 sent = None
             await self.mach.sleep(50 * machine.MILLI)
 
+    def batch(self, first):
+        """Entries from a number on, bounded by count and by bytes; at least one where there is any.
+
+        Example: `entries = chain.batch(17)`
+        """
+        entries, size = [], 0
+        for n in range(first, min(self.synced, first + BATCH - 1) + 1):
+            entry = self.log[n]
+            size += len(pack(entry))
+            if entries and size > transfer.BATCH_BYTES:
+                break
+            entries.append(entry)
+        return entries
+
+    async def call(self, seat, msg):
+        return await self.neighbours.call(seat.host, seat.port, msg, CALL_US)
+
+    async def deliver(self, seat, msg):
+        """Send entries to the next link; returns how far they stand below, or None where it refused.
+
+        Example: `sent = await chain.deliver(seat, message.Append(4, entries))`
+        """
+        stored = await self.call(seat, msg)
+        return stored.n if stored.ok else None
+
+    def reaches(self, n):
+        """Whether the log holds all entries after n.
+
+        Example: `chain.reaches(17)`
+        """
+        return all(k in self.log for k in range(n + 1, self.synced + 1))
+
+    def continues(self, got):
+        """Whether a copy at some place is a beginning of this one, and the log holds the rest.
+
+        Example: `chain.continues(message.Placed(True, n=17, made=3))`
+        """
+        if got.n > self.synced or not self.reaches(got.n):
+            return False
+        at_base = (got.n, got.made) == (self.base.n, self.base.made)
+        return at_base or (got.n in self.log and self.log[got.n].made == got.made)
+
+    async def catch_up(self, number, seat):
+        """Bring the next link up to date; returns how far, or None where it has to be tried again.
+
+        Example: `sent = await chain.catch_up(4, seat)`
+        """
+        got = await self.call(seat, message.Place(number, self.council.me.id))
+        if not got.ok:
+            return None
+        if not got.pieces:
+            return await self.deliver(seat, self.refill(number, got))
+        if self.continues(got):
+            return await self.send_entries(number, seat, message.Position(got.n, got.made), "")
+        snapshot = self.pin()
+        if not await self.send_snapshot(number, seat, snapshot, got):
+            return None
+        return await self.send_entries(number, seat, snapshot.position, snapshot.digest)
+
+    def pin(self):
+        """The snapshot to send: the last one as long as the log follows it, since links may have a part of it.
+
+        Example: `snapshot = chain.pin()`
+        """
+        if self.pinned is None or not self.reaches(self.pinned.position.n):
+            self.pinned = transfer.Outgoing.of(message.Position(self.base.n, self.base.made), self.base.freeze())
+        return self.pinned
+
+    async def send_snapshot(self, number, seat, snapshot, got):
+        """Send a snapshot from where the next link has it; whether all of it arrived.
+
+        Example: `await chain.send_snapshot(4, seat, snapshot, placed)`
+        """
+        offset = got.received if got.snapshot == snapshot.digest else 0
+        while offset < len(snapshot.content):
+            if self.place(number) is None:
+                return False
+            taken = await self.call(seat, snapshot.piece(number, offset))
+            if not taken.ok or taken.received <= offset:
+                return False
+            offset = taken.received
+        return True
+
+    async def send_entries(self, number, seat, after, snapshot):
+        """Send all entries after a position in bounded batches; the last one makes the next link whole.
+
+        Example: `sent = await chain.send_entries(4, seat, message.Position(17, 3), "")`
+        """
+        while self.place(number) is not None and self.reaches(after.n):
+            entries = self.batch(after.n + 1)
+            last = after.n + len(entries) >= self.synced
+            sent = await self.deliver(seat, message.Refill(number, None, entries, after, snapshot, last))
+            if sent is None:
+                return None
+            if last:
+                return sent
+            after = message.Position(entries[-1].n, entries[-1].made)
+        return None
+
     def refill(self, number, got):
-        """What brings a copy at some place up to date.
+        """What brings a copy at some place up to date at once, for programs that take no pieces.
 
         Example: `chain.refill(4, message.Placed(True, n=17, made=3))`
         """
-        same = got.n <= self.synced and (
-            (got.n in self.log and self.log[got.n].made == got.made)
-            or (got.n == self.base.n and self.base.made == got.made)
-        )
-        if same and all(k in self.log for k in range(got.n + 1, self.synced + 1)):
+        if self.continues(got):
             return message.Refill(number, None, [self.log[k] for k in range(got.n + 1, self.synced + 1)])
         rest = [self.log[k] for k in range(self.base.n + 1, self.synced + 1)]
         return message.Refill(number, self.base.freeze(), rest)
@@ -305,63 +415,156 @@
         Example: `res = await chain.answer(message.Place(4, "c0ffee"))`
         """
         match msg:
-            case message.Place(view=number):
-                if not self.place(number):
-                    return message.Placed(False)
-                return message.Placed(True, self.synced, self.tip.made)
-            case message.Refill(view=number):
-                return await self.take(number, msg.entries, msg.frame, first=True)
-            case message.Append(view=number):
-                return await self.take(number, msg.entries, None, first=False)
+            case message.Place():
+                return await self.tell_place(msg)
+            case message.Piece():
+                return self.take_piece(msg)
+            case message.Refill():
+                return await self.take_refill(msg)
+            case message.Append():
+                return await self.take_append(msg)
             case message.Propose():
                 return await self.propose(msg)
             case message.Look():
                 return self.look(msg)
 
-    async def take(self, number, entries, frame, first):
-        """Store what the link before sends, pass it on, answer once it stands below.
+    async def tell_place(self, msg):
+        """How far this link has come, once no write is under way that would change it.
 
-        Example: `res = await chain.take(4, entries, None, first=False)`
+        Example: `placed = await chain.tell_place(message.Place(4, "c0ffee"))`
+        """
+        async with self.lock:
+            if not self.place(msg.view):
+                return message.Placed(False)
+            received = len(self.incoming.content)
+            return message.Placed(True, self.synced, self.tip.made, True, self.incoming.digest, received)
+
+    def take_piece(self, msg):
+        """Keep one piece of a snapshot in memory.
+
+        Example: `taken = chain.take_piece(piece)`
+        """
+        if not self.place(msg.view) or self.whole():
+            return message.PieceTaken(False)
+        return message.PieceTaken(True, self.incoming.take_piece(msg))
+
+    async def take_append(self, msg):
+        """Store new entries from the link before; answer once they stand below.
+
+        Example: `stored = await chain.take_append(message.Append(4, entries))`
         """
-        await self.lock.acquire()
         try:
-            if not self.place(number) or (not first and not self.whole()):
-                return message.Stored(False)
-            puts = []
-            if frame is not None:
-                base = Ledger.thaw(frame)
-                puts = [(b"e%016d" % k, None) for k in self.log] + [(b"frame", frame)]
-                self.log, self.synced, self.tip = {}, base.n, base
-                if base.n >= self.base.n:
-                    self.base, self.framed = base, base.n
-                    self.history[base.n] = base
-            new = [e for e in entries if e.n > self.synced]
-            if new and new[0].n != self.synced + 1:
-                return message.Stored(False)
-            await self.disk.commit(puts + [(b"e%016d" % e.n, pack(e)) for e in new])
-            for e in new:
-                self.log[e.n] = e
-                self.tip = self.tip.apply(e)
-            self.synced = self.tip.n
-            if first:
-                await self.council.grow_whole(number)
+            async with self.lock:
+                if not self.place(msg.view) or not self.whole() or not await self.extend(msg.entries):
+                    return message.Stored(False)
         except store.DiskDefect:
             return message.Stored(False)
-        finally:
-            self.lock.release()
+        return await self.wait_below(msg.view, msg.entries)
+
+    async def take_refill(self, msg):
+        """Store what the link before sends to catch up; after the last of it, answer once it stands below.
+
+        Example: `stored = await chain.take_refill(message.Refill(4, None, entries, after))`
+        """
+        try:
+            async with self.lock:
+                if not self.place(msg.view) or not await self.store_refill(msg):
+                    return message.Stored(False)
+                if msg.last:
+                    await self.council.grow_whole(msg.view)
+                    self.incoming = transfer.Incoming()
+        except store.DiskDefect:
+            return message.Stored(False)
+        if not msg.last:
+            return message.Stored(True, msg.entries[-1].n)
+        stored = await self.wait_below(msg.view, msg.entries)
+        if stored.ok and (msg.snapshot or msg.frame is not None):
+            self.on_commit()
+        return stored
+
+    async def store_refill(self, msg):
+        """Store one Refill by its kind; whether it fits what is here.
+
+        Example: `fits = await chain.store_refill(refill)`
+        """
+        if msg.frame is not None:
+            return await self.restore(msg.frame, Ledger.thaw(msg.frame), msg.entries)
+        if msg.snapshot:
+            return await self.stage(msg)
+        here = message.Position(self.tip.n, self.tip.made)
+        return (msg.after is None or msg.after == here) and await self.extend(msg.entries)
+
+    async def stage(self, msg):
+        """Keep entries that follow an incoming snapshot; with the last of them the snapshot replaces this copy.
+
+        Example: `fits = await chain.stage(refill)`
+        """
+        incoming = self.incoming
+        if not incoming.complete or incoming.digest != msg.snapshot:
+            return False
+        if incoming.ledger is None:
+            incoming.ledger = Ledger.thaw(incoming.content)
+            incoming.position = message.Position(incoming.ledger.n, incoming.ledger.made)
+        if not incoming.take_entries(msg.after, msg.entries):
+            return False
+        return not msg.last or await self.restore(bytes(incoming.content), incoming.ledger, incoming.entries)
+
+    async def extend(self, entries):
+        """Sync entries that follow the newest one here; those that are here already are passed over.
+
+        Example: `fits = await chain.extend(entries)`
+        """
+        new = [e for e in entries if e.n > self.synced]
+        if not transfer.follow(self.synced, new):
+            return False
+        if new:
+            await self.disk.commit([(entry_key(e.n), pack(e)) for e in new])
+        for e in new:
+            self.log[e.n] = e
+            self.tip = self.tip.apply(e)
+        self.synced = self.tip.n
+        return True
+
+    async def restore(self, snapshot, ledger, entries):
+        """Replace this copy by a snapshot and all entries after it, in one synced write.
+
+        It is one write because what this copy held may have been acknowledged: at any moment it holds
+        either that, or all that the link before held when it sent the last entry. A copy that is whole
+        in this view is a beginning of the sender's, so that a snapshot for it is a late one.
+
+        Example: `fits = await chain.restore(raw, Ledger.thaw(raw), entries)`
+        """
+        if self.whole() or not transfer.follow(ledger.n, entries):
+            return False
+        puts = [(entry_key(k), None) for k in self.log]
+        puts += [(b"frame", snapshot)] + [(entry_key(e.n), pack(e)) for e in entries]
+        await self.disk.commit(puts)
+        self.log = {e.n: e for e in entries}
+        self.tip = ledger
+        for e in entries:
+            self.tip = self.tip.apply(e)
+        self.synced = self.tip.n
+        self.pinned = None
+        if ledger.n >= self.base.n:
+            self.base, self.framed = ledger, ledger.n
+            self.history[ledger.n] = ledger
+        return True
+
+    async def wait_below(self, number, entries):
+        """Pass on what was stored, and answer once it stands on all links below.
+
+        Example: `stored = await chain.wait_below(4, entries)`
+        """
         if not self.place(number) or not self.whole():
             return message.Stored(False)
         n = entries[-1].n if entries else self.synced
         self.grown.wake()
         self.settle_tail(number)
-        v = self.council.view
-        alone = self.place(number) == len(v.chain) - 1
-        while not alone and self.base.n < n:
+        tail = self.place(number) == len(self.council.view.chain) - 1
+        while not tail and self.base.n < n:
             await self.committed.wait()
             if not self.place(number):
                 return message.Stored(False)
-        if frame is not None:
-            self.on_commit()
         return message.Stored(True, n)
 
     # ---- operators' changes, at the head ------------------------------------------------
--- /dev/null
+++ b/iriswheel/transfer.py
@@ -0,0 +1,115 @@
+"""Snapshots between core machines, sent in pieces of bounded size that resume where they were.
+
+The sender pins one snapshot while it is being sent, however far its own state moves on; entries after it
+follow in batches. The receiver keeps what has arrived through lost connections and new views, and replaces its
+own state only when the snapshot and all entries after it are there.
+"""
+
+import hashlib
+import typing
+
+import iriswheel.message as message
+
+PIECE_BYTES = 256 << 10
+BATCH_BYTES = 1 << 20  # of entries in one message; a single larger entry goes alone
+
+
+class Outgoing(typing.NamedTuple):
+    """A snapshot pinned by its sender.
+
+    >>> outgoing = Outgoing.of(message.Position(7, 2), b"state")
+    >>> piece = outgoing.piece(4, 2); piece.offset, piece.total, piece.content
+    (2, 5, b'ate')
+    """
+
+    position: message.Position  # of the last entry that the snapshot contains
+    digest: str
+    content: bytes
+
+    @classmethod
+    def of(cls, position, content):
+        """Pin a snapshot.
+
+        Example: `Outgoing.of(message.Position(7, 2), content)`
+        """
+        return cls(position, hashlib.sha256(content).hexdigest(), content)
+
+    def piece(self, view, offset):
+        """The piece that begins at an offset.
+
+        Example: `outgoing.piece(4, 0)`
+        """
+        content = self.content[offset : offset + PIECE_BYTES]
+        return message.Piece(view, self.digest, len(self.content), offset, content)
+
+
+class Incoming:
+    """A snapshot that is being received, and the entries after it.
+
+    >>> incoming = Incoming(); outgoing = Outgoing.of(message.Position(7, 2), b"state")
+    >>> incoming.take_piece(outgoing.piece(4, 0)), incoming.complete
+    (5, True)
+    >>> incoming.take_piece(outgoing.piece(4, 0))
+    5
+    """
+
+    def __init__(self):
+        self.start("", 0)
+
+    def start(self, digest, total):
+        """Forget what is here and begin with another snapshot.
+
+        Example: `incoming.start(piece.snapshot, piece.total)`
+        """
+        self.digest = digest
+        self.total = total
+        self.content = bytearray()
+        self.complete = False
+        self.ledger = None  # the snapshot decoded, once it is complete
+        self.position = None  # of the snapshot's last entry
+        self.entries = []  # that follow the snapshot
+
+    def take_piece(self, piece):
+        """Take one piece; returns how many bytes of its snapshot are here. Pieces out of order change nothing.
+
+        Example: `received = incoming.take_piece(piece)`
+        """
+        if piece.snapshot != self.digest:
+            self.start(piece.snapshot, piece.total)
+        if piece.offset == len(self.content) and not self.complete:
+            self.content += piece.content
+            self._check()
+        return len(self.content)
+
+    def _check(self):
+        if len(self.content) < self.total:
+            return
+        if hashlib.sha256(self.content).hexdigest() == self.digest:
+            self.complete = True
+        else:
+            self.start("", 0)
+
+    def take_entries(self, after, entries):
+        """Keep entries that follow what is here; False where they do not. The first batch may come again.
+
+        >>> incoming = Incoming(); incoming.position = message.Position(7, 2)
+        >>> one = [message.Entry(8, 3, "plan", "0-a")]
+        >>> incoming.take_entries(message.Position(7, 2), one), incoming.take_entries(message.Position(9, 3), one)
+        (True, False)
+        """
+        if after == self.position:
+            self.entries = []
+        newest = message.Position(self.entries[-1].n, self.entries[-1].made) if self.entries else self.position
+        if after != newest or not follow(after.n, entries):
+            return False
+        self.entries += entries
+        return True
+
+
+def follow(n, entries):
+    """Whether entries are numbered without a gap after n.
+
+    >>> follow(7, [message.Entry(8, 3, "plan", "0-a")]), follow(7, [message.Entry(9, 3, "plan", "0-a")])
+    (True, False)
+    """
+    return [e.n for e in entries] == list(range(n + 1, n + 1 + len(entries)))
--- /dev/null
+++ b/tests/test_catching_up.py
@@ -0,0 +1,362 @@
+"""Copies that are behind, divergent or restarted: how they catch up, and that none leads before."""
+
+import hashlib
+
+import loguru
+import testtools
+import twisted.internet.defer as defer
+
+import bench.sim as sim
+import bench.town as town
+import iriswheel.chain as chain
+import iriswheel.machine as machine
+import iriswheel.message as message
+import iriswheel.store as store
+import iriswheel.view as view
+import iriswheel.wire as wire
+
+S = town.S
+ROUTES = 1_400
+
+
+def entry(n, made, changes=(), base=None):
+    """A change that stands by itself."""
+    return message.Entry(n, made, "apply", f"{n}-{made}", n - 1 if base is None else base, list(changes))
+
+
+def large_change(n, made=1, pool="p"):
+    """A change of many routes, of which no part can be packed much smaller."""
+    text = [hashlib.sha256(b"%d" % k).hexdigest() * 8 for k in range(ROUTES)]
+    return entry(
+        n,
+        made,
+        [(f"routes/r{k}", {"path": f"/r/{k}", "pool": pool, "label": {"note": text[k]}}) for k in range(ROUTES)],
+    )
+
+
+class Network:
+    """Messages between members without connections; each goes through `meet`, which may lose it or its answer."""
+
+    def __init__(self, world):
+        self.world = world
+        self.members = {}
+        self.sent = []  # what was sent, in order
+        self.meet = lambda msg: "pass"
+
+    async def call(self, host, port, msg, us):
+        self.sent.append(msg)
+        fate = self.meet(msg)
+        mach = self.members["head"].mach
+        await mach.sleep(2 * machine.MILLI)
+        if fate == "lose":
+            await mach.sleep(us)
+            raise wire.Broken(sent=True)
+        answer = await mach.within(defer.ensureDeferred(self.members[host].chain.answer(msg)), us)
+        if fate == "lose answer":
+            await mach.sleep(us)
+            raise wire.Broken(sent=True)
+        return answer
+
+
+class Member:
+    """One member of a chain of two, with its disk."""
+
+    def __init__(self, network, name, entries=(), copies=2):
+        self.network, self.name, self.copies = network, name, copies
+        self.host = sim.Machine(network.world, name, "a")
+        for e in entries:
+            self.host.synced[b"e%016d" % e.n] = chain.pack(e)
+        self.start()
+
+    def start(self):
+        """Begin a new life on the disk that is there."""
+        self.proc = sim.Proc(self.network.world, self.name, self.host)
+        self.mach = self.proc.mach()
+        disk = sim.Disk(self.proc)
+        state = disk.read()
+        guard = store.Guard(self.mach, disk)
+        raw = state.get(b"council")
+        record = view.msgspec.msgpack.decode(raw, type=view.Record) if raw else view.Record()
+        self.chain = chain.Chain(self.mach, guard, state, self.network)
+        seat = message.Seat(self.name, self.name, 1, "a")
+        self.council = view.Council(self.mach, guard, record, seat, [], None, lambda v: None, copies=self.copies)
+        self.chain.council = self.council
+        self.network.members[self.name] = self
+
+    def install(self, number, order, whole=None):
+        """Let a view begin here."""
+        members = [self.network.members[i] for i in order]
+        seats = [message.Seat(m.name, m.name, 1, "a") for m in members]
+        links = [message.ChainLink(m.name, m.mach.boot) for m in members]
+        record = self.council.record
+        record.view, record.promised = message.View(number, seats, links), (0, "")
+        record.whole = number if order[0] == self.name else whole or record.whole
+        self.chain.install(record.view)
+
+
+class Chains(testtools.TestCase):
+    """Two links of a chain."""
+
+    def setUp(self):
+        super().setUp()
+        loguru.logger.remove()
+        self.world = sim.World(1)
+        self.network = Network(self.world)
+
+    def pair(self, head, tail):
+        return Member(self.network, "head", head), Member(self.network, "tail", tail)
+
+    def install(self, number, *members):
+        for m in reversed(members):
+            m.install(number, [x.name for x in members])
+
+    def go(self, seconds):
+        self.world.run(self.world.time + int(seconds * S))
+
+    def until(self, condition, seconds):
+        began = self.world.time
+        while not condition() and self.world.time < began + seconds * S:
+            self.go(0.01)
+        self.assertTrue(condition())
+        return (self.world.time - began) / S
+
+    def assert_same(self, one, other):
+        self.assertEqual((one.chain.synced, one.chain.tip.made), (other.chain.synced, other.chain.tip.made))
+        self.assertEqual(one.chain.tip.items, other.chain.tip.items)
+        state = sim.Disk(other.proc).read()
+        reread = chain.Chain(other.mach, None, state, None)
+        self.assertEqual((one.chain.tip.n, one.chain.tip.items), (reread.tip.n, reread.tip.items))
+
+    def route(self, name):
+        return [(f"routes/{name}", {"path": "/", "pool": "p"})]
+
+    # ---- divergent and old copies -----------------------------------------------------------
+
+    def test_entries_that_were_never_acknowledged_give_way_to_those_of_the_newer_view(self):
+        shared = [entry(k, 1) for k in (1, 2, 3)]
+        for ours, theirs in ((1, 1), (1, 3), (3, 1), (2, 2)):
+            head, tail = self.pair(
+                shared + [entry(k, 3, self.route(f"new{k}")) for k in range(4, 4 + ours)],
+                shared + [entry(k, 2, self.route(f"old{k}")) for k in range(4, 4 + theirs)],
+            )
+            self.install(4, head, tail)
+            self.until(tail.chain.whole, 5)
+            self.assert_same(head, tail)
+
+    def test_a_write_that_an_older_view_began_does_not_hide_entries_of_the_newer_one(self):
+        shared = [entry(1, 1)]
+        head, tail = self.pair(shared, shared)
+        self.install(2, head, tail)
+        self.until(tail.chain.whole, 5)
+        tail.host.disk = "slow"
+        stale = message.Append(2, [entry(2, 2, self.route("old"))])  # by a head that is lost
+        tail.mach.spawn(tail.chain.answer(stale))
+        self.go(0.05)
+        self.install(3, head, tail)
+        proposed = head.mach.spawn(
+            head.chain.propose(message.Propose(3, "apply", "x", head.chain.tip.stamp, self.route("new")))
+        )
+        self.until(lambda: proposed.called, 10)
+        self.assertEqual("", proposed.result.code)
+        self.assert_same(head, tail)
+        self.assertIn("routes/new", tail.chain.base.items)
+
+    def test_a_late_snapshot_takes_nothing_back_from_a_whole_copy(self):
+        head, tail = self.pair([entry(k, 1) for k in range(1, 9)], [])
+        self.install(2, head, tail)
+        self.until(tail.chain.whole, 5)
+        late = message.Refill(2, chain.Ledger().apply(entry(1, 1)).freeze(), [entry(2, 1)])
+        done = tail.mach.spawn(tail.chain.answer(late))
+        self.until(lambda: done.called, 5)
+        self.assertEqual(8, tail.chain.synced)
+        self.assert_same(head, tail)
+
+    def test_a_snapshot_that_the_disk_refuses_leaves_the_copy_as_it_is(self):
+        head, tail = self.pair([entry(1, 3)], [entry(k, 2) for k in (1, 2)])
+        tail.host.disk = "full"
+        self.install(4, head, tail)
+        self.go(1)
+        self.assertEqual((2, 2, False), (tail.chain.synced, tail.chain.tip.n, tail.chain.whole()))
+        self.assertEqual({1, 2}, set(tail.chain.log))
+        tail.host.disk = "ok"
+        self.until(tail.chain.whole, 5)
+        self.assert_same(head, tail)
+
+    def test_a_restarted_member_that_leads_alone_serves_all_that_was_acknowledged(self):
+        head = Member(self.network, "head", [entry(k, 1, self.route(f"r{k}")) for k in range(1, 301)])
+        self.install(2, head)
+        self.go(0.1)
+        self.assertEqual((300, 300), (head.chain.base.n, len(head.chain.base.items)))
+
+    # ---- snapshots in pieces ------------------------------------------------------------------
+
+    def large_pair(self):
+        head, tail = self.pair([large_change(1)], [])
+        head.chain.commit(1)
+        head.chain.log.clear()  # as after a snapshot
+        return head, tail
+
+    def size(self, msg):
+        return len(wire.encoder.encode(wire.Parcel(wire.CALL, 1, msg)))
+
+    def test_no_message_to_catch_up_is_large(self):
+        head, tail = self.large_pair()
+        for k in range(2, 9):
+            head.chain.log[k] = entry(
+                k, 1, [("routes/big", {"path": "/", "pool": "p", "label": {"note": "x" * 400_000}})]
+            )
+            head.chain.tip = head.chain.tip.apply(head.chain.log[k])
+            head.chain.synced = k
+        self.install(2, head, tail)
+        self.until(tail.chain.whole, 10)
+        self.assert_same(head, tail)
+        self.assertLess(max(self.size(m) for m in self.network.sent), 1_200_000)
+
+    def test_a_snapshot_goes_on_where_it_was_when_pieces_and_answers_are_lost(self):
+        head, tail = self.large_pair()
+        calls = []
+
+        def meet(msg):
+            calls.append(msg)
+            return "lose" if len(calls) % 3 == 0 else "lose answer" if len(calls) % 7 == 0 else "pass"
+
+        self.network.meet = meet
+        self.install(2, head, tail)
+        self.until(tail.chain.whole, 60)
+        self.assert_same(head, tail)
+        total = len(head.chain.base.freeze())
+        pieces = [m for m in calls if isinstance(m, message.Piece)]
+        self.assertGreater(total, 700_000)
+        self.assertLess(sum(len(m.content) for m in pieces), 2.5 * total)  # lost ones are sent again, others are not
+        self.assertEqual(sorted(m.offset for m in pieces), [m.offset for m in pieces])
+
+    def test_a_snapshot_goes_on_in_a_later_view_while_the_state_moves_on(self):
+        head, tail = self.large_pair()
+        third = Member(self.network, "third", [])
+        self.network.meet = lambda msg: "lose" if isinstance(msg, message.Piece) and msg.offset > 300_000 else "pass"
+        self.install(2, head, tail)
+        self.go(3)
+        self.assertGreater(len(tail.chain.incoming.content), 200_000)
+        self.network.meet = lambda msg: "pass"
+        third.host.synced.update(head.host.synced)
+        self.install(3, head, third)  # the second link is cut off
+        self.until(third.chain.whole, 10)
+        for k in range(5):
+            msg = message.Propose(3, "apply", f"x{k}", head.chain.tip.stamp, self.route(f"x{k}"))
+            done = head.mach.spawn(head.chain.propose(msg))
+            self.until(lambda done=done: done.called, 5)
+            self.assertEqual("", done.result.code)
+        del self.network.sent[:]
+        self.install(4, head, tail)
+        self.until(tail.chain.whole, 10)
+        self.assert_same(head, tail)
+        offsets = [m.offset for m in self.network.sent if isinstance(m, message.Piece)]
+        self.assertGreater(min(offsets), 200_000)
+
+    def test_a_piece_that_was_spoilt_is_sent_again(self):
+        head, tail = self.large_pair()
+        spoilt = []
+
+        def meet(msg):
+            if isinstance(msg, message.Piece) and not spoilt:
+                spoilt.append(msg)
+                tail.chain.incoming.take_piece(
+                    message.Piece(msg.view, msg.snapshot, msg.total, 0, bytes(len(msg.content)))
+                )
+            return "pass"
+
+        self.network.meet = meet
+        self.install(2, head, tail)
+        self.until(tail.chain.whole, 10)
+        self.assert_same(head, tail)
+
+    def test_a_member_whose_program_takes_no_pieces_gets_all_in_one(self):
+        head, tail = self.large_pair()
+        answer = tail.chain.answer
+
+        async def older(msg):
+            got = await answer(msg)
+            return message.Placed(got.ok, got.n, got.made) if isinstance(got, message.Placed) else got
+
+        tail.chain.answer = older
+        self.install(2, head, tail)
+        self.until(tail.chain.whole, 10)
+        self.assert_same(head, tail)
+
+
+class Towns(testtools.TestCase):
+    """A whole small fleet, with steady changes."""
+
+    AWAY_CHANGES = 1_000
+
+    def setUp(self):
+        super().setUp()
+        loguru.logger.remove()
+
+    def propose(self, t, k):
+        head = t.head()
+        if head is None or not head.chain.whole():
+            return None
+        change = [(f"routes/s{k % 50}", {"path": f"/s/{k}", "pool": "desk"})]
+        number = head.council.view.number
+        msg = message.Propose(number, "apply", f"s{k}-{t.world.time}", head.chain.tip.stamp, change)
+        return head.mach.spawn(head.chain.propose(msg))
+
+    def away_for_many_changes(self):
+        """A fleet in which one member is down while many routes and changes come."""
+        t = town.Town(3, "small", long_rate=0, short_rate=0, talks=0)
+        t.probing = False
+        t.begin()
+        t.go(1)
+        for n in t.nodes.values():  # they only cost time here
+            n.proc.kill()
+        name = t.tail().options.name
+        t.cores[name].proc.host.fail()
+        self.assertTrue(t.until(lambda: t.tail() is not None and len(t.tail().council.view.chain) == 2, 10))
+        head = t.head()
+        many = large_change(head.chain.tip.n + 1, pool="desk").changes
+        msg = message.Propose(head.council.view.number, "apply", "many", head.chain.tip.stamp, many)
+        done = head.mach.spawn(head.chain.propose(msg))
+        self.assertTrue(t.until(lambda: done.called, 10))
+        for k in range(self.AWAY_CHANGES):
+            done = self.propose(t, k)
+            while not done.called:
+                t.go(0.005)
+            self.assertEqual("", done.result.code)
+        return t, name
+
+    def catch_up(self, t, name):
+        """Seconds until the member is whole again, and the longest time in which no change was taken meanwhile."""
+        t.start_core(name, *t.options[name])
+        back, began = t.cores[name], t.world.time
+        proposed, taken, last, longest, caught_up = [], 0, began, 0, None
+        while t.world.time - began < 4 * S or caught_up is None:
+            self.assertLess(t.world.time - began, 40 * S)
+            d = self.propose(t, len(proposed))
+            proposed += [d] if d is not None else []
+            for _ in range(15):
+                t.go(0.01)
+                self.assertFalse(back.council.leased() and not back.chain.whole())
+                if caught_up is None and back.chain.whole():
+                    caught_up = t.world.time - began
+            done = [d for d in proposed if d.called and d.result.code == ""]
+            if len(done) > taken:
+                taken, last = len(done), t.world.time
+            longest = max(longest, t.world.time - last)
+        self.assertLess(t.head().chain.tip.n - back.chain.base.n, 4)
+        return caught_up / S, longest / S
+
+    def test_a_member_that_was_away_for_a_thousand_changes_and_a_blank_one_catch_up(self):
+        t, name = self.away_for_many_changes()
+        caught_up, longest = self.catch_up(t, name)
+        self.assertLess(caught_up, 2)
+        self.assertLess(longest, 1)
+        host = t.cores[name].proc.host
+        host.fail()
+        host.synced.clear()
+        t.go(3)
+        host.disk, host.slow_us = "slow", 150_000
+        t.world.loss[host.host] = 0.05
+        caught_up, longest = self.catch_up(t, name)
+        self.assertLess(caught_up, 4)
+        self.assertLess(longest, 3)
