--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -253,6 +253,23 @@
         offsets = [m.offset for m in self.network.sent if isinstance(m, message.Piece)]
         self.assertGreater(min(offsets), 200_000)
 
+    def test_a_member_that_loses_power_in_a_transfer_keeps_its_old_copy_and_begins_anew(self):
+        head, tail = self.large_pair()
+        tail.host.synced.update({b"e%016d" % k: chain.pack(entry(k, 7, self.route(f"old{k}"))) for k in (1, 2)})
+        tail.start()
+        self.network.meet = lambda msg: "lose" if isinstance(msg, message.Refill) else "pass"
+        self.install(8, head, tail)
+        self.until(lambda: tail.chain.incoming.complete, 5)
+        tail.host.fail()
+        self.go(1)
+        tail.host.power = True
+        tail.start()
+        self.assertEqual((2, 7), (tail.chain.synced, tail.chain.tip.made))
+        self.network.meet = lambda msg: "pass"
+        self.install(9, head, tail)
+        self.until(tail.chain.whole, 10)
+        self.assert_same(head, tail)
+
     def test_a_piece_that_was_spoilt_is_sent_again(self):
         head, tail = self.large_pair()
         spoilt = []
