--- a/iriswheel/chain.py
+++ b/iriswheel/chain.py
@@ -315,6 +315,10 @@
         return entries
 
     async def call(self, seat, msg):
+        """Call the next link.
+
+        Example: `placed = await chain.call(seat, message.Place(4, "c0ffee"))`
+        """
         return await self.neighbours.call(seat.host, seat.port, msg, CALL_US)
 
     async def deliver(self, seat, msg):
--- a/iriswheel/store.py
+++ b/iriswheel/store.py
@@ -92,7 +92,7 @@
             self.env = lmdb.open(path, map_size=self.size, sync=True)
             sync_folders(os.path.abspath(path), top)
         except (OSError, lmdb.Error) as e:
-            raise DiskDefect(f"The data folder can't be used: {e}")
+            raise DiskDefect(f"The data folder can't be used: {e}") from e
         if self.reactor is not None:
             self.pool.start()
 
@@ -135,7 +135,7 @@
         except lmdb.MapFullError:
             raise
         except (OSError, lmdb.Error) as e:
-            raise DiskDefect(str(e))
+            raise DiskDefect(str(e)) from e
 
     def commit(self, puts):
         """Write off the reactor's thread; the Deferred fires once it is synced.
