Fuzz tests for frames, operators' documents, settings files and workers' bytes; five faults mended

tests/test_fuzz.py, by hypothesis, derandomized, some 13 s on one core: random bytes, wrong types, wrong lengths, deep nesting and changed bytes for frames; documents and odd values in each field for PUT, PATCH and POST /changes, through the real HTTP server; settings files of both formats; and for a worker's connection any order of whole answers, of this or other requests, with and without id, and garbage, in pieces of any size.

Found in operators' calls, each a 502 in place of a 4xx: a lone surrogate in any text; a whole number beyond 64 bits where it is kept; lists and objects in each other to a depth near the interpreter's limit. NaN was taken (and is unequal to itself, so it counts as changed ever after), and 1e999 was taken and read back as no JSON. Bodies are now read by `web.parse_json`, which refuses all of these with 400, nesting from 100 on. In settings files `inf` and deep nesting ended the process with a traceback, and a rate of NaN was taken; bytes that are not UTF-8 ended it in the project's own options files. All are BadOptions now. In frames and in workers' answers nothing was found.

--- a/iriswheel/options.py
+++ b/iriswheel/options.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import ipaddress
+import math
 import os
 import tomllib
 
@@ -123,6 +124,8 @@
                 setattr(self, f.name, val)
             if type(val) is not want:
                 bad.append(f"{f.name}: wants {want.__name__}, not {type(val).__name__}")
+            elif want is float and not math.isfinite(val):
+                bad.append(f"{f.name}: {val} is no finite number")
         if bad:
             raise BadOptions(bad)
         need = ["name", "zone"] + (["data"] if self.role == "core" else [])
@@ -180,7 +183,7 @@
                 vals = tomllib.load(f)
         except OSError as e:
             raise BadOptions([f"options: {path}: {e.strerror}"])
-        except tomllib.TOMLDecodeError as e:
+        except (ValueError, RecursionError) as e:
             raise BadOptions([f"options: {path}: {e}"])
     known = {f.name for f in dataclasses.fields(Options)} - {"role"}
     unknown = [f"{k}: unknown option" for k in sorted(set(vals) - known)]
--- a/iriswheel/web.py
+++ b/iriswheel/web.py
@@ -5,6 +5,7 @@
 import json
 
 import loguru
+import msgspec
 import twisted.internet.defer as defer
 import twisted.web.http as http
 
@@ -14,10 +15,38 @@
 import iriswheel.verdict as verdict
 
 LAG_US = 2 * machine.SECOND  # beyond what a requester may take: its clock is not ours
+JSON_DEPTH = 100  # of lists and objects in each other: what reads them later has less of the stack left
 
 log = loguru.logger.bind(part="web")
 
 
+def parse_json(raw):
+    """JSON as it can be kept and passed on; raises ValueError for all other bytes.
+
+    Refused are also numbers beyond 64 bits, infinite or no numbers, lone surrogates, and more than JSON_DEPTH
+    containers in each other.
+
+    >>> parse_json(b'{"a": [1.5]}')
+    {'a': [1.5]}
+    >>> parse_json(b"[" * 101 + b"]" * 101)
+    Traceback (most recent call last):
+    ...
+    ValueError: nested more than 100 deep
+    """
+    try:
+        doc = msgspec.json.decode(raw)
+        msgspec.msgpack.encode(doc)
+    except (msgspec.MsgspecError, RecursionError, OverflowError) as e:
+        raise ValueError(str(e)) from e
+    level = [doc]
+    for _ in range(JSON_DEPTH + 1):
+        level = [val for val in level if isinstance(val, dict | list)]
+        if not level:
+            return doc
+        level = [val for outer_val in level for val in (outer_val.values() if type(outer_val) is dict else outer_val)]
+    raise ValueError(f"nested more than {JSON_DEPTH} deep")
+
+
 class Request(http.Request):
     """One exchange, on the side that answers.
 
@@ -125,8 +154,8 @@
         Example: `doc = request.json()`
         """
         try:
-            return json.loads(self.content.read())
-        except (ValueError, RecursionError):
+            return parse_json(self.content.read())
+        except ValueError:
             raise verdict.Defect("bad_request", "The body is not JSON.", field="body")
 
 
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,542 @@
+"""Whatever bytes and documents come from outside: a connection may end, no task breaks, nothing crosses.
+
+The examples are derandomized, so that a run repeats; `python -m tests tests.test_fuzz` takes some seconds.
+"""
+
+import json
+import os
+import re
+import struct
+import sys
+import tempfile
+
+import hypothesis
+import hypothesis.strategies as strategies
+import loguru
+import msgspec
+import testtools
+import twisted.internet.task as task
+import twisted.internet.testing as testing
+
+import bench
+import bench.words as words
+import iriswheel.blueprint as blueprint
+import iriswheel.client as client
+import iriswheel.core as core
+import iriswheel.machine as machine
+import iriswheel.message as message
+import iriswheel.options as options
+import iriswheel.web as web
+import iriswheel.wire as wire
+
+sys.path.append(os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(bench.__file__))), "platform"))
+
+import itertools
+
+import configuration
+import settings
+
+H = words.HEAD
+QUICK = hypothesis.settings(derandomize=True, database=None, deadline=None, max_examples=150)
+SCALARS = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.floats(),
+    strategies.text(strategies.characters(exclude_categories=[]), max_size=8),
+)
+
+
+def nested(scalars, keys):
+    """Values nested in lists and maps."""
+    return strategies.recursive(
+        scalars,
+        lambda inner: strategies.lists(inner, max_size=4) | strategies.dictionaries(keys, inner, max_size=4),
+        max_leaves=12,
+    )
+
+
+class Transport(testing.StringTransport):
+    """A transport as a socket's, that can be reset."""
+
+    aborted = False
+    disconnected = False
+
+    def setTcpNoDelay(self, on):
+        pass
+
+    def unregisterProducer(self):
+        self.producer = None
+
+    def abortConnection(self):
+        self.aborted = self.disconnecting = True
+
+
+def new_machine():
+    """A clock and the machine on it."""
+    clock = task.Clock()
+    return clock, machine.Machine(clock, now=lambda: int(clock.seconds() * machine.SECOND), seed=1)
+
+
+class Quiet(testtools.TestCase):
+    """Tests whose expected complaints are not printed; what breaks a task is kept."""
+
+    def setUp(self):
+        super().setUp()
+        loguru.logger.remove()
+        self.broken = []
+        sink = loguru.logger.add(lambda line: self.broken.append(str(line)), level="ERROR")
+        self.addCleanup(loguru.logger.remove, sink)
+
+
+class Frames(Quiet):
+    """Frames between processes."""
+
+    def link(self):
+        self.clock, mach = new_machine()
+        self.got = []
+        link = wire.Link(mach, lambda link, msg: self.got.append(msg), loguru.logger)
+        transport = Transport()
+        link.makeConnection(transport)
+        return link, transport
+
+    def feed(self, raw, cuts=()):
+        link, transport = self.link()
+        places = [0, *sorted(cut % (len(raw) + 1) for cut in cuts), len(raw)]
+        for start, end in itertools.pairwise(places):
+            if not transport.aborted:
+                link.dataReceived(raw[start:end])
+        self.assertTrue(all(isinstance(msg, message.Message) for msg in self.got), self.got)
+        self.assertEqual([], [line for line in self.broken if "speaks version" not in line])
+        return transport
+
+    @QUICK
+    @hypothesis.given(strategies.binary(max_size=200), strategies.lists(strategies.integers(0, 200), max_size=3))
+    def test_any_bytes(self, raw, cuts):
+        self.feed(raw, cuts)
+
+    @QUICK
+    @hypothesis.given(strategies.binary(max_size=60))
+    def test_any_bytes_in_a_frame_end_the_connection_or_are_a_message(self, raw):
+        transport = self.feed(struct.pack("!I", len(raw)) + raw)
+        try:
+            wire.decoder.decode(raw)
+        except msgspec.MsgspecError:
+            self.assertTrue(transport.aborted)
+
+    @QUICK
+    @hypothesis.given(
+        nested(
+            strategies.none()
+            | strategies.booleans()
+            | strategies.integers(-(1 << 63), (1 << 64) - 1)
+            | strategies.floats()
+            | strategies.text(max_size=5)
+            | strategies.binary(max_size=5)
+            | strategies.sampled_from(["Ping", "Hello", "Pulse", "Look", "Elect", "Seat"]),
+            strategies.text(max_size=5),
+        ),
+        strategies.integers(0, 3),
+    )
+    def test_values_of_wrong_types(self, val, kind):
+        for doc in (val, [kind, 1, val], [kind, val, ["Ping"]], [kind, 1, [val, val, val]]):
+            raw = msgspec.msgpack.encode(doc)
+            self.feed(struct.pack("!I", len(raw)) + raw)
+
+    @QUICK
+    @hypothesis.given(strategies.integers(wire.Link.MAX_LENGTH + 1, (1 << 32) - 1), strategies.binary(max_size=9))
+    def test_lengths_beyond_the_bound_end_the_connection(self, length, raw):
+        self.assertTrue(self.feed(struct.pack("!I", length) + raw).aborted)
+
+    def test_deep_nesting_ends_the_connection(self):
+        for opening in (b"\x91", b"\x81\xa1a"):
+            raw = b"\x93\x00\x01" + opening * 20_000 + b"\xc0"
+            self.assertTrue(self.feed(struct.pack("!I", len(raw)) + raw).aborted)
+
+    @QUICK
+    @hypothesis.given(strategies.data())
+    def test_messages_with_bytes_changed(self, data):
+        good = wire.encoder.encode(wire.Parcel(0, 0, message.Worker("w", "h", 1, "p", "ready", 0)))
+        good = (
+            wire.encoder.encode(wire.Parcel(1, 1, message.Listing([], (3, 1, 40))))
+            if data.draw(strategies.booleans())
+            else good
+        )
+        raw = bytearray(good)
+        for place in data.draw(strategies.lists(strategies.integers(0, len(raw) - 1), min_size=1, max_size=4)):
+            raw[place] = data.draw(strategies.integers(0, 255))
+        self.feed(struct.pack("!I", len(raw)) + bytes(raw))
+
+
+class Memory(core.Core):
+    """A core that keeps its items in memory, and takes a change as the chain would: encoded."""
+
+    def __init__(self):
+        self.items = {}
+
+    async def read(self):
+        return self.items
+
+    async def change(self, ident, number, built_on, make):
+        new = self.renumber(number, built_on, make, self.items)
+        msgspec.msgpack.decode(msgspec.msgpack.encode([ident, blueprint.differ(self.items, new)]))
+        blueprint.carve(new, "a")
+        json.dumps(configuration.show(new))
+        return 1
+
+
+ODD_JSON = [
+    None,
+    True,
+    -1,
+    0,
+    1.5,
+    1 << 63,
+    1 << 64,
+    10**30,
+    1e300,
+    float("inf"),
+    float("nan"),
+    "",
+    "x",
+    "\x00",
+    "\ud800",
+    "a b",
+    [],
+    [[]],
+    [{}],
+    {},
+    {"a": 1},
+]
+NAMES = strategies.sampled_from(
+    [
+        "version",
+        "channels",
+        "plants",
+        "constraints",
+        "name",
+        "authority",
+        "path_prefix",
+        "mode",
+        "cutoff_ms",
+        "setpoint_ms",
+        "urgency",
+        "plant",
+        "gain",
+        "partition",
+        "retries",
+        "resumable",
+        "probe",
+        "conn_limit",
+        "engine",
+        "capacity",
+        "stride",
+        "idle_ms",
+        "body_bytes",
+        "upsert",
+        "remove",
+        "number",
+        "built_on",
+        "blueprint",
+        "routes",
+        "pools",
+        "terms",
+        "limits",
+        "marks",
+        "path",
+        "pool",
+        "split",
+        "weight",
+        "label",
+    ]
+)
+TEXTS = strategies.sampled_from(["a", "r", "p", "/a/", "streaming", "idempotent", "mutating"])
+DOCUMENTS = nested(SCALARS | TEXTS, NAMES | TEXTS | strategies.text(max_size=4))
+CHANNEL = strategies.fixed_dictionaries(
+    {
+        "name": TEXTS | SCALARS,
+        "path_prefix": strategies.just("/a/") | SCALARS,
+        "mode": TEXTS | SCALARS,
+        "cutoff_ms": strategies.just(5000) | SCALARS,
+    },
+    optional={
+        "plant": strategies.just("p") | SCALARS,
+        "partition": DOCUMENTS,
+        "retries": strategies.just(1) | SCALARS,
+        "authority": SCALARS,
+        "urgency": SCALARS,
+        "later": DOCUMENTS,
+    },
+)
+PLANT = strategies.fixed_dictionaries({"name": strategies.just("p") | SCALARS}, optional={"engine": DOCUMENTS})
+WHOLE = strategies.fixed_dictionaries(
+    {
+        "version": strategies.integers(1, 9) | SCALARS,
+        "channels": strategies.lists(CHANNEL, max_size=2) | DOCUMENTS,
+        "plants": strategies.lists(PLANT, max_size=2) | DOCUMENTS,
+    },
+    optional={"constraints": DOCUMENTS, "upsert": DOCUMENTS, "remove": DOCUMENTS, "else": DOCUMENTS},
+)
+CHANGE = strategies.fixed_dictionaries(
+    {"number": strategies.integers(1, 9) | SCALARS, "built_on": strategies.just(0) | SCALARS},
+    optional={"upsert": DOCUMENTS, "remove": DOCUMENTS, "blueprint": DOCUMENTS},
+)
+
+
+class Documents(Quiet):
+    """Operators' documents are taken or refused."""
+
+    def call(self, method, path, body):
+        _, mach = new_machine()
+        server = web.Server(mach, configuration.Configuration(Memory()).handle)
+        channel = server.buildProtocol(None)
+        transport = Transport()
+        channel.makeConnection(transport)
+        head = f"{method} {path} HTTP/1.1\r\nHost: a\r\nIf-Match: 0\r\nContent-Length: {len(body)}\r\n\r\n"
+        channel.dataReceived(head.encode() + body)
+        status = int(transport.value().split(b" ")[1])
+        channel.connectionLost(testing.Failure(Exception()) if hasattr(testing, "Failure") else None)
+        self.assertTrue(200 <= status < 300 or 400 <= status < 500, (status, body, self.broken))
+        self.assertEqual([], self.broken)
+        return status
+
+    @QUICK
+    @hypothesis.given(WHOLE | DOCUMENTS, strategies.sampled_from(["PUT", "PATCH"]))
+    def test_any_configuration(self, doc, method):
+        self.call(method, "/configuration", json.dumps(doc).encode())
+
+    @QUICK
+    @hypothesis.given(CHANGE | DOCUMENTS)
+    def test_any_numbered_change(self, doc):
+        self.call("POST", "/changes", json.dumps(doc).encode())
+
+    @QUICK
+    @hypothesis.given(strategies.binary(max_size=30))
+    def test_any_bytes(self, raw):
+        for method, path in (("PUT", "/configuration"), ("PATCH", "/configuration"), ("POST", "/changes")):
+            self.call(method, path, raw)
+
+    def test_deep_and_great_values(self):
+        for depth in (50, 300, *range(880, 1000, 3), 100_000):
+            for text in ("[" * depth + "]" * depth, '{"a":' * depth + "1" + "}" * depth):
+                whole = f'{{"version":1,"channels":[],"plants":[],"else":{text}}}'
+                self.call("PUT", "/configuration", whole.encode())
+                change = f'{{"number":1,"built_on":0,"upsert":{{"pools":{{"p":{{"label":{{"a":{text}}}}}}}}}}}'
+                self.call("POST", "/changes", change.encode())
+        for text in ("NaN", "1e999", "9" * 30, "9" * 5000, '"\\ud800"'):
+            whole = f'{{"version":1,"channels":[],"plants":[],"else":{text}}}'
+            self.assertEqual(400, self.call("PUT", "/configuration", whole.encode()), text)
+
+    def test_each_odd_value_in_each_field(self):
+        channel = {"name": "r", "path_prefix": "/a/", "mode": "streaming", "cutoff_ms": 5, "plant": "p"}
+        fields = [*channel, "urgency", "retries", "authority", "partition", "later"]
+        for field in fields:
+            for val in ODD_JSON:
+                doc = {"version": 1, "channels": [{**channel, field: val}], "plants": [{"name": "p"}]}
+                self.call("PUT", "/configuration", json.dumps(doc).encode())
+        for field in ("name", "probe", "conn_limit", "engine", "later"):
+            for val in [*ODD_JSON, *({"capacity": val, "stride": val} for val in ODD_JSON)]:
+                doc = {"version": 1, "channels": [], "plants": [{"name": "p", field: val}]}
+                self.call("PUT", "/configuration", json.dumps(doc).encode())
+        for field in ("header_bytes", "body_bytes", "header_deadline_ms", "idle_ms", "later"):
+            for val in ODD_JSON:
+                doc = {"version": 1, "channels": [], "plants": [], "constraints": {field: val}}
+                self.call("PUT", "/configuration", json.dumps(doc).encode())
+        for field in ("number", "built_on", "upsert", "remove", "blueprint", "later"):
+            for val in [*ODD_JSON, *({"pools": {"p": {"cap": val, "label": {"a": val}}}} for val in ODD_JSON)]:
+                doc = {"number": 1, "built_on": 0, "upsert": {}, field: val}
+                self.call("POST", "/changes", json.dumps(doc).encode())
+
+    def test_a_proper_one_is_taken(self):
+        self.assertEqual(200, self.call("PUT", "/configuration", b'{"version":1,"channels":[],"plants":[]}'))
+        self.assertEqual(200, self.call("POST", "/changes", b'{"number":1,"built_on":0,"upsert":{"pools":{"p":{}}}}'))
+
+
+GOOD_SETTINGS = {
+    "node": '"n1"',
+    "bind_ip": '"10.0.0.1"',
+    "zone": '"a"',
+    "port_range": "[7300, 7315]",
+    "seed_nodes": '["10.0.0.2:8262", "10.0.0.1:8262"]',
+    "bind_addrs": '{front = "10.0.0.1:80", ready = "10.0.0.1:81"}',
+    "data_dir": '"/data"',
+    "bootstrap": "true",
+    "tolerance": "{machines = 1}",
+    "provider_api": '{address = "10.0.0.3:80", rate_per_s = 40}',
+    "bounds": "{grace_s = 8, retry_ratio = 0.2}",
+    "constraints": "{file_limit = 1000}",
+}
+ODD_VALUES = [
+    "inf",
+    "-inf",
+    "nan",
+    "-1",
+    "0",
+    "1.5",
+    "9e99",
+    "99999999999999999999",
+    "true",
+    '""',
+    '"x"',
+    '"10.0.0.1"',
+    '"a:b"',
+    '":"',
+    "[]",
+    "[1]",
+    '["x"]',
+    "[[]]",
+    "{}",
+    "{a=1}",
+    "{machines=inf}",
+    "{machines=-9}",
+    "{grace_s=inf}",
+    "{grace_s=nan}",
+    "{retry_window_s=1e300}",
+    "{file_limit=inf}",
+    "{address=1}",
+    "{rate_per_s=[]}",
+    "{front=[]}",
+    '{control="x"}',
+    "1979-05-27",
+    "07:32:00",
+    '"\\u0000"',
+]
+
+
+class SettingsFiles(Quiet):
+    """A settings file gives options, or says what is wrong."""
+
+    def read(self, raw):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "boot.toml")
+            with open(path, "wb") as file:
+                file.write(raw)
+            for role in ("node", "core"):
+                for read in (settings.read, lambda role, path: options.read(role, path, {})):
+                    self.check(read, role, path)
+
+    def check(self, read, role, path):
+        try:
+            self.assertIsInstance(read(role, path), options.Options)
+        except options.BadOptions:
+            pass
+
+    @QUICK
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.sampled_from(sorted(GOOD_SETTINGS)), strategies.sampled_from(ODD_VALUES), max_size=3
+        ),
+        strategies.sets(strategies.sampled_from(sorted(GOOD_SETTINGS)), max_size=2),
+    )
+    def test_odd_values(self, odd, missing):
+        doc = {name: val for name, val in {**GOOD_SETTINGS, **odd}.items() if name not in missing}
+        self.read("".join(f"{name} = {val}\n" for name, val in doc.items()).encode())
+
+    def test_each_odd_value_in_each_place(self):
+        for name in GOOD_SETTINGS:
+            for val in ODD_VALUES:
+                doc = {**GOOD_SETTINGS, name: val}
+                self.read("".join(f"{key} = {text}\n" for key, text in doc.items()).encode())
+
+    def test_a_rate_is_a_finite_number(self):
+        for rate in ("nan", "inf"):
+            doc = {**GOOD_SETTINGS, "provider_api": f'{{address = "10.0.0.3:80", rate_per_s = {rate}}}'}
+            with tempfile.TemporaryDirectory() as folder:
+                path = os.path.join(folder, "boot.toml")
+                with open(path, "w") as file:
+                    file.writelines(f"{key} = {text}\n" for key, text in doc.items())
+                self.assertRaises(options.BadOptions, settings.read, "node", path)
+
+    @QUICK
+    @hypothesis.given(strategies.binary(max_size=60))
+    def test_any_bytes(self, raw):
+        self.read(raw)
+
+    def test_deep_nesting(self):
+        self.read(b"a = " + b"[" * 50_000 + b"]" * 50_000)
+
+
+ATTEMPTS = ("a1", "a2", "a3", "a4")
+
+
+def whole_answer(attempt, status, chunked, size, bare):
+    """A whole answer whose body names its attempt over and over."""
+    body = f"<{attempt}>".encode() * size
+    head = "" if bare else f"{H['attempt']}: {attempt}\r\n{H['seal']}: s\r\n"
+    if chunked:
+        pieces = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
+        return f"HTTP/1.1 {status} S\r\n{head}Transfer-Encoding: chunked\r\n\r\n".encode() + pieces + b"0\r\n\r\n"
+    return f"HTTP/1.1 {status} S\r\n{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+ANSWERS = strategies.builds(
+    whole_answer,
+    strategies.sampled_from(ATTEMPTS),
+    strategies.sampled_from([200, 500, 503, 100, 204]),
+    strategies.booleans(),
+    strategies.integers(0, 3),
+    strategies.booleans(),
+)
+PIECES = ANSWERS | strategies.binary(max_size=9) | strategies.sampled_from([b"\r\n", b"<a2> more", b"HTTP/1.1 200"])
+
+
+class RecordingFlow:
+    """A request under way, and what was given to it."""
+
+    bodyless = False
+
+    def __init__(self, attempt):
+        self.attempt = attempt
+        self.low = None
+        self.body = b""
+        self.ends = []
+
+    def owns(self, status, low, used):
+        got = low.get(H["attempt"].lower())
+        return None if got is None else got == self.attempt
+
+    def head(self, status, heads, low):
+        assert self.low is None, "two answers to one request"
+        self.low = low
+
+    def data(self, data):
+        self.body += data
+
+    def end(self):
+        self.ends.append("whole")
+
+    def lost(self, why):
+        self.ends.append("lost")
+
+
+class WorkerBytes(Quiet):
+    """Whatever a worker's connection brings, a request gets its own answer or none."""
+
+    @QUICK
+    @hypothesis.given(
+        strategies.lists(strategies.lists(PIECES, max_size=4), min_size=1, max_size=4), strategies.integers(1, 400)
+    )
+    def test_answers_of_others(self, turns, step):
+        _, mach = new_machine()
+        line = client.Line(mach, "w1")
+        transport = Transport()
+        line.makeConnection(transport)
+        flows = []
+        for attempt, pieces in zip(ATTEMPTS, turns, strict=False):
+            if line.spoiled or line.flow is not None:
+                break
+            flows.append(RecordingFlow(attempt))
+            line.start(b"", flows[-1])
+            raw = b"".join(pieces)
+            for start in range(0, len(raw), step):
+                if not transport.aborted:
+                    line.dataReceived(raw[start : start + step])
+        line.connectionLost()
+        for flow in flows:
+            self.assertEqual(1, len(flow.ends), flow.ends)
+            if flow.low is not None:
+                self.assertEqual(flow.attempt, flow.low[H["attempt"].lower()])
+            if "whole" in flow.ends:
+                self.assertEqual(
+                    {flow.attempt.encode()} if flow.body else set(), set(re.findall(rb"<(a\d)>", flow.body))
+                )
