A stream is not given up for silence while planned work goes on around it

A stream that had begun and whose worker said nothing for half a second went to a second worker; where that one refused it, the answer broke off though the first worker was still at it. Around a stop, and for 12 s after a node read its options again, such a stream stays with its worker; what has given nothing to its client yet still goes elsewhere, since its refusal is a whole answer. At other times nothing changes: the break-off costs, but breaks no rule.

--- a/iriswheel/carry.py
+++ b/iriswheel/carry.py
@@ -26,6 +26,7 @@
 CONNECTS = 3  # workers tried that give no connection
 BACK_US = 150 * machine.MILLI  # a refused requester may come back after so long
 SWEEP_US = 1 * machine.SECOND
+RENEWED_US = 12 * machine.SECOND  # what runs when options are read again, or comes soon after, has ended by then
 PROMISES = frozenset((408, 421, 429, 503))  # statuses by which a node promises that a request never ran
 
 ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
@@ -336,13 +337,21 @@
                 f.x.placement.blame(f.worker, QUIET)
             if not (f.x.resume and f.x.repeatable and self.may_repeat(f.x) and self.others(f.x, f.worker)):
                 continue  # a silent worker may still go on
-            if self.node.stopping:
+            if f.x.begun and self.planned_work(now):
                 continue  # a refusal elsewhere would end an answer that planned work must not cut
             mute = f.x.placement.mute(f.worker, now)
             if f.seen and quiet > MUTE_US or f in over and (not crowded or mute and quiet > FIRST_MUTE_US):
                 self.counts["mute"] += 1
                 f.stop(Outcome.TORN if f.x.begun else Outcome.BROKE)
 
+    def planned_work(self, now):
+        """Whether this node stops, or has read its options again not long ago.
+
+        Example: `carrier.planned_work(mach.now())`
+        """
+        renewed_at = self.node.renewed_at
+        return self.node.stopping or renewed_at is not None and now - renewed_at < RENEWED_US
+
     def may_repeat(self, x):
         """Whether an exchange may be sent once more, by its route and this node's share of the budget.
 
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -50,6 +50,7 @@
         self.closing = False  # newcomers are refused
         self.asked_at = None  # when the platform first heard that this node stops
         self.left = False
+        self.renewed_at = None  # when the options were last read again
 
     def start(self, port, http):
         """Start all tasks; the ports are those really bound.
@@ -76,6 +77,7 @@
 
         Example: `node.renew(options.read("node", path, {}))`
         """
+        self.renewed_at = self.mach.now()
         self.options.platform = options.platform
         self.follower.learn_places(options.seed_list())
         log.info("The options were read again.")
--- a/tests/node_fixture.py
+++ b/tests/node_fixture.py
@@ -34,6 +34,7 @@
             follower=self.fol,
             stopping=False,
             left=False,
+            renewed_at=None,
             loads=types.SimpleNamespace(soon=machine.Signal(), touch=lambda: None),
             door=types.SimpleNamespace(tally=lambda x: self.tally),
         )
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -465,7 +465,9 @@
         self.assertTrue(body.endswith(b"0\r\n\r\n"))
         self.assertEqual((1, 1), (body.count(b"id: 1"), body.count(b"id: 2")))
 
-    def test_a_silent_stream_is_not_cut_while_the_node_stops(self):
+    def silent_stream(self, plan):
+        """A stream whose worker is silent for two seconds, and what of it comes, where other workers refuse it."""
+
         def script(conn, attempt):
             if len(self.seen()) == 1:
                 conn.transport.write(answer(attempt, b"id: 1\ndata: a\n\n", length=30))
@@ -478,10 +480,18 @@
         for _ in range(2):
             self.worker(script)
         client = self.ask("a1")
-        self.node.stopping = True
+        plan()
         self.go(3000)
-        self.assertTrue(client.raw.endswith(b"0\r\n\r\n"), client.raw)
-        self.assertEqual(1, len(self.seen()))
+        return client.raw.endswith(b"0\r\n\r\n"), len(self.seen())
+
+    def test_a_silent_stream_is_not_cut_while_the_node_stops(self):
+        self.assertEqual((True, 1), self.silent_stream(lambda: setattr(self.node, "stopping", True)))
+
+    def test_a_silent_stream_is_not_cut_after_options_were_read_again(self):
+        self.assertEqual((True, 1), self.silent_stream(lambda: setattr(self.node, "renewed_at", self.world.time)))
+
+    def test_a_silent_stream_goes_elsewhere_at_other_times(self):
+        self.assertEqual(2, self.silent_stream(lambda: None)[1])
 
     def test_a_worker_that_gives_no_connection_holds_no_request_past_its_time(self):
         for number in (1, 2):
