By election: no leftover head, and no more workers for a try than its route allows

- Where a worker's head came but none of its body, the headers stayed on the answer to the client: the next worker's answer went out with the first one's headers, also with its Content-Length though it came in chunks, and a 502 of the node's own with the first worker's seal.
They are taken back.
- `sends` of a route, "the largest number of workers that one try may go to" (docs/interface.md), was looked at only where nodes elect by themselves; elsewhere a repeatable request went to up to four.
It bounds both ways now.

--- a/iriswheel/door.py
+++ b/iriswheel/door.py
@@ -338,7 +338,8 @@
                 self.give_back(x, outcome)
             shun.append(worker.id)
             x.ask = anew(x.ask)
-            if broke and (not x.repeatable or broke > RESENDS):
+            most = min(RESENDS + 1, x.route.sends or RESENDS + 1)
+            if broke and (not x.repeatable or broke >= most):
                 raise verdict.Defect(
                     "worker_broke", f"Worker {worker.id} gave no answer.", verdict.Verdict.MAY_HAVE_RUN
                 )
--- a/iriswheel/sender.py
+++ b/iriswheel/sender.py
@@ -146,6 +146,15 @@
         self.done(b"".join(self.parts) if whole else None)
 
 
+def forget_head(req):
+    """Take a head back that was to go out with the first bytes of an answer which never came.
+
+    Example: `forget_head(request)`
+    """
+    for name, _ in list(req.responseHeaders.getAllRawHeaders()):
+        req.responseHeaders.removeHeader(name)
+
+
 class NoAnswer(ValueError):
     """The far side answered, but not with what was asked for.
 
@@ -293,4 +302,7 @@
             if not req.gone:
                 req.finish()
             return Outcome.WHOLE
-        return Outcome.TORN if req.startedWriting else Outcome.BROKE
+        if req.startedWriting:
+            return Outcome.TORN
+        forget_head(req)
+        return Outcome.BROKE
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -3,14 +3,22 @@
 The worker here is a script: it gets whole requests and writes whatever bytes the test wants.
 """
 
+import types
+
 import httptools
+import testtools
+import twisted.internet.defer as defer
 import twisted.internet.protocol as protocol
 
 import bench.sim as sim
 import bench.words as words
 import iriswheel.blueprint as blueprint
+import iriswheel.budget as budget
+import iriswheel.door as door
 import iriswheel.machine as machine
 import iriswheel.message as message
+import iriswheel.sender as sender
+import iriswheel.verdict as verdict
 import tests.node_fixture as node_fixture
 
 S = machine.SECOND
@@ -432,6 +440,71 @@
         self.assertOnce(self.ask("a1"), 502)
 
 
+class ByElection(RequestPath):
+    """The way of a request whose worker is elected by the owner of its pool."""
+
+    async def handle(self, req):
+        send, raw = sender.Sender(self.mach).send, req.content.read()
+        for worker in self.fol.workers:
+            out = await send(req, raw, worker, True, sender.Send(worker.id, self.mach.now()))
+            if out is sender.Outcome.WHOLE:
+                return
+        req.answer(502, b"no")
+
+    def head_alone(self, conn, attempt):
+        conn.transport.write(answer(attempt, length=9, **{"X-First": "1"}))
+        self.world.push(self.world.time + 5000, conn.transport.abortConnection)
+
+    def test_the_head_of_an_answer_that_never_came_is_not_given_with_another(self):
+        def chunked(conn, attempt):
+            conn.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            conn.transport.write(b"a\r\nbody of a1\r\n0\r\n\r\n")
+
+        self.worker(self.head_alone)
+        self.worker(chunked)
+        client = self.ask("a1", ms=200)
+        head, _, body = client.raw.partition(b"\r\n\r\n")
+        self.assertNotIn(b"x-first", head.lower())
+        self.assertNotIn(b"content-length", head.lower())
+        self.assertIn(b"body of a1", body)
+
+    def test_nor_with_a_failure_of_our_own(self):
+        self.worker(self.head_alone)
+        client = self.ask("a1", ms=200)
+        self.assertEqual(502, client.status)
+        self.assertNotIn(H["seal"].lower().encode(), client.raw.lower())
+
+
+class SendsOfARoute(testtools.TestCase):
+    def test_an_elected_way_goes_to_no_more_workers_than_its_route_allows(self):
+        for sends, expected in ((0, door.RESENDS + 1), (1, 1), (2, 2), (9, door.RESENDS + 1)):
+            seen = []
+
+            async def elect(x, shun):
+                return types.SimpleNamespace(id=f"w{len(shun)}"), ""
+
+            async def send(x, worker, under_way, via, seen=seen):
+                seen.append(worker.id)
+                return sender.Outcome.BROKE
+
+            node_door = types.SimpleNamespace(
+                elect=elect,
+                send=send,
+                tally=lambda x: budget.Budget(),
+                counts={"repeats": 0},
+                sends={},
+                mach=types.SimpleNamespace(now=lambda: 0),
+                give_back=lambda x, outcome: None,
+            )
+            request = door.Exchange(None, "n1-1/0", 0)
+            request.route = blueprint.Route("/x/", "desk", sends=sends)
+            request.repeatable = True
+            done = defer.ensureDeferred(door.Door.run(node_door, request))
+            done.addErrback(lambda failure: failure.value.verdict)
+            self.assertEqual(verdict.Verdict.MAY_HAVE_RUN, done.result)
+            self.assertEqual(expected, len(seen))
+
+
 class Bounds(RequestPath):
     def test_a_try_goes_to_no_more_workers_than_its_route_allows(self):
         for status in (500, 503):
