A client that leaves while a worker is being connected ends its request

Cancelling a connect of twisted's endpoints ends in ConnectingCancelledError, which is no CancelledError: it was taken for a worker that can't be reached. The request went on to the next worker without a client. Where nodes elect, that broke with an AttributeError at the closed client connection and left the worker's new connection open and out of the books; by election at the owner, a request that may be repeated was sent and ran.

Both ways now end the request. Both tests failed with the mends taken out: the first with the traceback seen on the site, the second with ['BROKE'] and a run at the second worker.

--- a/iriswheel/client.py
+++ b/iriswheel/client.py
@@ -11,6 +11,7 @@
 import loguru
 import twisted.internet.defer as defer
 import twisted.internet.endpoints as endpoints
+import twisted.internet.error as error
 import twisted.internet.protocol as protocol
 
 import iriswheel.machine as machine
@@ -303,9 +304,9 @@
         self.open[w.id] = self.open.get(w.id, 0) + 1
         try:
             line = await point.connect(factory)
-        except defer.CancelledError:
+        except (defer.CancelledError, error.ConnectingCancelledError) as e:
             self.gone(w.id)
-            raise
+            raise defer.CancelledError() from e  # an endpoint says it by an error of its own
         except Exception as e:
             self.gone(w.id)
             raise Unreached(type(e).__name__)
--- a/iriswheel/sender.py
+++ b/iriswheel/sender.py
@@ -264,6 +264,8 @@
                 raise
             return Outcome.BROKE
         except Exception as e:
+            if req.gone:
+                raise defer.CancelledError() from e  # the client left while the connection was made
             log.warning("Worker {} gave no answer: {}", worker.id, type(e).__name__)
             return Outcome.BROKE
         send.begun, send.last = True, self.mach.now()
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -6,6 +6,7 @@
 import types
 
 import httptools
+import loguru
 import testtools
 import twisted.internet.defer as defer
 import twisted.internet.protocol as protocol
@@ -317,6 +318,22 @@
         self.assertTrue(worker.connections[0].closed)
         self.assertOwn(self.ask("a2"), "a2")
 
+    def test_a_client_that_goes_away_while_a_worker_is_connected_ends_its_request(self):
+        complaints = []
+        sink = loguru.logger.add(lambda line: complaints.append(str(line)), level="ERROR")
+        self.addCleanup(loguru.logger.remove, sink)
+        for number in (1, 2):
+            self.worker(good)
+        self.world.cut(["10.0.2.1"], ["10.0.3.1", "10.0.3.2"])
+        client = self.ask("a1")
+        client.transport.abortConnection()
+        self.go(20)
+        self.world.heal()
+        self.go(2000)
+        self.assertEqual(([], []), (self.seen(), complaints))
+        self.assertEqual((1, 0), (self.carrier.counts["gone"], self.carrier.counts["unreached"]))
+        self.assertEqual({}, self.carrier.lines.open)
+
     def test_a_connection_that_a_slow_client_paused_is_read_again(self):
         size = 4 * sim.WINDOW
 
@@ -444,13 +461,32 @@
     """The way of a request whose worker is elected by the owner of its pool."""
 
     async def handle(self, req):
+        self.outcomes = []
+        work = defer.ensureDeferred(self.send_to_all(req))
+        req.lost.wait().addCallback(lambda _: work.cancel())
+        try:
+            await work
+        except defer.CancelledError:
+            self.outcomes.append("cancelled")
+
+    async def send_to_all(self, req):
         send, raw = sender.Sender(self.mach).send, req.content.read()
         for worker in self.fol.workers:
             out = await send(req, raw, worker, True, sender.Send(worker.id, self.mach.now()))
+            self.outcomes.append(out.name)
             if out is sender.Outcome.WHOLE:
                 return
         req.answer(502, b"no")
 
+    def test_a_client_that_goes_away_while_a_worker_is_connected_ends_its_request(self):
+        for _ in range(2):
+            self.worker(good)
+        self.world.cut(["10.0.2.1"], ["10.0.3.1"])
+        client = self.ask("a1")
+        client.transport.abortConnection()
+        self.go(2000)
+        self.assertEqual((["cancelled"], []), (self.outcomes, self.seen()))
+
     def head_alone(self, conn, attempt):
         conn.transport.write(answer(attempt, length=9, **{"X-First": "1"}))
         self.world.push(self.world.time + 5000, conn.transport.abortConnection)
