--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -31,6 +31,7 @@
 
 sys.path.append(os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(bench.__file__))), "platform"))
 
+import contextlib
 import itertools
 
 import configuration
@@ -416,10 +417,8 @@
                     self.check(read, role, path)
 
     def check(self, read, role, path):
-        try:
+        with contextlib.suppress(options.BadOptions):
             self.assertIsInstance(read(role, path), options.Options)
-        except options.BadOptions:
-            pass
 
     @QUICK
     @hypothesis.given(
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -152,7 +152,7 @@
     def seen(self):
         return sorted(attempt for worker in self.workers for attempt in worker.seen)
 
-    def assertOwn(self, client, attempt):
+    def assert_own(self, client, attempt):
         self.assertEqual(200, client.status)
         self.assertTrue(client.raw.endswith(f"body of {attempt}".encode()), client.raw)
         self.assertEqual(1, client.raw.count(b"HTTP/1.1"))
@@ -170,7 +170,7 @@
 
         worker = self.worker(script)
         for attempt in ("a1", "a2"):
-            self.assertOwn(self.ask(attempt), attempt)
+            self.assert_own(self.ask(attempt), attempt)
         self.assertEqual([True, True], [conn.closed for conn in worker.connections])
 
     def test_a_partial_second_answer_reaches_nobody(self):
@@ -180,7 +180,7 @@
 
         worker = self.worker(script)
         for attempt in ("a1", "a2"):
-            self.assertOwn(self.ask(attempt), attempt)
+            self.assert_own(self.ask(attempt), attempt)
         self.assertEqual(2, len(worker.connections))
 
     def test_a_late_answer_on_an_idle_connection_ends_the_connection(self):
@@ -188,7 +188,7 @@
         self.ask("a1")
         worker.connections[0].transport.write(answer("a1", b"body of a1"))
         self.go(10)
-        self.assertOwn(self.ask("a2"), "a2")
+        self.assert_own(self.ask("a2"), "a2")
         self.assertEqual([True, False], [conn.closed for conn in worker.connections])
 
     def test_a_late_answer_in_the_place_of_the_next_is_passed_over(self):
@@ -199,7 +199,7 @@
 
         worker = self.worker(script)
         for attempt in ("a1", "a2"):
-            self.assertOwn(self.ask(attempt), attempt)
+            self.assert_own(self.ask(attempt), attempt)
         self.assertEqual(1, len(worker.connections))
 
     def test_a_late_failure_in_the_place_of_the_next_is_passed_over(self):
@@ -210,7 +210,7 @@
 
         worker = self.worker(script)
         for attempt in ("a1", "a2"):
-            self.assertOwn(self.ask(attempt), attempt)
+            self.assert_own(self.ask(attempt), attempt)
         self.assertEqual(["a1", "a2"], worker.seen)
 
     def test_an_answer_without_id_on_a_kept_connection_is_nobodys(self):
@@ -239,7 +239,7 @@
 
         self.worker(script)
         for attempt in ("a1", "a2"):
-            self.assertOwn(self.ask(attempt), attempt)
+            self.assert_own(self.ask(attempt), attempt)
 
     def test_a_body_shorter_than_its_length_is_not_given_as_whole(self):
         def script(conn, attempt):
@@ -260,7 +260,7 @@
             conn.transport.write(b"HTTP/1.1 200 OK\r\n" + head.encode("latin-1") + b"body of a1")
 
         self.worker(echo)
-        self.assertOwn(self.ask(attempt), "a1")
+        self.assert_own(self.ask(attempt), "a1")
 
     def test_a_header_can_not_bring_another_along(self):
         self.worker(good)
@@ -275,7 +275,7 @@
 
     def test_connection_options_may_hold_any_bytes(self):
         self.worker(good)
-        self.assertOwn(self.ask("a1", Connection="\xff"), "a1")
+        self.assert_own(self.ask("a1", Connection="\xff"), "a1")
 
     def test_interim_answers_are_not_passed_on(self):
         def script(conn, attempt):
@@ -284,7 +284,7 @@
 
         self.worker(script)
         for attempt in ("a1", "a2"):
-            self.assertOwn(self.ask(attempt), attempt)
+            self.assert_own(self.ask(attempt), attempt)
 
     def test_an_answer_to_head_ends_with_its_head(self):
         def script(conn, attempt):
@@ -293,7 +293,7 @@
         self.worker(script)
         client = self.ask("a1", method="HEAD")
         self.assertEqual((200, True), (client.status, client.raw.endswith(b"\r\n\r\n")))
-        self.assertOwn(self.ask("a2"), "a2")
+        self.assert_own(self.ask("a2"), "a2")
 
     def test_pipelined_requests_are_answered_in_their_order(self):
         def script(conn, attempt):
@@ -316,13 +316,13 @@
         client.transport.abortConnection()
         self.go(20)
         self.assertTrue(worker.connections[0].closed)
-        self.assertOwn(self.ask("a2"), "a2")
+        self.assert_own(self.ask("a2"), "a2")
 
     def test_a_client_that_goes_away_while_a_worker_is_connected_ends_its_request(self):
         complaints = []
         sink = loguru.logger.add(lambda line: complaints.append(str(line)), level="ERROR")
         self.addCleanup(loguru.logger.remove, sink)
-        for number in (1, 2):
+        for _ in range(2):
             self.worker(good)
         self.world.cut(["10.0.2.1"], ["10.0.3.1", "10.0.3.2"])
         client = self.ask("a1")
@@ -348,7 +348,7 @@
         slow.transport.pauseProducing()
         self.write(slow, "a1")
         self.go(50)
-        self.assertOwn(self.ask("a2", ms=200), "a2")
+        self.assert_own(self.ask("a2", ms=200), "a2")
         slow.transport.resumeProducing()
         self.go(500)
         self.assertEqual(
@@ -359,7 +359,7 @@
 class SentOnce(RequestPath):
     """What may not be repeated goes to one worker, unless that worker said that it did not run it."""
 
-    def assertOnce(self, client, *statuses):
+    def assert_once(self, client, *statuses):
         self.go(6000)
         self.assertEqual(["a1"], self.seen())
         self.assertIn(client.status, statuses)
@@ -370,29 +370,29 @@
 
     def test_after_a_reset(self):
         self.two(lambda conn, attempt: conn.transport.abortConnection())
-        self.assertOnce(self.ask("a1"), 502)
+        self.assert_once(self.ask("a1"), 502)
 
     def test_after_a_close_without_a_word(self):
         self.two(lambda conn, attempt: conn.transport.loseConnection())
-        self.assertOnce(self.ask("a1"), 502)
+        self.assert_once(self.ask("a1"), 502)
 
     def test_after_bytes_that_are_no_answer(self):
         self.two(lambda conn, attempt: conn.transport.write(b"\x16\x03\x01 HTTP/9\r\n\r\n"))
-        self.assertOnce(self.ask("a1"), 502)
+        self.assert_once(self.ask("a1"), 502)
 
     def test_after_a_silence(self):
         self.two(lambda conn, attempt: None)
-        self.assertOnce(self.ask("a1"), 504)
+        self.assert_once(self.ask("a1"), 504)
 
     def test_after_a_failure_of_the_worker(self):
         self.two(lambda conn, attempt: conn.transport.write(answer(attempt, b"broken", status=500)))
         client = self.ask("a1")
-        self.assertOnce(client, 500)
+        self.assert_once(client, 500)
         self.assertIn(H["seal"].lower().encode(), client.raw.lower())
 
     def test_after_a_success_without_a_stamp(self):
         self.two(lambda conn, attempt: conn.transport.write(answer(attempt, b"what", seal=None)))
-        self.assertOnce(self.ask("a1"), 502)
+        self.assert_once(self.ask("a1"), 502)
 
     def test_after_a_status_that_would_promise_too_much(self):
         for status in (408, 429, 503):
@@ -400,7 +400,7 @@
                 self.drop_workers()
                 self.two(lambda conn, attempt, s=status: conn.transport.write(answer(attempt, b"no", status=s)))
                 client = self.ask("a1")
-                self.assertOnce(client, 502)
+                self.assert_once(client, 502)
                 self.assertNotIn(H["seal"].lower().encode(), client.raw.lower())
 
     def test_after_a_reset_of_a_kept_connection(self):
@@ -408,7 +408,7 @@
             good(conn, attempt) if attempt == "a0" else conn.transport.abortConnection()
 
         self.two(script)
-        self.assertOwn(self.ask("a0"), "a0")
+        self.assert_own(self.ask("a0"), "a0")
         client = self.ask("a1")
         self.go(2000)
         self.assertEqual((502, ["a0", "a1"]), (client.status, self.seen()))
@@ -419,7 +419,7 @@
         self.proc.freeze()
         self.go(7000)
         self.proc.wake()
-        self.assertOnce(client, 504)
+        self.assert_once(client, 504)
 
     def test_after_a_freeze_of_the_worker(self):
         self.two(good)
@@ -428,7 +428,7 @@
         client = self.ask("a1", ms=1500)
         for worker in self.workers:
             worker.proc.wake()
-        self.assertOnce(client, 200)
+        self.assert_once(client, 200)
 
     def test_a_worker_that_did_not_run_it_is_followed_by_another(self):
         for status in (421, 429, 503):
@@ -444,7 +444,7 @@
                         good(conn, attempt)
 
                 self.two(script)
-                self.assertOwn(self.ask("a1"), "a1")
+                self.assert_own(self.ask("a1"), "a1")
                 self.assertEqual(["a1", "a1"], self.seen())
 
     def test_a_refusal_that_breaks_off_is_no_promise(self):
@@ -454,7 +454,7 @@
             conn.transport.loseConnection()
 
         self.two(script)
-        self.assertOnce(self.ask("a1"), 502)
+        self.assert_once(self.ask("a1"), 502)
 
 
 class ByElection(RequestPath):
