--- a/iriswheel/sender.py
+++ b/iriswheel/sender.py
@@ -146,6 +146,15 @@
         self.done(b"".join(self.parts) if whole else None)
 
 
+def forget_head(req):
+    """Take a head back that was to go out with the first bytes of an answer which never came.
+
+    Example: `forget_head(request)`
+    """
+    for name, _ in list(req.responseHeaders.getAllRawHeaders()):
+        req.responseHeaders.removeHeader(name)
+
+
 class NoAnswer(ValueError):
     """The far side answered, but not with what was asked for.
 
@@ -255,6 +264,8 @@
                 raise
             return Outcome.BROKE
         except Exception as e:
+            if req.gone:
+                raise defer.CancelledError() from e  # the client left while the connection was made
             log.warning("Worker {} gave no answer: {}", worker.id, type(e).__name__)
             return Outcome.BROKE
         send.begun, send.last = True, self.mach.now()
@@ -293,4 +304,7 @@
             if not req.gone:
                 req.finish()
             return Outcome.WHOLE
-        return Outcome.TORN if req.startedWriting else Outcome.BROKE
+        if req.startedWriting:
+            return Outcome.TORN
+        forget_head(req)
+        return Outcome.BROKE
