The decisions of the view agreement stand in a pure module of their own

Change: iriswheel/agreement.py holds them as functions from an acceptor's state and a typed message to the new state and a typed answer; view.Council calls them and keeps disk, clock and network. No behaviour is changed; the acceptor's record is now immutable and replaced as a whole. Conclusion: the same decisions can now be searched state by state.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -15,6 +15,7 @@
 import msgspec
 
 import bench.scenes as scenes
+import iriswheel.agreement as agreement
 import iriswheel.budget as budget
 import iriswheel.core as core
 import iriswheel.door as door
@@ -27,7 +28,6 @@
 import iriswheel.sender as sender
 import iriswheel.session as session
 import iriswheel.verdict as verdict
-import iriswheel.view as view
 import iriswheel.warden as warden
 import iriswheel.web as web
 
@@ -95,7 +95,7 @@
     return [message.ChainLink(i, alive[i]) for i in blank_first]
 
 
-def _no_tips(v, promises, alive, order=view.order):
+def _no_tips(v, promises, alive, order=agreement.order):
     return order(v, {i: msgspec.structs.replace(p, tip=(0, 0)) for i, p in promises.items()}, alive)
 
 
@@ -133,8 +133,8 @@
         1,
         "in_force",
     ),
-    "whole_copies": ([(view, "order", _blank_leads)], "replace_all", 5, "kept"),
-    "tips": ([(view, "order", _no_tips)], "disk_old", 1, "kept"),
+    "whole_copies": ([(agreement, "order", _blank_leads)], "replace_all", 5, "kept"),
+    "tips": ([(agreement, "order", _no_tips)], "disk_old", 1, "kept"),
     "pools": ([(follower.Follower, "take_workers", _one_pool)], "other_pool", 1, "allowed"),
     "pins": ([(session.Book, "pinned", lambda self, ident: None)], "calm", 1, "pinned"),
     "cap": ([(session.Book, "count", lambda self, worker: 0)], "many_talks", 1, "capped"),
--- /dev/null
+++ b/iriswheel/agreement.py
@@ -0,0 +1,337 @@
+"""The decisions of the view agreement, as pure functions.
+
+A view (who votes, and the order of the chain) is agreed by single-decree Paxos among the voters of the view
+before it. Each function here takes the state of one acceptor and a typed message, and returns the new state
+with the typed answer. Disk, clock and network belong to the caller: `view.Council` syncs a changed state before
+it sends the answer, and `bench.explore` searches the interleavings of the same functions.
+"""
+
+import typing
+
+import msgspec
+
+import iriswheel.message as message
+
+NO_BALLOT = (0, "")
+UNKNOWN_HOLDER = ""  # after a restart: a grant that was given before may stand
+
+
+class Record(msgspec.Struct, array_like=True, frozen=True):
+    """What an acceptor keeps on disk; `whole` is the last view in which its copy was synced."""
+
+    view: message.View | None = None
+    promised: tuple[int, str] = NO_BALLOT
+    accepted: tuple[tuple[int, str], message.View] | None = None
+    whole: int = 0
+
+
+class Replica(typing.NamedTuple):
+    """What an acceptor tells of itself in a promise: identity, incarnation, disk, last log entry."""
+
+    id: str
+    boot: str
+    disk_ok: bool
+    tip: tuple[int, int] = (0, 0)
+
+
+class SeatState(typing.NamedTuple):
+    """What a proposer knows of one voter: whether it may be replaced, and at what address it still answers."""
+
+    replaceable: bool  # it was silent for long, or says that it leaves
+    silent: bool  # silent for long enough to be replaced by a newcomer at its own address
+
+
+def majority(n):
+    """How many of n make a majority.
+
+    >>> majority(3), majority(4)
+    (2, 3)
+    """
+    return n // 2 + 1
+
+
+def is_sealed(record):
+    """Whether a promise or an acceptance has closed the record's view.
+
+    >>> is_sealed(Record()), is_sealed(Record(promised=(1, "a")))
+    (False, True)
+    """
+    return record.promised != NO_BALLOT
+
+
+def is_voter(record, ident):
+    """Whether a machine votes on the successor of the record's view.
+
+    >>> is_voter(Record(), "a")
+    False
+    """
+    return record.view is not None and any(seat.id == ident for seat in record.view.seats)
+
+
+def is_synced(record):
+    """Whether the copy holds all that was acknowledged before the record's view.
+
+    >>> is_synced(Record(message.View(2, [], []), whole=2))
+    True
+    """
+    return record.view is not None and record.whole == record.view.number
+
+
+def is_serving(record, ident, boot):
+    """Whether this incarnation of a machine is a member of the record's chain, and the view is not sealed.
+
+    >>> is_serving(Record(message.View(2, [], [message.ChainLink("a", "1")])), "a", "2")
+    False
+    """
+    if record.view is None or is_sealed(record):
+        return False
+    return message.ChainLink(ident, boot) in record.view.chain
+
+
+def is_tail(record, ident, boot):
+    """Whether this incarnation of a machine serves as the tail of the record's chain.
+
+    >>> is_tail(Record(message.View(2, [], [message.ChainLink("a", "1")])), "a", "1")
+    True
+    """
+    return is_serving(record, ident, boot) and record.view.chain[-1].id == ident
+
+
+def may_lead_reads(record, ident, boot):
+    """Whether a machine may ask for the read lease, and serve reads while it holds it.
+
+    >>> may_lead_reads(Record(message.View(2, [], [message.ChainLink("a", "1")]), whole=1), "a", "1")
+    False
+    """
+    return is_tail(record, ident, boot) and is_synced(record)
+
+
+def may_commit(record, ident, boot, copies):
+    """Whether all that is synced on this machine is committed: it is the synced tail of a chain of enough copies.
+
+    >>> may_commit(Record(message.View(2, [], [message.ChainLink("a", "1")]), whole=2), "a", "1", copies=2)
+    False
+    """
+    return may_lead_reads(record, ident, boot) and len(record.view.chain) >= copies
+
+
+def newer_view(record, number):
+    """The record's view where it is as new as the one that a proposer works on, or None.
+
+    >>> newer_view(Record(message.View(2, [], [])), 3) is None
+    True
+    """
+    return record.view if record.view is not None and record.view.number >= number else None
+
+
+def refuse_promise(record, replica, number):
+    """The answer to a Prepare that is refused.
+
+    >>> refuse_promise(Record(), Replica("a", "1", True), 3).ok
+    False
+    """
+    newer = newer_view(record, number)
+    return message.Promise(False, record.promised, None, newer, replica.id, replica.boot, record.whole, replica.disk_ok)
+
+
+def is_election(record, ident, number, sender):
+    """Whether a proposal is for the next view, from one voter to another.
+
+    >>> seats = [message.Seat(i, "host", 1, "zone") for i in "ab"]
+    >>> is_election(Record(message.View(2, seats, [])), "a", 3, "b")
+    True
+    """
+    follows = record.view is not None and record.view.number + 1 == number
+    return follows and is_voter(record, ident) and is_voter(record, sender)
+
+
+def promise(record, replica, holder, prepare):
+    """Answer a Prepare; `holder` is who has an unexpired read lease from this acceptor, or None.
+
+    A higher ballot than any before is promised, unless somebody else holds a lease.
+
+    >>> seats = [message.Seat(i, "host", 1, "zone") for i in "ab"]
+    >>> record, answer = promise(
+    ...     Record(message.View(2, seats, [])), Replica("a", "1", True), None, message.Prepare(3, (1, "b"), "b"))
+    >>> record.promised, answer.ok
+    ((1, 'b'), True)
+    """
+    if not is_election(record, replica.id, prepare.number, prepare.sender) or prepare.ballot <= record.promised:
+        return record, refuse_promise(record, replica, prepare.number)
+    if is_lease_of_another(holder, prepare.sender):
+        return record, refuse_promise(record, replica, prepare.number)
+    promised = msgspec.structs.replace(record, promised=prepare.ballot)
+    answer = message.Promise(
+        True,
+        prepare.ballot,
+        record.accepted,
+        None,
+        replica.id,
+        replica.boot,
+        record.whole,
+        replica.disk_ok,
+        replica.tip,
+    )
+    return promised, answer
+
+
+def is_lease_of_another(holder, sender):
+    """Whether an unexpired lease forbids a promise to the sender.
+
+    >>> is_lease_of_another(None, "a"), is_lease_of_another("a", "a"), is_lease_of_another(UNKNOWN_HOLDER, "a")
+    (False, False, True)
+    """
+    return holder is not None and holder != sender
+
+
+def accept(record, ident, request):
+    """Answer an Accept: taken unless a higher ballot was promised.
+
+    >>> seats = [message.Seat(i, "host", 1, "zone") for i in "ab"]
+    >>> old, new = message.View(2, seats, []), message.View(3, seats, [])
+    >>> accept(Record(old, (2, "b")), "a", message.Accept((1, "a"), new, "a"))[1].ok
+    False
+    """
+    number = request.view.number
+    if not is_election(record, ident, number, request.sender) or request.ballot < record.promised:
+        return record, message.Accepted(False, newer_view(record, number))
+    accepted = msgspec.structs.replace(record, promised=request.ballot, accepted=(request.ballot, request.view))
+    return accepted, message.Accepted(True, None)
+
+
+def adopt(record, ident, view):
+    """The state after a view was agreed, or the same state where it knows one as new.
+
+    The head of a view is synced in it by construction.
+
+    >>> adopt(Record(), "a", message.View(1, [], [message.ChainLink("a", "1")])).whole
+    1
+    """
+    if newer_view(record, view.number) is not None:
+        return record
+    whole = view.number if view.chain[0].id == ident else record.whole
+    return Record(view, NO_BALLOT, None, whole)
+
+
+def become_synced(record, number):
+    """The state once the copy holds all that was acknowledged before the numbered view, unless that is over.
+
+    >>> become_synced(Record(message.View(2, [], [])), 2).whole, become_synced(Record(message.View(3, [], [])), 2).whole
+    (2, 0)
+    """
+    if record.view is None or record.view.number != number or is_sealed(record) or record.whole >= number:
+        return record
+    return msgspec.structs.replace(record, whole=number)
+
+
+def give_lease(record, ident, request):
+    """Answer a LeaseAsk: given to the tail of an unsealed view.
+
+    >>> give_lease(Record(), "a", message.LeaseAsk(1, "b")).ok
+    False
+    """
+    view = record.view
+    current = view is not None and view.number == request.view and not is_sealed(record)
+    given = current and is_voter(record, ident) and view.chain[-1].id == request.tail
+    return message.LeaseGiven(given, newer_view(record, request.view + 1))
+
+
+def next_seats(view, ident, leaving, newcomers, states, size):
+    """The voters of the next view: a newcomer takes a replaceable seat, else a new one up to `size`.
+
+    `newcomers` are seats of live machines that do not vote, in the order in which they are served; `states`
+    says of each other voter what this proposer, `ident`, knows of it. A newcomer at the address of a voter
+    waits until that voter is silent.
+
+    >>> a, b, c = [message.Seat(i, i, 1, "zone") for i in "abc"]
+    >>> states = {"b": SeatState(True, True)}
+    >>> [seat.id for seat in next_seats(message.View(1, [a, b], []), "a", False, [c], states, 2)]
+    ['a', 'c']
+    """
+    known = {seat.id for seat in view.seats}
+    seats = list(view.seats)
+    for newcomer in newcomers:
+        for k, seat in enumerate(seats):
+            if seat.id not in known or (seat.id == ident and not leaving):
+                continue
+            if seat.id == ident:
+                seats[k] = newcomer
+                break
+            state = states[seat.id]
+            same_place = (seat.host, seat.port) == (newcomer.host, newcomer.port)
+            if same_place and not state.silent:
+                break  # its last heartbeat may be an old one
+            if state.replaceable or same_place:
+                seats[k] = newcomer
+                break
+        else:
+            if len(seats) < size:
+                seats.append(newcomer)
+    return seats
+
+
+def order(view, promises, alive):
+    """The chain that view.number + 1 should have, or None where no copy can be trusted.
+
+    Members that were synced in the view come first, in their old order: each of them
+    holds all that was acknowledged. Where none of the old members that answer was synced,
+    nothing was acknowledged in the view, and one that was synced in the view before leads.
+
+    A member that was synced but can't go on (its disk is bad, or it leaves) still shows that
+    something may have been acknowledged: where it is the only synced one, there is no chain
+    without it.
+
+    A member holds all that those behind it hold. One that holds less came back with an older
+    disk, and counts as a newcomer.
+
+    >>> a, b, c = [message.ChainLink(i, "x") for i in "abc"]
+    >>> v = message.View(4, [], [a, b, c])
+    >>> said = {i: message.Promise(True, (1, "b"), None, None, i, "x", w, True)
+    ...         for i, w in (("b", 4), ("c", 4))}
+    >>> [l.id for l in order(v, said, {"b": "x", "c": "y", "d": "z"})]
+    ['b', 'c', 'd']
+    >>> order(v, {"d": said["b"]}, {"d": "z"}) is None
+    True
+    >>> said["c"] = message.Promise(True, (1, "b"), None, None, "c", "x", 4, True, (4, 17))
+    >>> [l.id for l in order(v, said, {"b": "x", "c": "y"})]
+    ['c', 'b']
+    """
+    old = [member.id for member in view.chain]
+    able = [i for i in old if i in promises and i in alive]
+    lead = [i for i in able if promises[i].whole == view.number]
+    lead = [i for k, i in enumerate(lead) if all(promises[j].tip <= promises[i].tip for j in lead[k + 1 :])]
+    if not lead:
+        answered = [promises[i].whole for i in old if i in promises]
+        if not answered or view.number in answered:
+            return None
+        lead = [i for i in sorted(promises) if promises[i].whole == view.number - 1 and i in alive][:1]
+    if not lead:
+        return None
+    rest = [i for i in able if i not in lead] + [i for i in sorted(alive) if i not in old and i not in lead]
+    return [message.ChainLink(i, alive[i]) for i in lead + rest]
+
+
+def next_view(view, promises, seats, alive):
+    """The view to propose after a majority promised, or None where no synced copy can lead it.
+
+    A view that may have been agreed already is proposed again. `alive` are the live machines with their
+    incarnations; what a promise says of a machine goes before it.
+
+    >>> a, b = message.ChainLink("a", "1"), message.ChainLink("b", "1")
+    >>> old = message.View(4, [message.Seat(i, i, 1, "zone") for i in "ab"], [a, b])
+    >>> said = {"a": message.Promise(True, (1, "a"), None, None, "a", "1", 4, True)}
+    >>> next_view(old, said, old.seats, {"a": "1"}).number
+    5
+    """
+    taken = [answer.accepted for answer in promises.values() if answer.accepted is not None]
+    if taken:
+        return max(taken, key=lambda accepted: accepted[0])[1]
+    voters = {seat.id for seat in seats}
+    members = {ident: boot for ident, boot in alive.items() if ident in voters}
+    for ident, answer in promises.items():
+        if ident in members:
+            members[ident] = answer.boot
+        if not answer.disk_ok:
+            members.pop(ident, None)
+    chain = order(view, promises, members)
+    return None if chain is None else message.View(view.number + 1, seats, chain)
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -4,6 +4,7 @@
 import msgspec
 import twisted.internet.defer as defer
 
+import iriswheel.agreement as agreement
 import iriswheel.blueprint as blueprint
 import iriswheel.chain as chain
 import iriswheel.loads as loads
@@ -191,7 +192,11 @@
         elif int(state.get(b"format", b"0")) < FORMAT:
             disk.write([(b"format", b"%d" % FORMAT)])
         me = message.Seat(state[b"identity"].decode(), options.host, options.port, options.zone)
-        record = msgspec.msgpack.decode(state[b"council"], type=view.Record) if b"council" in state else view.Record()
+        record = (
+            msgspec.msgpack.decode(state[b"council"], type=agreement.Record)
+            if b"council" in state
+            else agreement.Record()
+        )
         self.neighbours = wire.Neighbours(mach, self.serve, log)
         self.chain = chain.Chain(mach, self.disk, state, self.neighbours)
         self.council = view.Council(
--- a/iriswheel/view.py
+++ b/iriswheel/view.py
@@ -10,6 +10,7 @@
 import msgspec
 import twisted.internet.defer as defer
 
+import iriswheel.agreement as agreement
 import iriswheel.machine as machine
 import iriswheel.message as message
 import iriswheel.store as store
@@ -27,65 +28,6 @@
 log = loguru.logger.bind(part="view")
 
 
-class Record(msgspec.Struct, array_like=True):
-    """What an acceptor keeps on disk."""
-
-    view: message.View | None = None
-    promised: tuple[int, str] = (0, "")
-    accepted: tuple[tuple[int, str], message.View] | None = None
-    whole: int = 0
-
-
-def majority(n):
-    """How many of n make a majority.
-
-    >>> majority(3), majority(4)
-    (2, 3)
-    """
-    return n // 2 + 1
-
-
-def order(view, promises, alive):
-    """The chain that view.number + 1 should have, or None where no copy can be trusted.
-
-    Links that were whole in the view come first, in their old order: each of them
-    holds all that was acknowledged. Where none of the old links that answer was whole,
-    nothing was acknowledged in the view, and one that was whole in the view before leads.
-
-    A link that was whole but can't go on (its disk is bad, or it leaves) still shows that
-    something may have been acknowledged: where it is the only whole one, there is no chain
-    without it.
-
-    A link holds all that those behind it hold. One that holds less came back with an older
-    disk, and counts as a newcomer.
-
-    >>> a, b, c = [message.ChainLink(i, "x") for i in "abc"]
-    >>> v = message.View(4, [], [a, b, c])
-    >>> said = {i: message.Promise(True, (1, "b"), None, None, i, "x", w, True)
-    ...         for i, w in (("b", 4), ("c", 4))}
-    >>> [l.id for l in order(v, said, {"b": "x", "c": "y", "d": "z"})]
-    ['b', 'c', 'd']
-    >>> order(v, {"d": said["b"]}, {"d": "z"}) is None
-    True
-    >>> said["c"] = message.Promise(True, (1, "b"), None, None, "c", "x", 4, True, (4, 17))
-    >>> [l.id for l in order(v, said, {"b": "x", "c": "y"})]
-    ['c', 'b']
-    """
-    old = [link.id for link in view.chain]
-    able = [i for i in old if i in promises and i in alive]
-    lead = [i for i in able if promises[i].whole == view.number]
-    lead = [i for k, i in enumerate(lead) if all(promises[j].tip <= promises[i].tip for j in lead[k + 1 :])]
-    if not lead:
-        answered = [promises[i].whole for i in old if i in promises]
-        if not answered or view.number in answered:
-            return None
-        lead = [i for i in sorted(promises) if promises[i].whole == view.number - 1 and i in alive][:1]
-    if not lead:
-        return None
-    rest = [i for i in able if i not in lead] + [i for i in sorted(alive) if i not in old and i not in lead]
-    return [message.ChainLink(i, alive[i]) for i in lead + rest]
-
-
 class Council:
     """One core machine's part in agreeing on views.
 
@@ -106,7 +48,7 @@
         self.tip = lambda: (0, 0)  # the newest entry here: the view it was made in, its number
         self.lock = defer.DeferredLock()
         self.began = mach.now()
-        self.grant = ("", mach.now() + LEASE_US)  # after a restart, an old grant may stand
+        self.grant = (agreement.UNKNOWN_HOLDER, mach.now() + LEASE_US)  # after a restart, an old grant may stand
         self.lease = 0
         self.pulses = {}  # id -> (heard, Pulse)
         self.size = max(size, len(self.founders))
@@ -132,38 +74,44 @@
 
         Example: `if council.sealed(): refuse()`
         """
-        return self.record.promised != (0, "")
+        return agreement.is_sealed(self.record)
 
     def voter(self):
         """Whether this machine votes in the newest view.
 
         Example: `council.voter()`
         """
-        return self.view is not None and any(s.id == self.me.id for s in self.view.seats)
+        return agreement.is_voter(self.record, self.me.id)
 
     def serving(self, number=None):
         """Whether this life of this machine is a link of the (numbered) view, unsealed.
 
         Example: `council.serving(3)`
         """
-        v = self.view
-        if v is None or self.sealed() or (number is not None and number != v.number):
+        if number is not None and (self.view is None or number != self.view.number):
             return False
-        return message.ChainLink(self.me.id, self.mach.boot) in v.chain
+        return agreement.is_serving(self.record, self.me.id, self.mach.boot)
 
     def tail(self):
         """Whether this machine is the tail of the newest view.
 
         Example: `council.tail()`
         """
-        return self.serving() and self.view.chain[-1].id == self.me.id
+        return agreement.is_tail(self.record, self.me.id, self.mach.boot)
 
     def leased(self):
         """Whether this machine is the tail and holds the lease at this very moment.
 
         Example: `if council.leased(): answer()`
         """
-        return self.tail() and self.record.whole == self.view.number and self.mach.now() < self.lease
+        return self.may_lead_reads() and self.mach.now() < self.lease
+
+    def may_lead_reads(self):
+        """Whether this machine is the synced tail, which may ask for the read lease.
+
+        Example: `if council.may_lead_reads(): ask_for_lease()`
+        """
+        return agreement.may_lead_reads(self.record, self.me.id, self.mach.boot)
 
     def pulse(self):
         """This core's own sign of life.
@@ -237,22 +185,12 @@
         elif self.view is None or p.view.number > self.view.number:
             self.mach.spawn(self.adopt(p.view), log)
 
-    def _newer(self, number):
-        return self.view if self.view is not None and self.view.number >= number else None
-
-    def _refuse(self, number):
-        r = self.record
-        return message.Promise(
-            False, r.promised, None, self._newer(number), self.me.id, self.mach.boot, r.whole, self.disk.ok
-        )
+    def _replica(self):
+        return agreement.Replica(self.me.id, self.mach.boot, self.disk.ok, self.tip())
 
-    def _votes(self, number, sender):
-        return (
-            self.view is not None
-            and self.view.number + 1 == number
-            and self.voter()
-            and any(s.id == sender for s in self.view.seats)
-        )
+    def _lease_holder(self):
+        holder, until = self.grant
+        return holder if self.mach.now() < until else None
 
     async def promise(self, m):
         """Answer a Prepare.
@@ -261,18 +199,12 @@
         """
         await self.lock.acquire()
         try:
-            holder, until = self.grant
-            r = self.record
-            if not self._votes(m.number, m.sender) or m.ballot <= r.promised:
-                return self._refuse(m.number)
-            if self.mach.now() < until and holder != m.sender:
-                return self._refuse(m.number)
-            r.promised = m.ballot
-            self.lease = 0
-            await self._sync()
-            return message.Promise(
-                True, m.ballot, r.accepted, None, self.me.id, self.mach.boot, r.whole, self.disk.ok, self.tip()
-            )
+            record, answer = agreement.promise(self.record, self._replica(), self._lease_holder(), m)
+            if answer.ok:
+                self.record = record
+                self.lease = 0
+                await self._sync()
+            return answer
         finally:
             self.lock.release()
 
@@ -283,13 +215,11 @@
         """
         await self.lock.acquire()
         try:
-            r = self.record
-            if not self._votes(m.view.number, m.sender) or m.ballot < r.promised:
-                return message.Accepted(False, self._newer(m.view.number))
-            r.promised = m.ballot
-            r.accepted = (m.ballot, m.view)
-            await self._sync()
-            return message.Accepted(True, None)
+            record, answer = agreement.accept(self.record, self.me.id, m)
+            if answer.ok:
+                self.record = record
+                await self._sync()
+            return answer
         finally:
             self.lock.release()
 
@@ -300,19 +230,16 @@
         """
         await self.lock.acquire()
         try:
-            r = self.record
-            if r.view is not None and r.view.number >= view.number:
+            before = self.record
+            self.record = agreement.adopt(before, self.me.id, view)
+            if self.record is before:
                 return
-            was = r.whole
-            r.view, r.promised, r.accepted = view, (0, ""), None
             self.lease = 0
             self.wanted_since = None
-            if view.chain[0].id == self.me.id:
-                r.whole = view.number
             try:
                 await self._sync()
             except store.DiskDefect:
-                r.whole = was
+                self.record = msgspec.structs.replace(self.record, whole=before.whole)
             self.on_view(view)
         finally:
             self.lock.release()
@@ -325,8 +252,9 @@
         """
         await self.lock.acquire()
         try:
-            if self.view.number == number and not self.sealed() and self.record.whole < number:
-                self.record.whole = number
+            before = self.record
+            self.record = agreement.become_synced(before, number)
+            if self.record is not before:
                 await self._sync()
         finally:
             self.lock.release()
@@ -339,11 +267,10 @@
 
         Example: `council.give(message.LeaseAsk(3, "c0ffee"))`
         """
-        v = self.view
-        ok = v is not None and v.number == m.view and not self.sealed() and self.voter() and v.chain[-1].id == m.tail
-        if ok:
+        answer = agreement.give_lease(self.record, self.me.id, m)
+        if answer.ok:
             self.grant = (m.tail, self.mach.now() + LEASE_US)
-        return message.LeaseGiven(ok, self._newer(m.view + 1))
+        return answer
 
     # ---- tasks ----------------------------------------------------------------
 
@@ -379,7 +306,7 @@
         Example: `while council.needed(): await mach.sleep(50_000)`
         """
         v = self.view
-        if v is None or len([s for s in v.seats if s.id in self.alive()]) < majority(len(v.seats)):
+        if v is None or len([s for s in v.seats if s.id in self.alive()]) < agreement.majority(len(v.seats)):
             return False
         told = [
             s
@@ -388,7 +315,7 @@
             and self.pulses[s.id][1].view is not None
             and self.pulses[s.id][1].view.number >= v.number
         ]
-        return message.ChainLink(self.me.id, self.mach.boot) in v.chain or len(told) < majority(len(v.seats))
+        return message.ChainLink(self.me.id, self.mach.boot) in v.chain or len(told) < agreement.majority(len(v.seats))
 
     def learn_seeds(self, seeds):
         """Look for core machines at further addresses; nobody founds a fleet by them.
@@ -426,12 +353,12 @@
         Example: `mach.spawn(council.renew())`
         """
         while True:
-            if self.tail() and self.record.whole == self.view.number and self.disk.ok:
+            if self.may_lead_reads() and self.disk.ok:
                 asked = self.mach.now()
                 number = self.view.number
                 res = await self.ask_all(self.view.seats, message.LeaseAsk(number, self.me.id), 500 * machine.MILLI)
                 given = [a for a in res.values() if a is not None and a.ok]
-                if len(given) >= majority(len(self.view.seats)) and self.serving(number) and self.disk.ok:
+                if len(given) >= agreement.majority(len(self.view.seats)) and self.serving(number) and self.disk.ok:
                     self.lease = max(self.lease, asked + LEASE_US - DRIFT_US)
             await self.mach.sleep(RENEW_US)
 
@@ -488,33 +415,20 @@
         """
         now = self.mach.now()
         known = {s.id for s in self.view.seats}
-        fresh = sorted(
-            (
-                p
-                for heard, p in self.pulses.values()
-                if now - heard < DEAD_US and p.id not in known and p.disk_ok and not p.leaving
-            ),
-            key=lambda p: p.id,
+        newcomers = [
+            message.Seat(p.id, p.host, p.port, p.zone)
+            for _, (heard, p) in sorted(self.pulses.items())
+            if now - heard < DEAD_US and p.id not in known and p.disk_ok and not p.leaving
+        ]
+        states = {ident: self._seat_state(ident) for ident in known}
+        return agreement.next_seats(self.view, self.me.id, self.leaving, newcomers, states, self.size)
+
+    def _seat_state(self, ident):
+        heard, last = self.pulses.get(ident, (self.began, None))
+        silent_us = self.mach.now() - heard
+        return agreement.SeatState(
+            replaceable=silent_us > REPLACE_US or (last is not None and last.leaving), silent=silent_us > DEAD_US
         )
-        seats = list(self.view.seats)
-        for p in fresh:
-            for k, s in enumerate(seats):
-                if s.id not in known or (s.id == self.me.id and not self.leaving):
-                    continue
-                if s.id == self.me.id:
-                    seats[k] = message.Seat(p.id, p.host, p.port, p.zone)
-                    break
-                heard, last = self.pulses.get(s.id, (self.began, None))
-                same_place = (s.host, s.port) == (p.host, p.port)
-                if same_place and now - heard <= DEAD_US:
-                    break  # it may be an old sign of life
-                if now - heard > REPLACE_US or (same_place and now - heard > DEAD_US) or (last and last.leaving):
-                    seats[k] = message.Seat(p.id, p.host, p.port, p.zone)
-                    break
-            else:
-                if len(seats) < self.size:
-                    seats.append(message.Seat(p.id, p.host, p.port, p.zone))
-        return seats
 
     def due(self):
         """Whether this machine should propose a view now.
@@ -529,7 +443,7 @@
         want = {(i, b) for i, b in alive.items() if i in ids}
         have = {(link.id, link.boot) for link in v.chain}
         live = [s.id for s in v.seats if s.id in alive]
-        if (want == have and seats == v.seats and not self.sealed()) or len(live) < majority(len(v.seats)):
+        if (want == have and seats == v.seats and not self.sealed()) or len(live) < agreement.majority(len(v.seats)):
             self.wanted_since = None
             return False
         if self.wanted_since is None:
@@ -556,28 +470,16 @@
             return
         promises = {i: a for i, a in res.items() if a is not None and a.ok}
         self.seen_ballot = max([self.seen_ballot] + [a.ballot[0] for a in res.values() if a is not None])
-        if len(promises) < majority(len(old.seats)):
+        if len(promises) < agreement.majority(len(old.seats)):
+            return
+        view = agreement.next_view(old, promises, seats, self.alive())
+        if view is None:
+            log.warning("No machine that answers holds a synced copy; view {} must wait.", number)
             return
-        taken = [a.accepted for a in promises.values() if a.accepted is not None]
-        if taken:
-            view = max(taken, key=lambda a: a[0])[1]
-        else:
-            ids = {s.id for s in seats}
-            alive = {i: b for i, b in self.alive().items() if i in ids}
-            for i, a in promises.items():
-                if i in alive:
-                    alive[i] = a.boot
-                if not a.disk_ok:
-                    alive.pop(i, None)
-            chain = order(old, promises, alive)
-            if chain is None:
-                log.warning("No machine that answers holds a whole copy; view {} must wait.", number)
-                return
-            view = message.View(number, seats, chain)
         res = await self.ask_all(old.seats, message.Accept(ballot, view, self.me.id), CALL_US)
         if await self._overtaken(res, number):
             return
-        if len([a for a in res.values() if a is not None and a.ok]) < majority(len(old.seats)):
+        if len([a for a in res.values() if a is not None and a.ok]) < agreement.majority(len(old.seats)):
             return
         await self.adopt(view)
         both = {s.id: s for s in old.seats + view.seats}
