Views: a leaving copy hands over, and two views in a row leave a copy that may lead

Ruled out: newcomers that vote before they hold anything. No chain is agreed without a copy proved complete, the lost identity never votes again, and a seat without a vote would only make the majority harder to reach. Conclusion: one loss within the tolerance no longer stops the chain in these cases.

--- a/iriswheel/agreement.py
+++ b/iriswheel/agreement.py
@@ -17,7 +17,7 @@
 
 
 class Record(msgspec.Struct, array_like=True, frozen=True):
-    """What an acceptor keeps on disk; `whole` is the last view in which its copy was synced."""
+    """What an acceptor keeps on disk; its copy holds all that was acknowledged in the views up to `whole`."""
 
     view: message.View | None = None
     promised: tuple[int, str] = NO_BALLOT
@@ -209,10 +209,28 @@
     """
     if newer_view(record, view.number) is not None:
         return record
-    whole = view.number if view.chain[0].id == ident else record.whole
+    whole = view.number if view.chain[0].id == ident else complete_through(record, ident)
     return Record(view, NO_BALLOT, None, whole)
 
 
+def complete_through(record, ident):
+    """The last view of which a copy holds all that was acknowledged, once the record's view is over.
+
+    A chain acknowledges nothing while one of its members is not synced. So a member that held all of the view
+    before, and was not synced in this one, holds all of this one too.
+
+    >>> view = message.View(3, [], [message.ChainLink("a", "1"), message.ChainLink("b", "1")])
+    >>> complete_through(Record(view, whole=2), "b"), complete_through(Record(view, whole=1), "b")
+    (3, 1)
+    >>> complete_through(Record(view, whole=2), "c")
+    2
+    """
+    if record.view is None or record.whole != record.view.number - 1:
+        return record.whole
+    is_member = any(member.id == ident for member in record.view.chain)
+    return record.view.number if is_member else record.whole
+
+
 def become_synced(record, number):
     """The state once the copy holds all that was acknowledged before the numbered view, unless that is over.
 
@@ -224,6 +242,17 @@
     return msgspec.structs.replace(record, whole=number)
 
 
+def may_restore(record, synced_entry, snapshot_entry):
+    """Whether a snapshot may replace the copy: always before the copy is synced, then only where it is not older.
+
+    A snapshot may arrive after others that were sent later, when it was held up in an old connection.
+
+    >>> may_restore(Record(message.View(2, [], []), whole=2), synced_entry=17, snapshot_entry=12)
+    False
+    """
+    return not is_synced(record) or snapshot_entry >= synced_entry
+
+
 def give_lease(record, ident, request):
     """Answer a LeaseAsk: given to the tail of an unsealed view.
 
@@ -275,7 +304,8 @@
 
     Members that were synced in the view come first, in their old order: each of them
     holds all that was acknowledged. Where none of the old members that answer was synced,
-    nothing was acknowledged in the view, and one that was synced in the view before leads.
+    nothing was acknowledged in the view, and of those that were synced in the view before the
+    one with the newest entry leads.
 
     A member that was synced but can't go on (its disk is bad, or it leaves) still shows that
     something may have been acknowledged: where it is the only synced one, there is no chain
@@ -304,34 +334,67 @@
         answered = [promises[i].whole for i in old if i in promises]
         if not answered or view.number in answered:
             return None
-        lead = [i for i in sorted(promises) if promises[i].whole == view.number - 1 and i in alive][:1]
+        lead = [i for i in sorted(promises) if promises[i].whole == view.number - 1 and i in alive]
+        lead = sorted(lead, key=lambda i: promises[i].tip, reverse=True)[:1]
     if not lead:
         return None
     rest = [i for i in able if i not in lead] + [i for i in sorted(alive) if i not in old and i not in lead]
     return [message.ChainLink(i, alive[i]) for i in lead + rest]
 
 
-def next_view(view, promises, seats, alive):
+def is_handing_over(view, alive, leaving, synced):
+    """Whether the only synced members of the chain are about to leave, and must bring another up to date first.
+
+    >>> chain = [message.ChainLink("a", "1"), message.ChainLink("b", "1")]
+    >>> view = message.View(4, [], chain)
+    >>> is_handing_over(view, {"b": "1"}, {"a": "1"}, {"a"}), is_handing_over(view, {"b": "1"}, {"a": "1"}, {"a", "b"})
+    (True, False)
+    """
+    members = {member.id for member in view.chain} & synced
+    return not members & alive.keys() and bool(members & leaving.keys())
+
+
+def next_view(view, promises, seats, alive, leaving):
     """The view to propose after a majority promised, or None where no synced copy can lead it.
 
     A view that may have been agreed already is proposed again. `alive` are the live machines with their
-    incarnations; what a promise says of a machine goes before it.
+    incarnations, but for those in `leaving`; what a promise says of a machine goes before it. Where none but a
+    machine that leaves can lead, it stays for one more view, with the seats as they are, to bring the others up
+    to date.
 
     >>> a, b = message.ChainLink("a", "1"), message.ChainLink("b", "1")
     >>> old = message.View(4, [message.Seat(i, i, 1, "zone") for i in "ab"], [a, b])
-    >>> said = {"a": message.Promise(True, (1, "a"), None, None, "a", "1", 4, True)}
-    >>> next_view(old, said, old.seats, {"a": "1"}).number
-    5
+    >>> said = {
+    ...     i: message.Promise(True, (1, "a"), None, None, i, "1", whole, True) for i, whole in (("a", 4), ("b", 3))}
+    >>> [member.id for member in next_view(old, said, old.seats, {"a": "1", "b": "1"}, {}).chain]
+    ['a', 'b']
+    >>> [member.id for member in next_view(old, said, old.seats, {"b": "1"}, {"a": "1"}).chain]
+    ['a', 'b']
+    >>> next_view(old, said, old.seats, {"b": "1"}, {}) is None
+    True
     """
     taken = [answer.accepted for answer in promises.values() if answer.accepted is not None]
     if taken:
         return max(taken, key=lambda accepted: accepted[0])[1]
+    for voters, machines in ((seats, alive), (view.seats, alive | leaving)):
+        chain = order(view, promises, members_of(voters, machines, promises))
+        if chain is not None:
+            return message.View(view.number + 1, voters, chain)
+    return None
+
+
+def members_of(seats, machines, promises):
+    """The machines that may be members of a chain, with the incarnations that they last told.
+
+    >>> said = {"a": message.Promise(True, (1, "a"), None, None, "a", "2", 4, True)}
+    >>> members_of([message.Seat("a", "a", 1, "zone")], {"a": "1", "b": "1"}, said)
+    {'a': '2'}
+    """
     voters = {seat.id for seat in seats}
-    members = {ident: boot for ident, boot in alive.items() if ident in voters}
+    members = {ident: boot for ident, boot in machines.items() if ident in voters}
     for ident, answer in promises.items():
         if ident in members:
             members[ident] = answer.boot
         if not answer.disk_ok:
             members.pop(ident, None)
-    chain = order(view, promises, members)
-    return None if chain is None else message.View(view.number + 1, seats, chain)
+    return members
--- a/iriswheel/chain.py
+++ b/iriswheel/chain.py
@@ -7,6 +7,7 @@
 import msgspec
 import twisted.internet.defer as defer
 
+import iriswheel.agreement as agreement
 import iriswheel.blueprint as blueprint
 import iriswheel.machine as machine
 import iriswheel.message as message
@@ -330,6 +331,8 @@
             puts = []
             if frame is not None:
                 base = Ledger.thaw(frame)
+                if not agreement.may_restore(self.council.record, self.synced, base.n):
+                    return message.Stored(False)
                 puts = [(b"e%016d" % k, None) for k in self.log] + [(b"frame", frame)]
                 self.log, self.synced, self.tip = {}, base.n, base
                 if base.n >= self.base.n:
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -879,6 +879,8 @@
     async def stop(self):
         """Send the nodes elsewhere, let the others agree on a chain without this machine, finish.
 
+        The only synced copy stays until another is up to date, or until the process is killed.
+
         Example: `await core.stop()`
         """
         self.stopping = True
@@ -886,6 +888,6 @@
         self.council.leave()
         until = self.mach.now() + min(LEAVE_US, self.options.grace_us // 2)
         await self.mach.sleep(100 * machine.MILLI)
-        while self.council.needed() and self.mach.now() < until:
+        while self.council.holds_only_copy() or (self.council.needed() and self.mach.now() < until):
             self.council.pulse_now.wake()
             await self.mach.sleep(50 * machine.MILLI)
--- a/iriswheel/view.py
+++ b/iriswheel/view.py
@@ -153,6 +153,27 @@
             out[self.me.id] = self.mach.boot
         return out
 
+    def departing(self):
+        """The cores that live and leave, and whose disk works, with their boots.
+
+        Example: `council.departing()["c0ffee"]`
+        """
+        now = self.mach.now()
+        heartbeats = [p for heard, p in self.pulses.values() if now - heard < DEAD_US]
+        out = {p.id: p.boot for p in heartbeats if p.disk_ok and p.leaving}
+        if self.disk.ok and self.leaving:
+            out[self.me.id] = self.mach.boot
+        return out
+
+    def known_synced(self):
+        """The cores that are synced in the present view, as far as this one has heard.
+
+        Example: `"c0ffee" in council.known_synced()`
+        """
+        number = self.view.number
+        out = {ident for ident, (_, p) in self.pulses.items() if p.whole == number}
+        return out | {self.me.id} if agreement.is_synced(self.record) else out
+
     # ---- answers to other cores ----------------------------------------------
 
     async def answer(self, msg):
@@ -317,6 +338,17 @@
         ]
         return message.ChainLink(self.me.id, self.mach.boot) in v.chain or len(told) < agreement.majority(len(v.seats))
 
+    def holds_only_copy(self):
+        """Whether others go on, and none of them is known to hold what this machine's copy holds.
+
+        Example: `while council.holds_only_copy(): await mach.sleep(50_000)`
+        """
+        if not agreement.is_synced(self.record):
+            return False
+        others = set(self.alive()) - {self.me.id}
+        members = {member.id for member in self.view.chain}
+        return bool(others) and not others & members & self.known_synced()
+
     def learn_seeds(self, seeds):
         """Look for core machines at further addresses; nobody founds a fleet by them.
 
@@ -439,6 +471,9 @@
         alive = self.alive()
         v = self.view
         seats = self.seats_wanted()
+        leaving = self.departing()
+        if agreement.is_handing_over(v, alive, leaving, self.known_synced()):
+            alive, seats = alive | leaving, v.seats
         ids = {s.id for s in seats}
         want = {(i, b) for i, b in alive.items() if i in ids}
         have = {(link.id, link.boot) for link in v.chain}
@@ -472,7 +507,7 @@
         self.seen_ballot = max([self.seen_ballot] + [a.ballot[0] for a in res.values() if a is not None])
         if len(promises) < agreement.majority(len(old.seats)):
             return
-        view = agreement.next_view(old, promises, seats, self.alive())
+        view = agreement.next_view(old, promises, seats, self.alive(), self.departing())
         if view is None:
             log.warning("No machine that answers holds a synced copy; view {} must wait.", number)
             return
--- /dev/null
+++ b/tests/test_agreement.py
@@ -0,0 +1,121 @@
+"""The decisions of the view agreement, one by one."""
+
+import testtools
+import twisted.internet.defer as defer
+import twisted.internet.task as task
+
+import iriswheel.agreement as agreement
+import iriswheel.chain as chain
+import iriswheel.machine as machine
+import iriswheel.message as message
+import iriswheel.view as view
+
+SECOND = 1_000_000
+
+
+def promised(ident, whole, tip=(0, 0)):
+    """A promise that tells of a copy."""
+    return message.Promise(True, (1, "a"), None, None, ident, "1", whole, True, tip)
+
+
+def make_view(number, members):
+    """A view in which all members vote, each in its first incarnation."""
+    seats = [message.Seat(ident, ident, 1, "zone") for ident in members]
+    return message.View(number, seats, [message.ChainLink(ident, "1") for ident in members])
+
+
+class Order(testtools.TestCase):
+    def test_of_copies_synced_one_view_before_the_newest_leads(self):
+        answers = {"b": promised("b", 3, (3, 6)), "c": promised("c", 3, (3, 7))}
+        members = agreement.order(make_view(4, "abc"), answers, {"b": "1", "c": "1"})
+        self.assertEqual(["c", "b"], [member.id for member in members])
+
+    def test_newcomers_alone_agree_on_no_chain(self):
+        answers = {"b2": promised("b2", 0), "c2": promised("c2", 0)}
+        old = make_view(4, ["a", "b2", "c2"])
+        self.assertIsNone(agreement.next_view(old, answers, old.seats, {"b2": "1", "c2": "1"}, {}))
+
+    def test_a_copy_that_leaves_leads_only_where_no_other_can(self):
+        old = make_view(4, "abc")
+        alive, leaving = {"b": "1", "c": "1"}, {"a": "1"}
+        answers = {"a": promised("a", 4), "b": promised("b", 3)}
+        agreed = agreement.next_view(old, answers, old.seats, alive, leaving)
+        self.assertEqual(["a", "b"], [member.id for member in agreed.chain])
+        answers["b"] = promised("b", 4)
+        agreed = agreement.next_view(old, answers, old.seats, alive, leaving)
+        self.assertEqual(["b"], [member.id for member in agreed.chain])
+
+
+class Disk:
+    """A disk that works."""
+
+    ok = True
+
+    async def commit(self, puts):
+        """Write at once."""
+
+
+class Snapshots(testtools.TestCase):
+    def test_a_snapshot_that_was_held_up_takes_nothing_back(self):
+        clock = task.Clock()
+        mach = machine.Machine(clock, now=lambda: int(clock.seconds() * SECOND), seed=1)
+        members = [message.ChainLink("a", "1"), message.ChainLink("b", mach.boot)]
+        agreed = message.View(4, make_view(4, "ab").seats, members)
+        replica = chain.Chain(mach, Disk(), {}, None)
+        replica.council = view.Council(
+            mach, Disk(), agreement.Record(agreed), agreed.seats[1], [], None, lambda agreed: None
+        )
+        snapshot = chain.Ledger().freeze()
+
+        def take(entries, snapshot):
+            refill = message.Refill(4, snapshot, entries)
+            return self.result_of(defer.ensureDeferred(replica.answer(refill)))
+
+        entries = [message.Entry(n, 4, "plan", f"0-{n}", 0, []) for n in (1, 2)]
+        self.assertTrue(take(entries[:1], snapshot).ok)
+        self.assertTrue(take(entries, None).ok)
+        self.assertEqual((2, 2), (replica.synced, replica.base.n))  # acknowledged: this is the tail
+        self.assertFalse(take(entries[:1], snapshot).ok)
+        self.assertEqual((2, 2), (replica.synced, replica.base.n))
+
+    def result_of(self, deferred):
+        """The result of a deferred that has fired."""
+        results = []
+        deferred.addCallback(results.append)
+        return results[0]
+
+
+class Leaving(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = task.Clock()
+        mach = machine.Machine(self.clock, now=lambda: int(self.clock.seconds() * SECOND), seed=1)
+        agreed = make_view(4, "abc")
+        agreed = message.View(4, agreed.seats, [message.ChainLink("a", mach.boot), *agreed.chain[1:]])
+        record = agreement.Record(agreed, whole=4)
+        self.council = view.Council(mach, Disk(), record, agreed.seats[0], [], None, lambda agreed: None)
+        self.council.leave()
+
+    def hear(self, whole):
+        """Take in a heartbeat of each other member."""
+        for ident in "bc":
+            self.council.hear(message.Pulse(ident, "1", "zone", ident, 1, self.council.view, whole, True))
+
+    def test_the_only_synced_copy_stays_until_another_is_synced(self):
+        self.hear(whole=3)
+        self.assertTrue(self.council.holds_only_copy())
+        self.council.due()
+        self.clock.advance(2)
+        self.hear(whole=3)
+        self.assertFalse(self.council.due())
+        self.hear(whole=4)
+        self.assertFalse(self.council.holds_only_copy())
+        self.council.due()
+        self.clock.advance(2)
+        self.hear(whole=4)
+        self.assertTrue(self.council.due())
+
+    def test_the_last_machine_does_not_wait_for_anybody(self):
+        self.hear(whole=3)
+        self.clock.advance(2)
+        self.assertFalse(self.council.holds_only_copy())
