A tail holds its lease, and a view is agreed, without waiting for silent machines

Cause: ask_all waited for every voter. One that was cut off held each answer up for 0.5 to 1 s, so that the tail's lease, counted from before it asked, lapsed again and again, and each phase of a proposal took as long. Change: ask_all ends once a majority answered (lease, Accept), and never waits for machines without a heartbeat for 1.3 s. Promises are still awaited from all live voters, so that a healthy member is not left out of the chain. Seen failing before: both tests of Quorum in tests/test_agreement.py.

--- a/iriswheel/view.py
+++ b/iriswheel/view.py
@@ -9,6 +9,7 @@
 import loguru
 import msgspec
 import twisted.internet.defer as defer
+import twisted.python.failure as failure
 
 import iriswheel.agreement as agreement
 import iriswheel.machine as machine
@@ -388,26 +389,56 @@
             if self.may_lead_reads() and self.disk.ok:
                 asked = self.mach.now()
                 number = self.view.number
-                res = await self.ask_all(self.view.seats, message.LeaseAsk(number, self.me.id), 500 * machine.MILLI)
+                quorum = agreement.majority(len(self.view.seats))
+                res = await self.ask_all(
+                    self.view.seats, message.LeaseAsk(number, self.me.id), 500 * machine.MILLI, enough=quorum
+                )
                 given = [a for a in res.values() if a is not None and a.ok]
-                if len(given) >= agreement.majority(len(self.view.seats)) and self.serving(number) and self.disk.ok:
+                if len(given) >= quorum and self.serving(number) and self.disk.ok:
                     self.lease = max(self.lease, asked + LEASE_US - DRIFT_US)
             await self.mach.sleep(RENEW_US)
 
-    async def ask_all(self, seats, msg, us):
+    async def ask_all(self, seats, msg, us, enough=None):
         """Put a message to all seats, this one included; None where no answer came.
 
+        Machines that have been silent for long are asked, but not waited for; nor is anybody once `enough`
+        answers are positive.
+
         Example: `res = await council.ask_all(view.seats, msg, us)`
         """
+        answers = {}
+        complete = defer.Deferred()
+        awaited = self.heard_lately()
+
+        def note(answer, ident):
+            answers[ident] = None if isinstance(answer, failure.Failure) else answer
+            positive = len([a for a in answers.values() if a is not None and a.ok])
+            missing = [s for s in seats if s.id in awaited and s.id not in answers]
+            if not complete.called and (not missing or (enough is not None and positive >= enough)):
+                complete.callback(None)
+
+        for seat in seats:
+            defer.ensureDeferred(self.ask(seat, msg, us)).addBoth(note, seat.id)
+        if not complete.called:
+            await complete
+        return {seat.id: answers.get(seat.id) for seat in seats}
+
+    async def ask(self, seat, msg, us):
+        """Put a message to one machine, this one or another.
+
+        Example: `answer = await council.ask(view.seats[0], msg, us)`
+        """
+        if seat.id == self.me.id:
+            return await self.answer(msg)
+        return await self.neighbours.call(seat.host, seat.port, msg, us)
 
-        async def ask(s):
-            if s.id == self.me.id:
-                return await self.answer(msg)
-            return await self.neighbours.call(s.host, s.port, msg, us)
+    def heard_lately(self):
+        """This machine, and those that it has had a heartbeat from lately.
 
-        ds = [defer.ensureDeferred(ask(s)) for s in seats]
-        res = await defer.DeferredList(ds, consumeErrors=True)
-        return {s.id: val if ok else None for s, (ok, val) in zip(seats, res)}
+        Example: `"c0ffee" in council.heard_lately()`
+        """
+        now = self.mach.now()
+        return {ident for ident, (heard, _) in self.pulses.items() if now - heard < DEAD_US} | {self.me.id}
 
     async def mend(self):
         """Watch the chain, and propose a better view where one is due.
@@ -511,10 +542,11 @@
         if view is None:
             log.warning("No machine that answers holds a synced copy; view {} must wait.", number)
             return
-        res = await self.ask_all(old.seats, message.Accept(ballot, view, self.me.id), CALL_US)
+        quorum = agreement.majority(len(old.seats))
+        res = await self.ask_all(old.seats, message.Accept(ballot, view, self.me.id), CALL_US, enough=quorum)
         if await self._overtaken(res, number):
             return
-        if len([a for a in res.values() if a is not None and a.ok]) < agreement.majority(len(old.seats)):
+        if len([a for a in res.values() if a is not None and a.ok]) < quorum:
             return
         await self.adopt(view)
         both = {s.id: s for s in old.seats + view.seats}
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -85,6 +85,46 @@
         return results[0]
 
 
+class Peers:
+    """Peers of which some answer at once, and the others never."""
+
+    def __init__(self, answers):
+        self.answers = answers  # host -> answer
+
+    async def call(self, host, port, msg, us):
+        """Ask a peer."""
+        if host not in self.answers:
+            await defer.Deferred()
+        return self.answers[host]
+
+
+class Quorum(testtools.TestCase):
+    def make_council(self, answers):
+        clock = task.Clock()
+        mach = machine.Machine(clock, now=lambda: int(clock.seconds() * SECOND), seed=1)
+        agreed = make_view(4, "bca")
+        agreed = message.View(4, agreed.seats, [*agreed.chain[:2], message.ChainLink("a", mach.boot)])
+        record = agreement.Record(agreed, whole=4)
+        council = view.Council(mach, Disk(), record, agreed.seats[2], [], Peers(answers), lambda agreed: None)
+        for ident in "bc":
+            council.hear(message.Pulse(ident, "1", "zone", ident, 1, agreed, 4, True))
+        return clock, council
+
+    def test_the_tail_holds_its_lease_as_soon_as_a_majority_gave_it(self):
+        _, council = self.make_council({"b": message.LeaseGiven(True, None)})
+        council.mach.spawn(council.renew())
+        self.assertTrue(council.leased())
+
+    def test_a_proposal_does_not_wait_for_machines_that_are_silent(self):
+        clock, council = self.make_council({"b": promised("b", 4)})
+        clock.advance(2)  # the grants of before the start have run out, and so have the heartbeats
+        council.hear(message.Pulse("b", "1", "zone", "b", 1, council.view, 4, True))
+        prepare = message.Prepare(5, (1, "a"), "a")
+        answers = []
+        defer.ensureDeferred(council.ask_all(council.view.seats, prepare, view.CALL_US)).addCallback(answers.append)
+        self.assertEqual({"a", "b"}, {ident for ident, answer in answers[0].items() if answer is not None})
+
+
 class Leaving(testtools.TestCase):
     def setUp(self):
         super().setUp()
