Search of the view agreement state by state, with the functions that the core runs

Change: bench/cluster_model.py is the state of a few core machines, bench/cluster_steps.py all their steps (messages late, twice or lost; crash, wipe, cut, leave, restart of all, older disk; leases as far as time allows; one change down the chain), bench/explore.py the search with its invariants: one view a number, no acknowledgement in a sealed view, every copy that counts as complete holds what was acknowledged, one reader, and from each state the machines that are reachable recover. Promise, accept, adopt, order, seats, seal, lease and commit rules are those of iriswheel/agreement.py; how entries pass from member to member is the model's own.

--- /dev/null
+++ b/bench/cluster_model.py
@@ -0,0 +1,217 @@
+"""The state of a few core machines, as the search of their interleavings sees it.
+
+Disk, memory and faults of each machine, messages in flight, and what was agreed and acknowledged so far.
+"""
+
+import typing
+
+import msgspec
+
+import iriswheel.agreement as agreement
+import iriswheel.message as message
+
+replace = msgspec.structs.replace
+
+
+class Violation(Exception):
+    """A state that breaks an invariant."""
+
+
+class Proposal(msgspec.Struct, frozen=True, array_like=True):
+    """A proposal under way: its ballot, the seats it wants, and the view once promises were enough."""
+
+    ballot: tuple[int, str]
+    seats: list[message.Seat]
+    view: message.View | None = None
+
+
+class Core(msgspec.Struct, frozen=True, array_like=True):
+    """One core machine: what is on its disk, what is in its memory, and what a fault did to it."""
+
+    ident: str
+    place: int
+    identities: int = 1
+    boot: int = 1
+    up: bool = True
+    cut: bool = False
+    leaving: bool = False
+    settled: bool = True
+    stale_disk: bool = False
+    record: agreement.Record = agreement.Record()
+    log: tuple[tuple[int, int], ...] = ()  # (view it was made in, number) of each entry
+    holder: str | None = None  # who has this voter's unexpired grant
+    supporters: tuple[str, ...] = ()  # whose grants this tail counts on
+    ballot: int = 0
+    proposal: Proposal | None = None
+
+    @property
+    def reachable(self):
+        """Whether the machine runs and is not cut off."""
+        return self.up and not self.cut
+
+    @property
+    def incarnation(self):
+        """The boot as chain members carry it."""
+        return str(self.boot)
+
+    @property
+    def lost(self):
+        """Whether the machine counts as lost."""
+        return not self.reachable or self.leaving or not self.settled
+
+    @property
+    def seat(self):
+        """The machine's seat."""
+        return message.Seat(self.ident, f"host{self.place}", 1, "zone")
+
+    @property
+    def tip(self):
+        """The newest entry of the log."""
+        return self.log[-1] if self.log else (0, 0)
+
+
+class Limits(msgspec.Struct, frozen=True, array_like=True):
+    """How often each event may still happen."""
+
+    proposals: int = 2
+    changes: int = 1
+    crashes: int = 0
+    wipes: int = 0
+    cuts: int = 0
+    leaves: int = 0
+    power_cycles: int = 0
+    stale_disks: int = 0
+    leases: int = 0
+    late_refills: int = 0
+
+
+class Refill(msgspec.Struct, frozen=True, array_like=True):
+    """A snapshot on its way to a member of a view's chain."""
+
+    view: int
+    receiver: str
+    log: tuple[tuple[int, int], ...]
+
+
+class World(msgspec.Struct, frozen=True, array_like=True):
+    """One state of the search."""
+
+    cores: tuple[Core, ...]
+    limits: Limits
+    requests: tuple[message.Prepare | message.Accept, ...] = ()
+    promises: tuple[tuple[int, message.Promise], ...] = ()
+    accepted: tuple[tuple[tuple[int, str], int, str], ...] = ()  # ballot, view number, acceptor
+    refills: tuple[Refill, ...] = ()
+    views: tuple[message.View, ...] = ()  # all that were adopted
+    acknowledged: tuple[tuple[int, tuple[int, int]], ...] = ()  # view of the acknowledgement, entry
+
+
+class Setting(typing.NamedTuple):
+    """What stays the same over a search."""
+
+    tolerance: int
+    copies: int
+    keep_identity: bool = False  # the guard on identities taken out: a wiped disk goes on under its old name
+
+
+def start(cores, limits):
+    """The first state: view 1 with all cores in it, synced and empty.
+
+    >>> len(start(3, Limits()).cores)
+    3
+    """
+    machines = [Core("abcdefg"[k], k) for k in range(cores)]
+    seats = [core.seat for core in machines]
+    view = message.View(1, seats, [message.ChainLink(core.ident, core.incarnation) for core in machines])
+    record = agreement.Record(view, whole=1)
+    return World(tuple(replace(core, record=record) for core in machines), limits, views=(view,))
+
+
+def spend(world, name):
+    """The state with one event of a sort used up, or None where none is left.
+
+    >>> spend(start(3, Limits(crashes=0)), "crashes") is None
+    True
+    """
+    left = getattr(world.limits, name)
+    return replace(world, limits=replace(world.limits, **{name: left - 1})) if left else None
+
+
+def put(world, core):
+    """The state with one core replaced."""
+    cores = list(world.cores)
+    cores[core.place] = core
+    return replace(world, cores=tuple(cores))
+
+
+def add(items, item):
+    """A sorted tuple with one more item, kept once."""
+    if item in items:
+        return items
+    return tuple(sorted((*items, item), key=msgspec.msgpack.encode))
+
+
+def by_ident(world, ident):
+    """The core with an identity, or None."""
+    return next((core for core in world.cores if core.ident == ident), None)
+
+
+def wanted_seats(world, proposer):
+    """The seats that a proposer wants: machines that are down, cut off or leaving may be replaced."""
+    view = proposer.record.view
+    known = {seat.id for seat in view.seats}
+    newcomers = [c.seat for c in world.cores if c.reachable and not c.leaving and c.ident not in known]
+    newcomers.sort(key=lambda seat: seat.id)
+    states = {}
+    for ident in known:
+        core = by_ident(world, ident)
+        silent = core is None or not core.reachable
+        states[ident] = agreement.SeatState(silent or core.leaving, silent)
+    return agreement.next_seats(view, proposer.ident, proposer.leaving, newcomers, states, len(world.cores))
+
+
+def live(world):
+    """The cores that can be members of a chain, with their incarnations."""
+    return {core.ident: core.incarnation for core in world.cores if core.reachable and not core.leaving}
+
+
+def departing(world):
+    """The cores that leave and are not down yet, with their incarnations."""
+    return {core.ident: core.incarnation for core in world.cores if core.reachable and core.leaving}
+
+
+def synced_in(world, number):
+    """The cores that are synced in a view."""
+    return {core.ident for core in world.cores if core.record.whole == number}
+
+
+def is_due(world, core):
+    """Whether a core has a reason to propose a view."""
+    if not core.reachable or not agreement.is_voter(core.record, core.ident):
+        return False
+    view = core.record.view
+    alive, seats = live(world), wanted_seats(world, core)
+    if agreement.is_handing_over(view, alive, departing(world), synced_in(world, view.number)):
+        alive, seats = alive | departing(world), view.seats
+    voters = [seat.id for seat in view.seats if seat.id in alive]
+    if len(voters) < agreement.majority(len(view.seats)):
+        return False
+    wanted = {(seat.id, alive[seat.id]) for seat in seats if seat.id in alive}
+    present = {(member.id, member.boot) for member in view.chain}
+    return wanted != present or seats != view.seats or agreement.is_sealed(core.record)
+
+
+def names(view):
+    """A view's chain and seats, for people."""
+    return f"chain {' '.join(m.id for m in view.chain)}, seats {' '.join(s.id for s in view.seats)}"
+
+
+def has_lease(core):
+    """Whether a core serves reads."""
+    leading = core.up and agreement.may_lead_reads(core.record, core.ident, core.incarnation)
+    return leading and len(core.supporters) >= agreement.majority(len(core.record.view.seats))
+
+
+def serves(core):
+    """Whether a core is a member of its view's chain, unsealed."""
+    return core.up and agreement.is_serving(core.record, core.ident, core.incarnation)
--- /dev/null
+++ b/bench/cluster_steps.py
@@ -0,0 +1,373 @@
+"""All steps that a few core machines may take: messages, leases, the chain, and faults within the tolerance.
+
+The steps call `iriswheel.agreement`, the functions that the core itself runs; only disk, network and clock are
+abstract. A message stays in flight until its view is over, so each may arrive late, twice, in any order or never.
+Time passes only where the leases allow it: a voter's grant ends after the lease that counts on it.
+"""
+
+import itertools
+
+import msgspec
+
+import bench.cluster_model as cluster_model
+import iriswheel.agreement as agreement
+import iriswheel.message as message
+
+replace = msgspec.structs.replace
+
+
+def receive_prepare(world, core, request):
+    """One acceptor's step on a Prepare."""
+    replica = agreement.Replica(core.ident, core.incarnation, True, core.tip)
+    record, answer = agreement.promise(core.record, replica, core.holder, request)
+    if not answer.ok:
+        return world
+    world = cluster_model.put(world, replace(core, record=record, supporters=()))
+    return replace(world, promises=cluster_model.add(world.promises, (request.number, answer)))
+
+
+def receive_accept(world, core, request):
+    """One acceptor's step on an Accept."""
+    record, answer = agreement.accept(core.record, core.ident, request)
+    if not answer.ok:
+        return world
+    world = cluster_model.put(world, replace(core, record=record))
+    world = replace(
+        world, accepted=cluster_model.add(world.accepted, (request.ballot, request.view.number, core.ident))
+    )
+    check_chosen(world, core.record.view, request)
+    return world
+
+
+def check_chosen(world, old, request):
+    """Raise Violation where a majority accepted a view, and another majority accepted another of this number."""
+    number = request.view.number
+    if not is_chosen(world, old, request.ballot):
+        return
+    rivals = [r.view for r in world.requests if isinstance(r, message.Accept) and is_chosen(world, old, r.ballot)]
+    for other in (*rivals, *world.views):
+        if other.number == number and other != request.view:
+            raise cluster_model.Violation(
+                f"two views {number}: {cluster_model.names(other)} and {cluster_model.names(request.view)}"
+            )
+
+
+def is_chosen(world, old, ballot):
+    """Whether a majority of a view's voters accepted its successor under a ballot."""
+    voters = [ident for made, number, ident in world.accepted if (made, number) == (ballot, old.number + 1)]
+    return len(voters) >= agreement.majority(len(old.seats))
+
+
+def adopt(world, core, view):
+    """One core takes a view that was agreed; two views under one number break an invariant."""
+    for other in world.views:
+        if other.number == view.number and other != view:
+            raise cluster_model.Violation(
+                f"two views {view.number}: {cluster_model.names(other)} and {cluster_model.names(view)}"
+            )
+    record = agreement.adopt(core.record, core.ident, view)
+    if record is core.record:
+        return world
+    world = cluster_model.put(world, replace(core, record=record, supporters=(), proposal=None))
+    return replace(world, views=cluster_model.add(world.views, view))
+
+
+def proposing(world):
+    """Start proposals: the proposer answers its own Prepare at once."""
+    for core in world.cores:
+        used = cluster_model.spend(world, "proposals")
+        if used is None or not cluster_model.is_due(world, core):
+            continue
+        ballot = (max(core.ballot, core.record.promised[0]) + 1, core.ident)
+        proposal = cluster_model.Proposal(ballot, cluster_model.wanted_seats(world, core))
+        core = replace(core, ballot=ballot[0], proposal=proposal)
+        request = message.Prepare(core.record.view.number + 1, ballot, core.ident)
+        after = replace(cluster_model.put(used, core), requests=cluster_model.add(used.requests, request))
+        yield f"{core.ident} proposes {ballot}", receive_prepare(after, core, request)
+
+
+def suspecting(world):
+    """A voter proposes without a reason that others see: it hears nobody but those who promise."""
+    for core in world.cores:
+        used = cluster_model.spend(world, "proposals")
+        if used is None or not core.reachable or not agreement.is_voter(core.record, core.ident):
+            continue
+        if cluster_model.is_due(world, core):
+            continue
+        ballot = (max(core.ballot, core.record.promised[0]) + 1, core.ident)
+        core = replace(core, ballot=ballot[0], proposal=cluster_model.Proposal(ballot, core.record.view.seats))
+        request = message.Prepare(core.record.view.number + 1, ballot, core.ident)
+        after = replace(cluster_model.put(used, core), requests=cluster_model.add(used.requests, request))
+        yield f"{core.ident} suspects the others and proposes {ballot}", receive_prepare(after, core, request)
+
+
+def delivering(world):
+    """Deliver any request in flight to any core."""
+    for request, core in itertools.product(world.requests, world.cores):
+        if not core.reachable:
+            continue
+        match request:
+            case message.Prepare():
+                after = receive_prepare(world, core, request)
+                label = f"{core.ident} promises {request.ballot}"
+            case message.Accept():
+                after = receive_accept(world, core, request)
+                label = f"{core.ident} accepts {request.ballot}: {cluster_model.names(request.view)}"
+        if after is not world:
+            yield label, after
+
+
+def choosing(world):
+    """A proposer ends its first phase with any majority of the promises that were given."""
+    for core in world.cores:
+        proposal = core.proposal
+        if not core.up or proposal is None or proposal.view is not None:
+            continue
+        old = core.record.view
+        answers = [a for n, a in world.promises if n == old.number + 1 and a.ballot == proposal.ballot]
+        for count in range(agreement.majority(len(old.seats)), len(answers) + 1):
+            for chosen in itertools.combinations(answers, count):
+                yield from choices(world, core, {answer.id: answer for answer in chosen})
+
+
+def choices(world, core, promises):
+    """The views that a proposer may ask for: with all live machines, or with those that promised."""
+    proposal, seen = core.proposal, []
+    for alive in (
+        cluster_model.live(world),
+        {i: a.boot for i, a in promises.items() if i in cluster_model.live(world)},
+    ):
+        view = agreement.next_view(core.record.view, promises, proposal.seats, alive, cluster_model.departing(world))
+        if view is None or view in seen:
+            continue
+        seen.append(view)
+        request = message.Accept(proposal.ballot, view, core.ident)
+        proposer = replace(core, proposal=replace(proposal, view=view))
+        after = replace(cluster_model.put(world, proposer), requests=cluster_model.add(world.requests, request))
+        after = receive_accept(after, proposer, request)
+        yield (
+            f"{core.ident} asks to accept {proposal.ballot} after {'+'.join(promises)}: {cluster_model.names(view)}",
+            after,
+        )
+
+
+def deciding(world):
+    """A proposer adopts its view once a majority accepted it."""
+    for core in world.cores:
+        proposal = core.proposal
+        if not core.up or proposal is None or proposal.view is None:
+            continue
+        if is_chosen(world, core.record.view, proposal.ballot):
+            yield f"{core.ident} adopts view {proposal.view.number}", adopt(world, core, proposal.view)
+
+
+def learning(world):
+    """A core hears of a view that another adopted, then or later."""
+    for core, view in itertools.product(world.cores, world.views):
+        if core.reachable and agreement.newer_view(core.record, view.number) is None:
+            yield f"{core.ident} learns view {view.number}", adopt(world, core, view)
+
+
+def leasing(world):
+    """A voter grants the tail its lease; leases and grants run out, the grant after the lease."""
+    tails = [c for c in world.cores if c.reachable and agreement.may_lead_reads(c.record, c.ident, c.incarnation)]
+    for tail, core in itertools.product(tails, world.cores):
+        used = cluster_model.spend(world, "leases")
+        if used is None or not core.reachable or core.ident in tail.supporters:
+            continue
+        answer = agreement.give_lease(core.record, core.ident, message.LeaseAsk(tail.record.view.number, tail.ident))
+        if answer.ok:
+            after = cluster_model.put(used, replace(core, holder=tail.ident))
+            tail_after = after.cores[tail.place]
+            after = cluster_model.put(
+                after, replace(tail_after, supporters=cluster_model.add(tail_after.supporters, core.ident))
+            )
+            yield f"{core.ident} grants {tail.ident} a lease", after
+    counted = set().union(*(core.supporters for core in world.cores))
+    for core in world.cores:
+        if core.supporters:
+            yield f"the lease of {core.ident} runs out", cluster_model.put(world, replace(core, supporters=()))
+        if core.holder is not None and core.ident not in counted:
+            yield f"the grant of {core.ident} runs out", cluster_model.put(world, replace(core, holder=None))
+
+
+def writing(world, setting):
+    """The head syncs a change."""
+    for core in world.cores:
+        used = cluster_model.spend(world, "changes")
+        if used is None or not core.reachable or not cluster_model.serves(core) or not agreement.is_synced(core.record):
+            continue
+        view = core.record.view
+        if view.chain[0].id == core.ident and len(view.chain) >= setting.copies:
+            entry = (view.number, core.tip[1] + 1)
+            yield (
+                f"head {core.ident} syncs change {entry}",
+                cluster_model.put(used, replace(core, log=(*core.log, entry))),
+            )
+
+
+def replicating(world):
+    """A member brings the next one up to date; that one is then synced."""
+    for core in world.cores:
+        if not core.reachable or not cluster_model.serves(core) or not agreement.is_synced(core.record):
+            continue
+        members = [member.id for member in core.record.view.chain]
+        place = members.index(core.ident) + 1
+        following = cluster_model.by_ident(world, members[place]) if place < len(members) else None
+        if following is None or not following.reachable or not cluster_model.serves(following):
+            continue
+        if following.record.view.number != core.record.view.number:
+            continue
+        record = agreement.become_synced(following.record, core.record.view.number)
+        if record is following.record and following.log == core.log:
+            continue
+        after = cluster_model.put(world, replace(following, record=record, log=core.log, stale_disk=core.stale_disk))
+        if record is not following.record and world.limits.late_refills:
+            refill = cluster_model.Refill(record.view.number, following.ident, core.log)
+            after = replace(after, refills=cluster_model.add(after.refills, refill))
+        yield f"{core.ident} brings {following.ident} up to date", after
+
+
+def refilling(world):
+    """A snapshot that was held up arrives once more."""
+    for refill in world.refills:
+        used, core = cluster_model.spend(world, "late_refills"), cluster_model.by_ident(world, refill.receiver)
+        if used is None or core is None or not core.reachable or not cluster_model.serves(core):
+            continue
+        last = refill.log[-1][1] if refill.log else 0
+        if core.record.view.number == refill.view and agreement.may_restore(core.record, core.tip[1], last):
+            after = replace(core, log=refill.log, record=agreement.become_synced(core.record, refill.view))
+            yield f"a late snapshot {refill.log} reaches {core.ident}", cluster_model.put(used, after)
+
+
+def acknowledge(world, setting):
+    """All that a synced tail holds is acknowledged at that moment."""
+    for core in world.cores:
+        if core.up and agreement.may_commit(core.record, core.ident, core.incarnation, setting.copies):
+            known = {entry for _, entry in world.acknowledged}
+            for entry in core.log:
+                if entry not in known:
+                    if core.record.promised != agreement.NO_BALLOT:
+                        raise cluster_model.Violation(
+                            f"{core.ident} acknowledges {entry} in the sealed view {core.record.view.number}"
+                        )
+                    marked = cluster_model.add(world.acknowledged, (core.record.view.number, entry))
+                    world = replace(world, acknowledged=marked)
+    return world
+
+
+def tolerated(world, core, setting):
+    """Whether one more machine may be lost."""
+    return len([c for c in world.cores if c.lost and c.place != core.place]) < setting.tolerance
+
+
+def stopped(core):
+    """A machine that went down: what was in memory is gone."""
+    return replace(core, up=False, settled=False, holder=None, supporters=(), ballot=0, proposal=None)
+
+
+def restarted(core):
+    """A machine that came back with its disk; a grant that it gave before may stand."""
+    return replace(stopped(core), up=True, boot=core.boot + 1, leaving=False, holder=agreement.UNKNOWN_HOLDER)
+
+
+def wiped(core, setting):
+    """A machine that came back with an empty disk, under a new identity."""
+    identities = core.identities + 1
+    ident = core.ident if setting.keep_identity else f"{core.ident[0]}{identities}"
+    record = agreement.Record(core.record.view) if setting.keep_identity else agreement.Record()
+    return cluster_model.Core(ident, core.place, identities, core.boot + 1, settled=False, record=record)
+
+
+def failing(world, setting):
+    """Faults within the tolerance, and what ends them."""
+    for core in world.cores:
+        may_fail = tolerated(world, core, setting)
+        if core.up:
+            if may_fail or core.leaving:
+                yield from fault(world, "crashes", f"{core.ident} goes down", stopped(core))
+            if may_fail and not core.cut:
+                yield from fault(world, "wipes", f"{core.ident} loses its disk", wiped(core, setting))
+                yield from fault(world, "cuts", f"{core.ident} is cut off", replace(core, cut=True, settled=False))
+                yield from fault(world, "leaves", f"{core.ident} leaves", replace(core, leaving=True))
+        else:
+            yield f"{core.ident} comes back", cluster_model.put(world, restarted(core))
+            yield from fault(world, "wipes", f"{core.ident} comes back empty", wiped(core, setting))
+            if core.log:
+                stale = replace(restarted(core), log=core.log[:-1], stale_disk=True)
+                yield from fault(world, "stale_disks", f"{core.ident} comes back with an older disk", stale)
+        if core.cut:
+            yield f"{core.ident} is connected again", cluster_model.put(world, replace(core, cut=False))
+        if core.reachable and not core.settled and is_in_order(world, core):
+            yield f"{core.ident} has settled", cluster_model.put(world, replace(core, settled=True))
+    yield from power_cycling(world, setting)
+
+
+def fault(world, sort, label, core):
+    """One fault, where one of its sort is left."""
+    used = cluster_model.spend(world, sort)
+    if used is not None:
+        yield label, cluster_model.put(used, core)
+
+
+def is_in_order(world, core):
+    """Whether a core is a synced member of the newest view's chain."""
+    newest = max(view.number for view in world.views)
+    return (
+        core.record.view is not None
+        and core.record.view.number == newest
+        and (cluster_model.serves(core) and agreement.is_synced(core.record))
+    )
+
+
+def power_cycling(world, setting):
+    """All machines restart at once, and as many as the tolerance allows lose their disks."""
+    used = cluster_model.spend(world, "power_cycles")
+    if used is None or any(core.lost for core in world.cores):
+        return
+    for empty in range(min(setting.tolerance, world.limits.wipes) + 1):
+        for places in itertools.combinations(range(len(world.cores)), empty):
+            cores = tuple(wiped(c, setting) if c.place in places else restarted(c) for c in world.cores)
+            limits = replace(used.limits, wipes=used.limits.wipes - empty)
+            yield f"all restart, {list(places)} empty", replace(used, cores=cores, limits=limits)
+
+
+def steps(world, setting):
+    """All transitions out of a state, as (label, next state).
+
+    >>> first = cluster_model.start(3, cluster_model.Limits(proposals=0))
+    >>> [label for label, _ in steps(first, cluster_model.Setting(1, 2))]
+    ['head a syncs change (1, 1)']
+    """
+    moves = (
+        proposing(world),
+        suspecting(world),
+        delivering(world),
+        choosing(world),
+        deciding(world),
+        learning(world),
+        leasing(world),
+        writing(world, setting),
+        replicating(world),
+        refilling(world),
+        failing(world, setting),
+    )
+    return itertools.chain(*moves)
+
+
+def tidy(world):
+    """The state without messages that no core would take any more."""
+    oldest = min((c.record.view.number for c in world.cores if c.record.view is not None), default=0)
+    requests = tuple(r for r in world.requests if number_of(r) > oldest)
+    promises = tuple(p for p in world.promises if p[0] > oldest)
+    accepted = tuple(a for a in world.accepted if a[1] > oldest)
+    return replace(world, requests=requests, promises=promises, accepted=accepted)
+
+
+def number_of(request):
+    """The number of the view that a request is about."""
+    match request:
+        case message.Prepare(number=number):
+            return number
+        case message.Accept(view=view):
+            return view.number
--- /dev/null
+++ b/bench/explore.py
@@ -0,0 +1,252 @@
+"""Search every interleaving of the view agreement, the chain and its leases, up to a stated depth.
+
+python -m bench.explore --cores 3 --depth 7
+python -m bench.explore --scenario replacement --depth 12
+
+The steps are those of `bench.cluster_steps`. States are told apart by a hash of their encoding, and each is
+searched once, in order of depth. Each is checked against the invariants, and for whether the machines that are
+reachable in it recover.
+"""
+
+import collections
+import hashlib
+import sys
+import time
+import typing
+
+import defopt
+import msgspec
+
+import bench.cluster_model as cluster_model
+import bench.cluster_steps as cluster_steps
+import iriswheel.agreement as agreement
+import iriswheel.message as message
+
+replace = msgspec.structs.replace
+
+RECOVERY_ROUNDS = 8  # views that a recovery may take before it counts as stuck
+
+
+class Scenario(typing.NamedTuple):
+    """A search that is run by name: what may happen, and how many cores."""
+
+    limits: cluster_model.Limits
+    cores: int = 3
+
+
+SCENARIOS = {
+    "ballots": Scenario(cluster_model.Limits(proposals=2, changes=0)),
+    "changes": Scenario(cluster_model.Limits(proposals=2, changes=1)),
+    "leases": Scenario(cluster_model.Limits(proposals=1, changes=0, leases=3)),
+    "crash": Scenario(cluster_model.Limits(proposals=2, changes=1, crashes=2)),
+    "replacement": Scenario(cluster_model.Limits(proposals=3, changes=1, crashes=2, wipes=2)),
+    "second_loss": Scenario(cluster_model.Limits(proposals=3, changes=1, wipes=2, cuts=1)),
+    "leave": Scenario(cluster_model.Limits(proposals=2, changes=1, crashes=1, leaves=1)),
+    "power": Scenario(cluster_model.Limits(proposals=2, changes=1, wipes=1, power_cycles=1)),
+    "late_refill": Scenario(cluster_model.Limits(proposals=1, changes=1, late_refills=1)),
+    "stale_disk": Scenario(cluster_model.Limits(proposals=1, changes=1, crashes=1, stale_disks=1)),
+    "five": Scenario(cluster_model.Limits(proposals=2, changes=1, crashes=1, wipes=2), cores=5),
+    "all": Scenario(cluster_model.Limits(2, 1, 1, 1, 1, 1, 1, 0, 2)),
+}
+
+
+class Found(typing.NamedTuple):
+    """The result of a search."""
+
+    states: int
+    depth: int
+    complete: bool  # no state was left unsearched within the limits
+    violation: str = ""
+    trace: tuple[str, ...] = ()
+
+
+def check(world):
+    """Raise Violation where a state breaks an invariant."""
+    readers = [core.ident for core in world.cores if cluster_model.has_lease(core)]
+    if len(readers) > 1:
+        raise cluster_model.Violation(f"two tails serve reads: {' '.join(readers)}")
+    for core in world.cores:
+        for view, entry in world.acknowledged:
+            if view <= core.record.whole and entry not in core.log and not core.stale_disk:
+                raise cluster_model.Violation(
+                    f"{core.ident} is synced in view {core.record.whole} without acknowledged {entry}"
+                )
+    newest = max(world.views, key=lambda view: view.number)
+    head = cluster_model.by_ident(world, newest.chain[0].id)
+    if head is not None and head.record.whole == newest.number:
+        for view, entry in world.acknowledged:
+            if view < newest.number and entry not in head.log:
+                raise cluster_model.Violation(
+                    f"head {head.ident} of view {newest.number} is without acknowledged {entry}"
+                )
+
+
+def recover(world, setting):
+    """Raise Violation unless the machines that are reachable get to a chain with all that was acknowledged.
+
+    Nothing more fails from here on: leases run out, messages arrive, proposals come one after the other.
+    """
+    cores = tuple(replace(core, holder=None, supporters=()) for core in world.cores)
+    world = replace(world, cores=cores)
+    for _ in range(RECOVERY_ROUNDS):
+        world = spread(world)
+        if is_recovered(world):
+            return
+        world = agree(world)
+    raise cluster_model.Violation("the machines that are left agree on view after view, and none holds")
+
+
+def spread(world):
+    """All reachable cores learn the newest view that one of them knows, and the chain is brought up to date."""
+    known = [c.record.view for c in world.cores if c.reachable and c.record.view is not None]
+    newest = max(known, key=lambda view: view.number)
+    for place in range(len(world.cores)):
+        if world.cores[place].reachable:
+            world = cluster_steps.adopt(world, world.cores[place], newest)
+    moved = True
+    while moved:
+        moved = False
+        for _, after in cluster_steps.replicating(world):
+            world, moved = after, True
+            break
+    check(world)
+    return world
+
+
+def is_recovered(world):
+    """Whether all reachable cores that stay are synced members of one chain of nobody else."""
+    view = next(core.record.view for core in world.cores if core.reachable and core.record.view is not None)
+    view = max(
+        (c.record.view for c in world.cores if c.reachable and c.record.view), key=lambda v: v.number, default=view
+    )
+    members = {(member.id, member.boot) for member in view.chain}
+    if members != set(cluster_model.live(world).items()):
+        return False
+    return all(
+        cluster_model.serves(core) and agreement.is_synced(core.record)
+        for core in world.cores
+        if (core.ident, core.incarnation) in members
+    )
+
+
+def agree(world):
+    """One undisturbed proposal by the first reachable voter of the newest view."""
+    known = [c for c in world.cores if c.reachable and agreement.is_voter(c.record, c.ident)]
+    if not known:
+        raise cluster_model.Violation("no voter is left")
+    proposer = max(known, key=lambda core: core.record.view.number)
+    old, seats = proposer.record.view, cluster_model.wanted_seats(world, proposer)
+    ballot = (max(core.record.promised[0] for core in known) + 1, proposer.ident)
+    before = world
+    request = message.Prepare(old.number + 1, ballot, proposer.ident)
+    for place in range(len(world.cores)):
+        if world.cores[place].reachable:
+            world = cluster_steps.receive_prepare(world, world.cores[place], request)
+    given = [answer for number, answer in world.promises if answer.ballot == ballot and number == request.number]
+    given = [answer for answer in given if (request.number, answer) not in before.promises]
+    if len(given) < agreement.majority(len(old.seats)):
+        raise cluster_model.Violation(f"no majority is left of view {old.number}: {cluster_model.names(old)}")
+    view = agreement.next_view(
+        old, {answer.id: answer for answer in given}, seats, cluster_model.live(world), cluster_model.departing(world)
+    )
+    if view is None:
+        raise cluster_model.Violation(
+            f"no synced copy is left that could lead after view {old.number}: {cluster_model.names(old)}"
+        )
+    return cluster_steps.adopt(world, cluster_model.by_ident(world, proposer.ident), view)
+
+
+def key(world):
+    """A hash that tells states apart."""
+    return hashlib.blake2b(msgspec.msgpack.encode(world), digest_size=12).digest()
+
+
+def recovery_key(world):
+    """A hash of what a recovery depends on."""
+    kept = [replace(c, holder=None, supporters=(), ballot=0, proposal=None, settled=True) for c in world.cores]
+    return hashlib.blake2b(msgspec.msgpack.encode([kept, world.views, world.acknowledged]), digest_size=12).digest()
+
+
+def search(cores, limits, depth, *, most_states=10**9, keep_identity=False, recovery=True, first=None):
+    """Search all states within the limits up to a depth, the shallowest first.
+
+    `recovery` says whether each state is also checked for a way on; `first` is where to begin, if not at view 1.
+
+    >>> search(3, cluster_model.Limits(proposals=0, changes=1), 9).complete
+    True
+    """
+    tolerance = (cores - 1) // 2
+    setting = cluster_model.Setting(tolerance, tolerance + 1, keep_identity)
+    first = first or cluster_model.start(cores, limits)
+    origin = {key(first): (b"", "")}
+    recovered = set()
+    queue = collections.deque([(first, 0)])
+    level = 0
+    complete = True
+    while queue:
+        world, level = queue.popleft()
+        if level == depth or len(origin) >= most_states:
+            complete = False
+            break
+        here = key(world)
+        label = ""
+        try:
+            for label, after in cluster_steps.steps(world, setting):
+                after = cluster_steps.tidy(cluster_steps.acknowledge(after, setting))
+                mark = key(after)
+                if mark in origin:
+                    continue
+                origin[mark] = (here, label)
+                label = ""
+                check(after)
+                if recovery:
+                    recover_once(after, setting, recovered)
+                queue.append((after, level + 1))
+        except cluster_model.Violation as violation:
+            trace = path(origin, here if label else mark)
+            return Found(len(origin), level + 1, False, str(violation), (*trace, *([label] if label else [])))
+    return Found(len(origin), level, complete)
+
+
+def recover_once(world, setting, recovered):
+    """Check that the reachable machines recover from a state, where that is not known yet."""
+    mark = recovery_key(world)
+    if mark not in recovered:
+        recovered.add(mark)
+        recover(world, setting)
+
+
+def path(origin, mark):
+    """The labels of the steps that lead to a state."""
+    labels = []
+    while origin[mark][1]:
+        mark, label = origin[mark]
+        labels.append(label)
+    return tuple(reversed(labels))
+
+
+def main(*, scenario: str = "all", cores: int = 0, depth: int = 7, most_states: int = 10**9):
+    """Search a scenario and print the states explored; exits 1 with the steps that break an invariant.
+
+    :param scenario: which events may happen, by name
+    :param cores: how many cores; the scenario's own number where 0
+    :param depth: how many steps
+    :param most_states: stop after so many states
+    """
+    if scenario not in SCENARIOS:
+        print(f"explore: there is no such scenario; there are {' '.join(SCENARIOS)}", file=sys.stderr)
+        sys.exit(2)
+    chosen = SCENARIOS[scenario]
+    began = time.monotonic()
+    found = search(cores or chosen.cores, chosen.limits, depth, most_states=most_states)
+    scope = "all states within the limits" if found.complete else f"depth {found.depth} reached"
+    print(
+        f"{scenario}, {cores or chosen.cores} cores: {found.states} states, {scope}, {time.monotonic() - began:.0f} s"
+    )
+    if found.violation:
+        print(f"broken: {found.violation}", *found.trace, sep="\n  ")
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/tests/test_explore.py
@@ -0,0 +1,120 @@
+"""The view agreement searched state by state: nothing breaks as it stands, and each guard taken out is noticed."""
+
+import unittest.mock as mock
+
+import msgspec
+import testtools
+
+import bench.cluster_model as cluster_model
+import bench.explore as explore
+import iriswheel.agreement as agreement
+import iriswheel.message as message
+
+STATES = 4_000  # of each search without a fault, so that the whole file stays quick
+GUARD_STATES = 60_000
+
+
+def any_ballot(record, replica, holder, prepare, promise=agreement.promise):
+    """Promise without a look at the ballot promised before."""
+    return promise(msgspec.structs.replace(record, promised=agreement.NO_BALLOT), replica, holder, prepare)
+
+
+def unsynced_order(view, promises, alive):
+    """Order the chain by name, whoever is synced."""
+    return [message.ChainLink(ident, alive[ident]) for ident in sorted(alive, reverse=True)]
+
+
+def order_without_tips(view, promises, alive, order=agreement.order):
+    """Order the chain without a look at the last log entries."""
+    promises = {ident: msgspec.structs.replace(answer, tip=(0, 0)) for ident, answer in promises.items()}
+    return order(view, promises, alive)
+
+
+def no_hand_over(view, promises, seats, alive, leaving, next_view=agreement.next_view):
+    """Never let a leaving machine lead."""
+    return next_view(view, promises, seats, alive, {})
+
+
+def two_views(limits):
+    """A state in which `a` and `b` have gone on to a chain of their own, and `b` is not synced in it yet."""
+    world = cluster_model.start(3, limits)
+    a, b, c = world.cores
+    agreed = message.View(2, a.record.view.seats, a.record.view.chain[:2])
+    a = msgspec.structs.replace(a, record=agreement.Record(agreed, whole=2))
+    b = msgspec.structs.replace(b, record=agreement.Record(agreed, whole=1))
+    return msgspec.structs.replace(world, cores=(a, b, c), views=(*world.views, agreed))
+
+
+class Search(testtools.TestCase):
+    def search(self, limits, depth=30, cores=3, states=STATES, **more):
+        return explore.search(cores, limits, depth, most_states=states, **more)
+
+    def breaks(self, guard, limits, words, **more):
+        name, replacement = guard
+        with mock.patch.object(agreement, name, replacement):
+            found = self.search(limits, states=GUARD_STATES, **more)
+        self.assertIn(words, found.violation)
+
+    def test_nothing_breaks_in_any_scenario(self):
+        for name, scenario in explore.SCENARIOS.items():
+            found = self.search(scenario.limits, cores=scenario.cores, states=800)
+            self.assertEqual(("", ()), (found.violation, found.trace), name)
+
+    def test_a_small_scenario_is_searched_to_its_end(self):
+        found = self.search(cluster_model.Limits(proposals=1, changes=1))
+        self.assertEqual((True, ""), (found.complete, found.violation))
+
+    def test_the_leaving_machine_with_the_only_synced_copy_hands_over(self):
+        limits = cluster_model.Limits(proposals=1, changes=0, crashes=1, leaves=1)
+        self.assertEqual("", self.search(limits).violation)
+        self.breaks(("next_view", no_hand_over), limits, "no synced copy is left")
+
+    def test_two_views_in_a_row_and_the_loss_of_their_head_leave_a_copy_that_may_lead(self):
+        limits = cluster_model.Limits(proposals=1, changes=0, crashes=1)
+        first = two_views(limits)
+        self.assertEqual("", self.search(limits, first=first).violation)
+        guard = ("complete_through", lambda record, ident: record.whole)
+        self.breaks(guard, limits, "no synced copy is left", first=first)
+
+    def test_a_machine_outside_the_chain_does_not_count_as_complete(self):
+        limits = cluster_model.Limits(proposals=1, changes=1)
+        guard = ("complete_through", lambda record, ident: record.view.number)
+        self.breaks(guard, limits, "without acknowledged", first=two_views(limits))
+
+    def test_without_the_ballot_check_two_views_have_one_number(self):
+        self.breaks(
+            ("promise", any_ballot), cluster_model.Limits(proposals=2, changes=0), "two views 2", recovery=False
+        )
+
+    def test_without_synced_leaders_acknowledged_changes_are_lost(self):
+        limits = cluster_model.Limits(proposals=1, changes=1, wipes=1)
+        self.breaks(("order", unsynced_order), limits, "without acknowledged")
+
+    def test_without_the_wait_for_grants_two_tails_serve_reads(self):
+        limits = cluster_model.Limits(proposals=1, changes=0, leases=4)
+        self.breaks(("is_lease_of_another", lambda holder, sender: False), limits, "two tails", recovery=False)
+
+    def test_without_the_seal_a_sealed_view_acknowledges(self):
+        limits = cluster_model.Limits(proposals=1, changes=1)
+        self.breaks(("is_sealed", lambda record: False), limits, "in the sealed view")
+
+    def test_without_the_seal_two_tails_serve_reads(self):
+        limits = cluster_model.Limits(proposals=1, changes=0, leases=4)
+        self.breaks(("is_sealed", lambda record: False), limits, "two tails", recovery=False)
+
+    def test_without_the_order_by_last_entry_an_older_disk_leads(self):
+        limits = cluster_model.Limits(proposals=1, changes=1, crashes=1, stale_disks=1)
+        self.breaks(("order", order_without_tips), limits, "without acknowledged")
+
+    def test_without_the_look_at_its_place_an_old_snapshot_takes_back_acknowledged_changes(self):
+        limits = cluster_model.Limits(proposals=1, changes=1, late_refills=1)
+        self.breaks(("may_restore", lambda record, here, there: True), limits, "without acknowledged", recovery=False)
+
+    def test_a_wiped_voter_under_its_old_name_breaks_the_agreement(self):
+        found = self.search(
+            cluster_model.Limits(proposals=2, changes=0, wipes=1),
+            states=GUARD_STATES,
+            keep_identity=True,
+            recovery=False,
+        )
+        self.assertIn("two views", found.violation)
