--- a/bench/cluster_model.py
+++ b/bench/cluster_model.py
@@ -13,7 +13,7 @@
 replace = msgspec.structs.replace
 
 
-class Violation(Exception):
+class ViolationError(Exception):
     """A state that breaks an invariant."""
 
 
--- a/bench/cluster_steps.py
+++ b/bench/cluster_steps.py
@@ -40,14 +40,14 @@
 
 
 def check_chosen(world, old, request):
-    """Raise Violation where a majority accepted a view, and another majority accepted another of this number."""
+    """Raise ViolationError where a majority accepted a view, and another majority accepted another of this number."""
     number = request.view.number
     if not is_chosen(world, old, request.ballot):
         return
     rivals = [r.view for r in world.requests if isinstance(r, message.Accept) and is_chosen(world, old, r.ballot)]
     for other in (*rivals, *world.views):
         if other.number == number and other != request.view:
-            raise cluster_model.Violation(
+            raise cluster_model.ViolationError(
                 f"two views {number}: {cluster_model.names(other)} and {cluster_model.names(request.view)}"
             )
 
@@ -62,7 +62,7 @@
     """One core takes a view that was agreed; two views under one number break an invariant."""
     for other in world.views:
         if other.number == view.number and other != view:
-            raise cluster_model.Violation(
+            raise cluster_model.ViolationError(
                 f"two views {view.number}: {cluster_model.names(other)} and {cluster_model.names(view)}"
             )
     record = agreement.adopt(core.record, core.ident, view)
@@ -248,7 +248,7 @@
             for entry in core.log:
                 if entry not in known:
                     if core.record.promised != agreement.NO_BALLOT:
-                        raise cluster_model.Violation(
+                        raise cluster_model.ViolationError(
                             f"{core.ident} acknowledges {entry} in the sealed view {core.record.view.number}"
                         )
                     marked = cluster_model.add(world.acknowledged, (core.record.view.number, entry))
--- a/bench/explore.py
+++ b/bench/explore.py
@@ -61,14 +61,14 @@
 
 
 def check(world):
-    """Raise Violation where a state breaks an invariant."""
+    """Raise ViolationError where a state breaks an invariant."""
     readers = [core.ident for core in world.cores if cluster_model.has_lease(core)]
     if len(readers) > 1:
-        raise cluster_model.Violation(f"two tails serve reads: {' '.join(readers)}")
+        raise cluster_model.ViolationError(f"two tails serve reads: {' '.join(readers)}")
     for core in world.cores:
         for view, entry in world.acknowledged:
             if view <= core.record.whole and entry not in core.log and not core.stale_disk:
-                raise cluster_model.Violation(
+                raise cluster_model.ViolationError(
                     f"{core.ident} is synced in view {core.record.whole} without acknowledged {entry}"
                 )
     newest = max(world.views, key=lambda view: view.number)
@@ -76,13 +76,13 @@
     if head is not None and head.record.whole == newest.number:
         for view, entry in world.acknowledged:
             if view < newest.number and entry not in head.log:
-                raise cluster_model.Violation(
+                raise cluster_model.ViolationError(
                     f"head {head.ident} of view {newest.number} is without acknowledged {entry}"
                 )
 
 
 def recover(world, setting):
-    """Raise Violation unless the machines that are reachable get to a chain with all that was acknowledged.
+    """Raise ViolationError unless the machines that are reachable get to a chain with all that was acknowledged.
 
     Nothing more fails from here on: leases run out, messages arrive, proposals come one after the other.
     """
@@ -93,7 +93,7 @@
         if is_recovered(world):
             return
         world = agree(world)
-    raise cluster_model.Violation("the machines that are left agree on view after view, and none holds")
+    raise cluster_model.ViolationError("the machines that are left agree on view after view, and none holds")
 
 
 def spread(world):
@@ -133,7 +133,7 @@
     """One undisturbed proposal by the first reachable voter of the newest view."""
     known = [c for c in world.cores if c.reachable and agreement.is_voter(c.record, c.ident)]
     if not known:
-        raise cluster_model.Violation("no voter is left")
+        raise cluster_model.ViolationError("no voter is left")
     proposer = max(known, key=lambda core: core.record.view.number)
     old, seats = proposer.record.view, cluster_model.wanted_seats(world, proposer)
     ballot = (max(core.record.promised[0] for core in known) + 1, proposer.ident)
@@ -145,12 +145,12 @@
     given = [answer for number, answer in world.promises if answer.ballot == ballot and number == request.number]
     given = [answer for answer in given if (request.number, answer) not in before.promises]
     if len(given) < agreement.majority(len(old.seats)):
-        raise cluster_model.Violation(f"no majority is left of view {old.number}: {cluster_model.names(old)}")
+        raise cluster_model.ViolationError(f"no majority is left of view {old.number}: {cluster_model.names(old)}")
     view = agreement.next_view(
         old, {answer.id: answer for answer in given}, seats, cluster_model.live(world), cluster_model.departing(world)
     )
     if view is None:
-        raise cluster_model.Violation(
+        raise cluster_model.ViolationError(
             f"no synced copy is left that could lead after view {old.number}: {cluster_model.names(old)}"
         )
     return cluster_steps.adopt(world, cluster_model.by_ident(world, proposer.ident), view)
@@ -202,7 +202,7 @@
                 if recovery:
                     recover_once(after, setting, recovered)
                 queue.append((after, level + 1))
-        except cluster_model.Violation as violation:
+        except cluster_model.ViolationError as violation:
             trace = path(origin, here if label else mark)
             return Found(len(origin), level + 1, False, str(violation), (*trace, *([label] if label else [])))
     return Found(len(origin), level, complete)
--- a/iriswheel/view.py
+++ b/iriswheel/view.py
@@ -25,6 +25,7 @@
 RANK_US = 300 * machine.MILLI
 REPLACE_US = 1_500 * machine.MILLI  # a newcomer takes the seat of one that is silent for so long
 CALL_US = 1 * machine.SECOND
+SILENT_CALL_US = 150 * machine.MILLI  # for a machine that has not been heard for DEAD_US: nobody waits for it
 
 log = loguru.logger.bind(part="view")
 
@@ -51,6 +52,7 @@
         self.began = mach.now()
         self.grant = (agreement.UNKNOWN_HOLDER, mach.now() + LEASE_US)  # after a restart, an old grant may stand
         self.lease = 0
+        self.predecessors = None  # the chain before the newest view's, as (core id, incarnation); None: not known here
         self.pulses = {}  # id -> (heard, Pulse)
         self.size = max(size, len(self.founders))
         self.copies = copies
@@ -252,10 +254,11 @@
         """
         await self.lock.acquire()
         try:
-            before = self.record
+            before, predecessors = self.record, self._chain_before(view)
             self.record = agreement.adopt(before, self.me.id, view)
             if self.record is before:
                 return
+            self.predecessors = predecessors
             self.lease = 0
             self.wanted_since = None
             try:
@@ -267,6 +270,13 @@
             self.lock.release()
         log.info("View {}: {}.", view.number, " ".join(link.id for link in view.chain))
 
+    def _chain_before(self, view):
+        if view.number == 1:
+            return []
+        if self.view is None or self.view.number + 1 != view.number:
+            return None
+        return [(replica.id, replica.boot) for replica in self.view.chain]
+
     async def grow_whole(self, number):
         """Note, synced, that this copy is whole in a view.
 
@@ -401,44 +411,37 @@
     async def ask_all(self, seats, msg, us, enough=None):
         """Put a message to all seats, this one included; None where no answer came.
 
-        Machines that have been silent for long are asked, but not waited for; nor is anybody once `enough`
+        Machines that have been silent for long have SILENT_CALL_US; nobody is waited for any more once `enough`
         answers are positive.
 
         Example: `res = await council.ask_all(view.seats, msg, us)`
         """
         answers = {}
         complete = defer.Deferred()
-        awaited = self.heard_lately()
 
         def note(answer, ident):
             answers[ident] = None if isinstance(answer, failure.Failure) else answer
             positive = len([a for a in answers.values() if a is not None and a.ok])
-            missing = [s for s in seats if s.id in awaited and s.id not in answers]
-            if not complete.called and (not missing or (enough is not None and positive >= enough)):
+            done = len(answers) == len(seats) or (enough is not None and positive >= enough)
+            if done and not complete.called:
                 complete.callback(None)
 
+        alive = self.alive()
         for seat in seats:
-            defer.ensureDeferred(self.ask(seat, msg, us)).addBoth(note, seat.id)
-        if not complete.called:
-            await complete
+            patience = us if seat.id in alive else min(us, SILENT_CALL_US)
+            defer.ensureDeferred(self.ask(seat, msg, patience)).addBoth(note, seat.id)
+        await complete
         return {seat.id: answers.get(seat.id) for seat in seats}
 
     async def ask(self, seat, msg, us):
         """Put a message to one machine, this one or another.
 
-        Example: `answer = await council.ask(view.seats[0], msg, us)`
+        Example: `answer = await council.ask(view.seats[0], msg, view.CALL_US)`
         """
         if seat.id == self.me.id:
             return await self.answer(msg)
-        return await self.neighbours.call(seat.host, seat.port, msg, us)
-
-    def heard_lately(self):
-        """This machine, and those that it has had a heartbeat from lately.
-
-        Example: `"c0ffee" in council.heard_lately()`
-        """
-        now = self.mach.now()
-        return {ident for ident, (heard, _) in self.pulses.items() if now - heard < DEAD_US} | {self.me.id}
+        call = defer.ensureDeferred(self.neighbours.call(seat.host, seat.port, msg, us))
+        return await self.mach.within(call, us)
 
     async def mend(self):
         """Watch the chain, and propose a better view where one is due.
