--- a/iriswheel/chain.py
+++ b/iriswheel/chain.py
@@ -7,6 +7,7 @@
 import msgspec
 import twisted.internet.defer as defer
 
+import iriswheel.agreement as agreement
 import iriswheel.blueprint as blueprint
 import iriswheel.machine as machine
 import iriswheel.message as message
@@ -605,7 +606,8 @@
 
         Example: `fits = await chain.restore(raw, Ledger.thaw(raw), entries)`
         """
-        if self.whole() or not transfer.follow(ledger.n, entries):
+        may_restore = agreement.may_restore(self.council.record, self.synced, ledger.n)
+        if not may_restore or not transfer.follow(ledger.n, entries):
             return False
         puts = [(entry_key(k), None) for k in self.log]
         puts += [(b"frame", snapshot)] + [(entry_key(e.n), pack(e)) for e in entries]
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -8,6 +8,7 @@
 import twisted.internet.defer as defer
 import twisted.python.failure as failure
 
+import iriswheel.agreement as agreement
 import iriswheel.blueprint as blueprint
 import iriswheel.chain as chain
 import iriswheel.lease as lease
@@ -255,7 +256,11 @@
         elif int(state.get(b"format", b"0")) < FORMAT:
             disk.write([(b"format", b"%d" % FORMAT)])
         me = message.Seat(state[b"identity"].decode(), options.host, options.port, options.zone)
-        record = msgspec.msgpack.decode(state[b"council"], type=view.Record) if b"council" in state else view.Record()
+        record = (
+            msgspec.msgpack.decode(state[b"council"], type=agreement.Record)
+            if b"council" in state
+            else agreement.Record()
+        )
         self.neighbours = wire.Neighbours(mach, self.serve, log)
         self.chain = chain.Chain(mach, self.disk, state, self.neighbours)
         self.council = view.Council(
@@ -1055,8 +1060,8 @@
     async def stop(self):
         """Send the nodes elsewhere, let the others agree on a chain without this machine, finish.
 
-        Where they can't go on without this machine it stays as long as it is let: the whole grace, at whose
-        end the platform kills it.
+        The only synced copy stays until another is up to date, or until the process is killed. A voter without
+        whom the others can't go on stays for the whole grace, at whose end the platform kills it.
 
         Example: `await core.stop()`
         """
@@ -1065,6 +1070,6 @@
         self.council.leave()
         until = self.mach.now() + self.options.grace_us
         await self.mach.sleep(100 * machine.MILLI)
-        while self.council.needed() and self.mach.now() < until:
+        while self.council.holds_only_copy() or (self.council.needed() and self.mach.now() < until):
             self.council.pulse_now.wake()
             await self.mach.sleep(50 * machine.MILLI)
--- a/iriswheel/view.py
+++ b/iriswheel/view.py
@@ -9,7 +9,9 @@
 import loguru
 import msgspec
 import twisted.internet.defer as defer
+import twisted.python.failure as failure
 
+import iriswheel.agreement as agreement
 import iriswheel.machine as machine
 import iriswheel.message as message
 import iriswheel.store as store
@@ -28,65 +30,6 @@
 log = loguru.logger.bind(part="view")
 
 
-class Record(msgspec.Struct, array_like=True):
-    """What an acceptor keeps on disk."""
-
-    view: message.View | None = None
-    promised: tuple[int, str] = (0, "")
-    accepted: tuple[tuple[int, str], message.View] | None = None
-    whole: int = 0
-
-
-def majority(n):
-    """How many of n make a majority.
-
-    >>> majority(3), majority(4)
-    (2, 3)
-    """
-    return n // 2 + 1
-
-
-def order(view, promises, alive):
-    """The chain that view.number + 1 should have, or None where no copy can be trusted.
-
-    Links that were whole in the view come first, in their old order: each of them
-    holds all that was acknowledged. Where none of the old links that answer was whole,
-    nothing was acknowledged in the view, and one that was whole in the view before leads.
-
-    A link that was whole but can't go on (its disk is bad, or it leaves) still shows that
-    something may have been acknowledged: where it is the only whole one, there is no chain
-    without it.
-
-    A link holds all that those behind it hold. One that holds less came back with an older
-    disk, and counts as a newcomer.
-
-    >>> a, b, c = [message.ChainLink(i, "x") for i in "abc"]
-    >>> v = message.View(4, [], [a, b, c])
-    >>> said = {i: message.Promise(True, (1, "b"), None, None, i, "x", w, True)
-    ...         for i, w in (("b", 4), ("c", 4))}
-    >>> [l.id for l in order(v, said, {"b": "x", "c": "y", "d": "z"})]
-    ['b', 'c', 'd']
-    >>> order(v, {"d": said["b"]}, {"d": "z"}) is None
-    True
-    >>> said["c"] = message.Promise(True, (1, "b"), None, None, "c", "x", 4, True, (4, 17))
-    >>> [l.id for l in order(v, said, {"b": "x", "c": "y"})]
-    ['c', 'b']
-    """
-    old = [link.id for link in view.chain]
-    able = [i for i in old if i in promises and i in alive]
-    lead = [i for i in able if promises[i].whole == view.number]
-    lead = [i for k, i in enumerate(lead) if all(promises[j].tip <= promises[i].tip for j in lead[k + 1 :])]
-    if not lead:
-        answered = [promises[i].whole for i in old if i in promises]
-        if not answered or view.number in answered:
-            return None
-        lead = [i for i in sorted(promises) if promises[i].whole == view.number - 1 and i in alive][:1]
-    if not lead:
-        return None
-    rest = [i for i in able if i not in lead] + [i for i in sorted(alive) if i not in old and i not in lead]
-    return [message.ChainLink(i, alive[i]) for i in lead + rest]
-
-
 class Council:
     """One core machine's part in agreeing on views.
 
@@ -107,7 +50,7 @@
         self.tip = lambda: (0, 0)  # the newest entry here: the view it was made in, its number
         self.lock = defer.DeferredLock()
         self.began = mach.now()
-        self.grant = ("", mach.now() + LEASE_US)  # after a restart, an old grant may stand
+        self.grant = (agreement.UNKNOWN_HOLDER, mach.now() + LEASE_US)  # after a restart, an old grant may stand
         self.lease = 0
         self.predecessors = None  # the chain before the newest view's, as (core id, incarnation); None: not known here
         self.pulses = {}  # id -> (heard, Pulse)
@@ -134,38 +77,44 @@
 
         Example: `if council.sealed(): refuse()`
         """
-        return self.record.promised != (0, "")
+        return agreement.is_sealed(self.record)
 
     def voter(self):
         """Whether this machine votes in the newest view.
 
         Example: `council.voter()`
         """
-        return self.view is not None and any(s.id == self.me.id for s in self.view.seats)
+        return agreement.is_voter(self.record, self.me.id)
 
     def serving(self, number=None):
         """Whether this life of this machine is a link of the (numbered) view, unsealed.
 
         Example: `council.serving(3)`
         """
-        v = self.view
-        if v is None or self.sealed() or (number is not None and number != v.number):
+        if number is not None and (self.view is None or number != self.view.number):
             return False
-        return message.ChainLink(self.me.id, self.mach.boot) in v.chain
+        return agreement.is_serving(self.record, self.me.id, self.mach.boot)
 
     def tail(self):
         """Whether this machine is the tail of the newest view.
 
         Example: `council.tail()`
         """
-        return self.serving() and self.view.chain[-1].id == self.me.id
+        return agreement.is_tail(self.record, self.me.id, self.mach.boot)
 
     def leased(self):
         """Whether this machine is the tail and holds the lease at this very moment.
 
         Example: `if council.leased(): answer()`
         """
-        return self.tail() and self.record.whole == self.view.number and self.mach.now() < self.lease
+        return self.may_lead_reads() and self.mach.now() < self.lease
+
+    def may_lead_reads(self):
+        """Whether this machine is the synced tail, which may ask for the read lease.
+
+        Example: `if council.may_lead_reads(): ask_for_lease()`
+        """
+        return agreement.may_lead_reads(self.record, self.me.id, self.mach.boot)
 
     def pulse(self):
         """This core's own sign of life.
@@ -213,13 +162,34 @@
         voters = [p for p in pulses if any(s.id == p.id for s in self.view.seats)]
         stay = [p for p in voters if not p.leaving]
         whole = [p for p in stay if p.whole == self.view.number]
-        enough = majority(len(self.view.seats))
+        enough = agreement.majority(len(self.view.seats))
         for p in voters:
             link = message.ChainLink(p.id, p.boot) in self.view.chain
             if len(stay) < enough or (link and len(whole) < enough):
                 out[p.id] = p.boot
         return out
 
+    def departing(self):
+        """The cores that live and leave, and whose disk works, with their boots.
+
+        Example: `council.departing()["c0ffee"]`
+        """
+        now = self.mach.now()
+        heartbeats = [p for heard, p in self.pulses.values() if now - heard < DEAD_US]
+        out = {p.id: p.boot for p in heartbeats if p.disk_ok and p.leaving}
+        if self.disk.ok and self.leaving:
+            out[self.me.id] = self.mach.boot
+        return out
+
+    def known_synced(self):
+        """The cores that are synced in the present view, as far as this one has heard.
+
+        Example: `"c0ffee" in council.known_synced()`
+        """
+        number = self.view.number
+        out = {ident for ident, (_, p) in self.pulses.items() if p.whole == number}
+        return out | {self.me.id} if agreement.is_synced(self.record) else out
+
     # ---- answers to other cores ----------------------------------------------
 
     async def answer(self, msg):
@@ -252,22 +222,12 @@
         elif self.view is None or p.view.number > self.view.number:
             self.mach.spawn(self.adopt(p.view), log)
 
-    def _newer(self, number):
-        return self.view if self.view is not None and self.view.number >= number else None
+    def _replica(self):
+        return agreement.Replica(self.me.id, self.mach.boot, self.disk.ok, self.tip())
 
-    def _refuse(self, number):
-        r = self.record
-        return message.Promise(
-            False, r.promised, None, self._newer(number), self.me.id, self.mach.boot, r.whole, self.disk.ok
-        )
-
-    def _votes(self, number, sender):
-        return (
-            self.view is not None
-            and self.view.number + 1 == number
-            and self.voter()
-            and any(s.id == sender for s in self.view.seats)
-        )
+    def _lease_holder(self):
+        holder, until = self.grant
+        return holder if self.mach.now() < until else None
 
     async def promise(self, m):
         """Answer a Prepare.
@@ -276,22 +236,17 @@
         """
         await self.lock.acquire()
         try:
-            holder, until = self.grant
-            r = self.record
-            if not self._votes(m.number, m.sender) or m.ballot <= r.promised:
-                return self._refuse(m.number)
-            if self.mach.now() < until and holder != m.sender:
-                return self._refuse(m.number)
-            before, r.promised = r.promised, m.ballot  # seals the view here while the write is under way
+            record, answer = agreement.promise(self.record, self._replica(), self._lease_holder(), m)
+            if not answer.ok:
+                return answer
+            before, self.record = self.record, record  # seals the view here while the write is under way
             self.lease = 0
             try:
                 await self._sync()
             except store.DiskDefect:
-                r.promised = before
-                return self._refuse(m.number)
-            return message.Promise(
-                True, m.ballot, r.accepted, None, self.me.id, self.mach.boot, r.whole, self.disk.ok, self.tip()
-            )
+                self.record = before
+                return agreement.refuse_promise(before, self._replica(), m.number)
+            return answer
         finally:
             self.lock.release()
 
@@ -302,17 +257,16 @@
         """
         await self.lock.acquire()
         try:
-            r = self.record
-            if not self._votes(m.view.number, m.sender) or m.ballot < r.promised:
-                return message.Accepted(False, self._newer(m.view.number))
-            before = r.promised, r.accepted
-            r.promised, r.accepted = m.ballot, (m.ballot, m.view)
+            record, answer = agreement.accept(self.record, self.me.id, m)
+            if not answer.ok:
+                return answer
+            before, self.record = self.record, record
             try:
                 await self._sync()
             except store.DiskDefect:
-                r.promised, r.accepted = before
+                self.record = before
                 return message.Accepted(False, None)
-            return message.Accepted(True, None)
+            return answer
         finally:
             self.lock.release()
 
@@ -323,18 +277,18 @@
         """
         await self.lock.acquire()
         try:
-            r = self.record
-            if r.view is not None and r.view.number >= view.number:
+            before, predecessors = self.record, self._chain_before(view)
+            adopted = agreement.adopt(before, self.me.id, view)
+            if adopted is before:
                 return
-            self.predecessors = self._chain_before(view)
-            r.view, r.promised, r.accepted = view, (0, ""), None
+            self.record = msgspec.structs.replace(adopted, whole=before.whole)
+            self.predecessors = predecessors
             self.lease = 0
             self.wanted_since = None
-            leads = view.chain[0].id == self.me.id
             try:
-                await self._sync(view.number if leads else r.whole)
+                await self._sync(adopted.whole)
             except store.DiskDefect:  # a view that was agreed may be known without the disk; being whole in it may not
-                if leads:
+                if view.chain[0].id == self.me.id:
                     self.mach.spawn(self.lead_later(view), log)
             self.on_view(view)
         finally:
@@ -369,9 +323,9 @@
         """
         await self.lock.acquire()
         try:
-            if self.view.number != number or self.sealed() or self.record.whole >= number:
-                return
-            await self._sync(number)
+            synced = agreement.become_synced(self.record, number)
+            if synced is not self.record:
+                await self._sync(synced.whole)
         finally:
             self.lock.release()
 
@@ -379,18 +333,17 @@
         """Write the record; `whole` counts here only once it is on the disk."""
         record = self.record if whole is None else msgspec.structs.replace(self.record, whole=whole)
         await self.disk.commit([(b"council", msgspec.msgpack.encode(record))])
-        self.record.whole = record.whole
+        self.record = msgspec.structs.replace(self.record, whole=record.whole)
 
     def give(self, m):
         """Answer a LeaseAsk.
 
         Example: `council.give(message.LeaseAsk(3, "c0ffee"))`
         """
-        v = self.view
-        ok = v is not None and v.number == m.view and not self.sealed() and self.voter() and v.chain[-1].id == m.tail
-        if ok:
+        answer = agreement.give_lease(self.record, self.me.id, m)
+        if answer.ok:
             self.grant = (m.tail, self.mach.now() + LEASE_US)
-        return message.LeaseGiven(ok, self._newer(m.view + 1))
+        return answer
 
     # ---- tasks ----------------------------------------------------------------
 
@@ -435,7 +388,18 @@
             return False
         links, alive = {link.id for link in v.chain}, self.alive()
         whole = [p for p in others if p.id in links and p.whole == v.number and p.id in alive]
-        return in_chain or len(whole) < majority(len(v.seats))
+        return in_chain or len(whole) < agreement.majority(len(v.seats))
+
+    def holds_only_copy(self):
+        """Whether others go on, and none of them is known to hold what this machine's copy holds.
+
+        Example: `while council.holds_only_copy(): await mach.sleep(50_000)`
+        """
+        if not agreement.is_synced(self.record):
+            return False
+        others = set(self.alive()) - {self.me.id}
+        members = {member.id for member in self.view.chain}
+        return bool(others) and not others & members & self.known_synced()
 
     def learn_seeds(self, seeds):
         """Look for core machines at further addresses; nobody founds a fleet by them.
@@ -473,32 +437,52 @@
         Example: `mach.spawn(council.renew())`
         """
         while True:
-            if self.tail() and self.record.whole == self.view.number and self.disk.ok:
+            if self.may_lead_reads() and self.disk.ok:
                 asked = self.mach.now()
                 number = self.view.number
-                res = await self.ask_all(self.view.seats, message.LeaseAsk(number, self.me.id), 500 * machine.MILLI)
+                quorum = agreement.majority(len(self.view.seats))
+                res = await self.ask_all(
+                    self.view.seats, message.LeaseAsk(number, self.me.id), 500 * machine.MILLI, enough=quorum
+                )
                 given = [a for a in res.values() if a is not None and a.ok]
-                if len(given) >= majority(len(self.view.seats)) and self.serving(number) and self.disk.ok:
+                if len(given) >= quorum and self.serving(number) and self.disk.ok:
                     self.lease = max(self.lease, asked + LEASE_US - DRIFT_US)
             await self.mach.sleep(RENEW_US)
 
-    async def ask_all(self, seats, msg, us):
+    async def ask_all(self, seats, msg, us, enough=None):
         """Put a message to all seats, this one included; None where no answer came.
 
+        Machines that have been silent for long have SILENT_CALL_US; nobody is waited for any more once `enough`
+        answers are positive.
+
         Example: `res = await council.ask_all(view.seats, msg, us)`
         """
+        answers = {}
+        complete = defer.Deferred()
+
+        def note(answer, ident):
+            answers[ident] = None if isinstance(answer, failure.Failure) else answer
+            positive = len([a for a in answers.values() if a is not None and a.ok])
+            done = len(answers) == len(seats) or (enough is not None and positive >= enough)
+            if done and not complete.called:
+                complete.callback(None)
+
         alive = self.alive()
+        for seat in seats:
+            patience = us if seat.id in alive else min(us, SILENT_CALL_US)
+            defer.ensureDeferred(self.ask(seat, msg, patience)).addBoth(note, seat.id)
+        await complete
+        return {seat.id: answers.get(seat.id) for seat in seats}
 
-        async def ask(s):
-            if s.id == self.me.id:
-                return await self.answer(msg)
-            patience = us if s.id in alive else min(us, SILENT_CALL_US)
-            call = defer.ensureDeferred(self.neighbours.call(s.host, s.port, msg, us))
-            return await self.mach.within(call, patience)
+    async def ask(self, seat, msg, us):
+        """Put a message to one machine, this one or another.
 
-        ds = [defer.ensureDeferred(ask(s)) for s in seats]
-        res = await defer.DeferredList(ds, consumeErrors=True)
-        return {s.id: val if ok else None for s, (ok, val) in zip(seats, res, strict=False)}
+        Example: `answer = await council.ask(view.seats[0], msg, view.CALL_US)`
+        """
+        if seat.id == self.me.id:
+            return await self.answer(msg)
+        call = defer.ensureDeferred(self.neighbours.call(seat.host, seat.port, msg, us))
+        return await self.mach.within(call, us)
 
     async def mend(self):
         """Watch the chain, and propose a better view where one is due.
@@ -538,33 +522,20 @@
         """
         now = self.mach.now()
         known = {s.id for s in self.view.seats}
-        fresh = sorted(
-            (
-                p
-                for heard, p in self.pulses.values()
-                if now - heard < DEAD_US and p.id not in known and p.disk_ok and not p.leaving
-            ),
-            key=lambda p: p.id,
+        newcomers = [
+            message.Seat(p.id, p.host, p.port, p.zone)
+            for _, (heard, p) in sorted(self.pulses.items())
+            if now - heard < DEAD_US and p.id not in known and p.disk_ok and not p.leaving
+        ]
+        states = {ident: self._seat_state(ident) for ident in known}
+        return agreement.next_seats(self.view, self.me.id, self.leaving, newcomers, states, self.size)
+
+    def _seat_state(self, ident):
+        heard, last = self.pulses.get(ident, (self.began, None))
+        silent_us = self.mach.now() - heard
+        return agreement.SeatState(
+            replaceable=silent_us > REPLACE_US or (last is not None and last.leaving), silent=silent_us > DEAD_US
         )
-        seats = list(self.view.seats)
-        for p in fresh:
-            for k, s in enumerate(seats):
-                if s.id not in known or (s.id == self.me.id and not self.leaving):
-                    continue
-                if s.id == self.me.id:
-                    seats[k] = message.Seat(p.id, p.host, p.port, p.zone)
-                    break
-                heard, last = self.pulses.get(s.id, (self.began, None))
-                same_place = (s.host, s.port) == (p.host, p.port)
-                if same_place and now - heard <= DEAD_US:
-                    break  # it may be an old sign of life
-                if now - heard > REPLACE_US or (same_place and now - heard > DEAD_US) or (last and last.leaving):
-                    seats[k] = message.Seat(p.id, p.host, p.port, p.zone)
-                    break
-            else:
-                if len(seats) < self.size:
-                    seats.append(message.Seat(p.id, p.host, p.port, p.zone))
-        return seats
 
     def sealed_link(self):
         """Whether a link of the view is sealed: the chain is broken there until the next view.
@@ -587,12 +558,15 @@
         alive = self.alive()
         v = self.view
         seats = self.seats_wanted()
+        leaving = self.departing()
+        if agreement.is_handing_over(v, alive, leaving, self.known_synced()):
+            alive, seats = alive | leaving, v.seats
         ids = {s.id for s in seats}
         want = {(i, b) for i, b in alive.items() if i in ids}
         have = {(link.id, link.boot) for link in v.chain}
         live = [s.id for s in v.seats if s.id in alive]
         same = want == have and seats == v.seats
-        if (same and not self.sealed_link()) or len(live) < majority(len(v.seats)):
+        if (same and not self.sealed_link()) or len(live) < agreement.majority(len(v.seats)):
             self.wanted_since = None
             return False
         if self.wanted_since is None:
@@ -620,28 +594,17 @@
             return
         promises = {i: a for i, a in res.items() if a is not None and a.ok}
         self.seen_ballot = max([self.seen_ballot] + [a.ballot[0] for a in res.values() if a is not None])
-        if len(promises) < majority(len(old.seats)):
+        if len(promises) < agreement.majority(len(old.seats)):
             return
-        taken = [a.accepted for a in promises.values() if a.accepted is not None]
-        if taken:
-            view = max(taken, key=lambda a: a[0])[1]
-        else:
-            ids = {s.id for s in seats}
-            alive = {i: b for i, b in self.alive().items() if i in ids}
-            for i, a in promises.items():
-                if i in alive:
-                    alive[i] = a.boot
-                if not a.disk_ok:
-                    alive.pop(i, None)
-            chain = order(old, promises, alive)
-            if chain is None:
-                log.warning("No machine that answers holds a whole copy; view {} must wait.", number)
-                return
-            view = message.View(number, seats, chain)
-        res = await self.ask_all(old.seats, message.Accept(ballot, view, self.me.id), CALL_US)
+        view = agreement.next_view(old, promises, seats, self.alive(), self.departing())
+        if view is None:
+            log.warning("No machine that answers holds a synced copy; view {} must wait.", number)
+            return
+        quorum = agreement.majority(len(old.seats))
+        res = await self.ask_all(old.seats, message.Accept(ballot, view, self.me.id), CALL_US, enough=quorum)
         if await self._overtaken(res, number):
             return
-        if len([a for a in res.values() if a is not None and a.ok]) < majority(len(old.seats)):
+        if len([a for a in res.values() if a is not None and a.ok]) < quorum:
             return
         await self.adopt(view)
         both = {s.id: s for s in old.seats + view.seats}
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -8,6 +8,7 @@
 
 import bench.sim as sim
 import bench.town as town
+import iriswheel.agreement as agreement
 import iriswheel.chain as chain
 import iriswheel.machine as machine
 import iriswheel.message as message
@@ -76,7 +77,7 @@
         state = disk.read()
         guard = store.Guard(self.mach, disk)
         raw = state.get(b"council")
-        record = view.msgspec.msgpack.decode(raw, type=view.Record) if raw else view.Record()
+        record = view.msgspec.msgpack.decode(raw, type=agreement.Record) if raw else agreement.Record()
         self.chain = chain.Chain(self.mach, guard, state, self.network)
         seat = message.Seat(self.name, self.name, 1, "a")
         self.council = view.Council(self.mach, guard, record, seat, [], None, lambda v: None, copies=self.copies)
@@ -88,10 +89,10 @@
         members = [self.network.members[i] for i in order]
         seats = [message.Seat(m.name, m.name, 1, "a") for m in members]
         links = [message.ChainLink(m.name, m.mach.boot) for m in members]
-        record = self.council.record
-        record.view, record.promised = message.View(number, seats, links), (0, "")
-        record.whole = number if order[0] == self.name else whole or record.whole
-        self.chain.install(record.view)
+        before = self.council.record.whole
+        whole = number if order[0] == self.name else whole or before
+        self.council.record = agreement.Record(message.View(number, seats, links), whole=whole)
+        self.chain.install(self.council.view)
 
 
 class Chains(testtools.TestCase):
--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -42,7 +42,7 @@
 
     def agree(self, number, *ids, whole=True):
         self.view = message.View(number, [], [message.ChainLink(i, "1") for i in ids])
-        self.record = types.SimpleNamespace(whole=number if whole else number - 1)
+        self.record = types.SimpleNamespace(view=self.view, whole=number if whole else number - 1)
 
     def serving(self, number):
         return number == self.view.number
--- a/tests/test_disk_errors.py
+++ b/tests/test_disk_errors.py
@@ -9,6 +9,7 @@
 
 import bench.sim as sim
 import bench.town as town
+import iriswheel.agreement as agreement
 import iriswheel.message as message
 import iriswheel.store as store
 import iriswheel.view as view
@@ -34,7 +35,7 @@
         mach = self.proc.mach()
         self.disk = sim.Disk(self.proc)
         state = self.disk.read()
-        record = view.msgspec.msgpack.decode(state[b"council"], type=view.Record) if state else view.Record()
+        record = view.msgspec.msgpack.decode(state[b"council"], type=agreement.Record) if state else agreement.Record()
         self.installed = []
         guard = store.Guard(mach, self.disk)
         self.council = view.Council(mach, guard, record, SEATS[1], [], None, self.installed.append)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -178,9 +178,9 @@
     async def read(self):
         return self.items
 
-    async def change(self, ident, number, built_on, make):
-        new = self.renumber(number, built_on, make, self.items)
-        msgspec.msgpack.decode(msgspec.msgpack.encode([ident, blueprint.differ(self.items, new)]))
+    async def change(self, order):
+        new = self.renumber(order, self.items)
+        msgspec.msgpack.decode(msgspec.msgpack.encode([order.ident, blueprint.differ(self.items, new)]))
         blueprint.carve(new, "a")
         json.dumps(configuration.show(new))
         return 1
