A node counts as having known the core from the first news of a session on

Cause: the node refuses once it is cut off and its last moment with the core is unknown or older than 2 s. That moment was noted by a look every 0.2 to 0.4 s only. In the scene, a node restarted at 6.95 s, heard the core at 6.957 s and lost that session at 7.05 s, when the core machine left in good order and the next view was agreed. The first look came too late, so the node counted as never having known the core, was not ready from 7.08 to 7.61 s, and held a short request for 0.58 s.

Ruled out: the new message version (the node was up to date); a slow change of the view (all nodes were without a session for up to 0.45 s, as on any orderly leave of a core machine, and the others went on).

Change: each message of a session that stands notes the moment. The moment noted is never later than the last one at which the node was not cut off, so the 2 s bound is as it was.

--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -413,7 +413,7 @@
                 self.learn_seeds(cores)
                 link.close()
                 return
-        self.core_at = self.mach.now()
+        self.core_at = self.known_at = self.mach.now()
         if self.thawed is not None:
             self.thawed = None
             self.node.on_news()
