--- a/bench/core_days.py
+++ b/bench/core_days.py
@@ -264,7 +264,7 @@
 
 
 def lose_after_acknowledgement(day):
-    """The machine that acknowledges a change loses power at once, perhaps its disk too, or some time after a sending."""
+    """The machine that acknowledges a change loses power, perhaps its disk too; or it does soon after a sending."""
     wipe, timed, back = day.rng.random() < 0.6, day.rng.random() < 0.4, day.rng.choice([0.9, 3])
     wait = day.rng.uniform(0.005, 0.4) if timed else day.rng.uniform(0, ACKNOWLEDGED_LOSS_S)
 
--- a/tests/test_core_days.py
+++ b/tests/test_core_days.py
@@ -4,10 +4,10 @@
 simulator had a time of day apart from its clock, such a fault could not show.
 
 `FOUND` is a fault of the core before node leases: the tail was lost for good, a view without it was agreed,
-acknowledged a change, and was sealed for the view with the newcomer before nodes could open sessions in it, so that nodes answered
-by an old configuration more than 2 s after a newer one was acknowledged. It was not found until then because the older
-days sent one change a second after a replacement, so none came while the tail was missing, and because they replaced
-any core machine once or twice, while the loss of the tail shows in some of the replacements only.
+acknowledged a change, and was sealed for the view with the newcomer before nodes could open sessions in it, so that
+nodes answered by an old configuration more than 2 s after a newer one was acknowledged. It was not found until then
+because the older days sent one change a second after a replacement, so none came while the tail was missing, and
+because they replaced any core machine once or twice, while the loss of the tail shows in some of the replacements.
 """
 
 import contextlib
