--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -163,12 +163,16 @@
 
 
 class Prepare(Message):
+    """Ask a voter to promise that it takes part in no older ballot for view `number`."""
+
     number: int
     ballot: tuple[int, str]
     sender: str
 
 
 class Promise(Message):
+    """The answer to `Prepare`: what the voter has accepted, and how far its copy has come."""
+
     ok: bool
     ballot: tuple[int, str]
     accepted: tuple[tuple[int, str], View] | None
@@ -181,26 +185,36 @@
 
 
 class Accept(Message):
+    """Ask a voter to accept a view under a ballot."""
+
     ballot: tuple[int, str]
     view: View
     sender: str
 
 
 class Accepted(Message):
+    """The answer to `Accept`; `newer` is a newer view that the voter knows."""
+
     ok: bool
     newer: View | None
 
 
 class Decided(Message):
+    """A majority has accepted this view."""
+
     view: View
 
 
 class LeaseAsk(Message):
+    """The tail of a view asks a voter to renew its lease."""
+
     view: int
     tail: str
 
 
 class LeaseGiven(Message):
+    """The answer to a tail that asks for its lease."""
+
     ok: bool
     newer: View | None
 
@@ -213,6 +227,8 @@
 
 
 class Placed(Message):
+    """The answer to `Place`: the newest entry, and the view in which it was made."""
+
     ok: bool
     n: int = 0
     made: int = 0
@@ -227,6 +243,8 @@
 
 
 class Append(Message):
+    """Entries for the next replica of the chain, in order."""
+
     view: int
     entries: list[Entry]
 
@@ -249,6 +267,8 @@
 
 
 class Proposed(Message):
+    """The answer to `Propose`: an error, or the stamp under which the change stands."""
+
     code: str  # "" where it stands
     verdict: str = "not_run"
     text: str = ""
@@ -263,6 +283,8 @@
 
 
 class Seen(Message):
+    """The answer to `Look`: the items under their stamp, and the plan asked for."""
+
     ok: bool
     stamp: int = 0
     items: dict[str, typing.Any] = {}
@@ -301,6 +323,8 @@
 
 
 class Join(Message):
+    """A node opens its session with a core, and says how far it has come."""
+
     member: Member
     place: int
     roster: Roster | None
@@ -324,16 +348,22 @@
 
 
 class Frame(Message):
+    """All items that a node needs, as of entry `n`."""
+
     n: int
     items: dict[str, typing.Any]
 
 
 class Change(Message):
+    """The items that changed for a node up to entry `n`."""
+
     n: int
     items: dict[str, typing.Any]  # None removes
 
 
 class News(Message):
+    """A newer roster."""
+
     roster: Roster
 
 
@@ -355,6 +385,8 @@
 
 
 class Seated(Message):
+    """The holder of a duty has taken it up under this term."""
+
     key: str
     term: tuple[int, int]
 
@@ -367,6 +399,8 @@
 
 
 class Leave(Message):
+    """A node leaves in good order."""
+
     member: str
 
 
@@ -394,6 +428,8 @@
 
 
 class Granted(Message):
+    """The answer to `Elect`: the worker elected, and for how long the grant may be used."""
+
     term: tuple[int, int]
     worker: str
     left_us: int
@@ -403,6 +439,8 @@
 
 
 class Denied(Message):
+    """The answer to `Elect` where no worker was elected, with the verdict for the exchange."""
+
     term: tuple[int, int]
     code: str
     text: str
@@ -419,6 +457,8 @@
 
 
 class Forbidden(Message):
+    """The answer to `Forbid`."""
+
     state: str  # "" where it was never sent, else "claimed", "ran", "unknown", or "later": ask again
 
 
@@ -441,12 +481,16 @@
 
 
 class Gather(Message):
+    """A new warden asks for all that is known of a pool."""
+
     pool: str
     term: tuple[int, int]
     warden: str
 
 
 class Gathered(Message):
+    """The answer to `Gather`: a core's or a node's records of the pool."""
+
     ok: bool
     sessions: list[Session] = []
     claims: list[Claim] = []
@@ -471,6 +515,8 @@
 
 
 class Copy(Message):
+    """A warden's records for those that keep copies: the changed ones, or all where `whole`."""
+
     pool: str
     term: tuple[int, int]
     warden: str
@@ -482,6 +528,8 @@
 
 
 class Copied(Message):
+    """The answer to `Copy`: whether it was taken."""
+
     ok: bool
 
 
@@ -522,6 +570,8 @@
 
 
 class Probed(Message):
+    """The answer to `Probe`."""
+
     sort: str  # "answer", "mute" (takes the connection, says nothing) or "none"
     load: tuple[int, int] | None
 
@@ -539,6 +589,8 @@
 
 
 class Passed(Message):
+    """The answer to `Pass`."""
+
     token: str  # for one exchange at its door; "" where it can't
 
 
@@ -558,6 +610,8 @@
 
 
 class Goes(Message):
+    """The answer to `HowGoes`: whether the core was heard, and where."""
+
     core: bool
     roster: Roster | None  # where it is newer than the asking node's
     at: tuple[str, int] | None = None  # the core that the neighbour has its session with
