--- a/tests/test_encoding.py
+++ b/tests/test_encoding.py
@@ -3,8 +3,8 @@
 import msgspec
 import testtools
 
+import iriswheel.agreement as agreement
 import iriswheel.message as message
-import iriswheel.view as view
 import iriswheel.wire as wire
 
 
@@ -21,6 +21,6 @@
 
     def test_the_view_on_the_disk_keeps_its_bytes(self):
         old = b"\x94\x94\xa4View\x04\x90\x91\x93\xa9ChainLink\xa1a\xa1b\x92\x00\xa0\xc0\x04"
-        record = msgspec.msgpack.decode(old, type=view.Record)
+        record = msgspec.msgpack.decode(old, type=agreement.Record)
         self.assertEqual([message.ChainLink("a", "b")], record.view.chain)
         self.assertEqual(old, msgspec.msgpack.encode(record))
