--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -36,16 +36,16 @@
 import twisted.internet.task as task
 
 import bench.sim as sim
-import bench.stand as stand
-import bench.town as town
-import iriswheel.blueprint as blueprint
+import bench.simulated_cluster as simulated_cluster
+import bench.stand_ins as stand_ins
 import iriswheel.chain as chain
+import iriswheel.configuration as configuration
 import iriswheel.core as core
+import iriswheel.edge_protocol as edge_protocol
 import iriswheel.machine as machine
 import iriswheel.message as message
 import iriswheel.node as node
 import iriswheel.options as options
-import iriswheel.outer as outer
 import iriswheel.placement as placement
 import iriswheel.reach as reach
 import iriswheel.roster as roster
@@ -312,8 +312,8 @@
     clock = [1000 * S]
     mach = types.SimpleNamespace(now=lambda: clock[0])
     view = message.View(3, [message.Seat(f"c{k}", f"10.2.0.{k}", 7300, f"zone{k}") for k in range(cores)], [])
-    council = types.SimpleNamespace(view=view, tail=lambda: True, leased=lambda: True)
-    out = roster.Issuer(mach, council, lambda: [f"model-{k}" for k in range(p)])
+    membership = types.SimpleNamespace(view=view, tail=lambda: True, leased=lambda: True)
+    out = roster.Issuer(mach, membership, lambda: [f"model-{k}" for k in range(p)])
     out.restart()
     for m in members(n):
         out.seen[m.id] = (clock[0], m, "c0")
@@ -324,7 +324,7 @@
 
 
 def items(r, tenants=470, pools=POOLS, election="warden"):
-    """A blueprint of r routes.
+    """A configuration of r routes.
 
     >>> sorted(items(1, 1, 1))
     ['pools/model-0', 'routes/r0', 'terms/default', 'terms/t0']
@@ -431,7 +431,7 @@
                 "workers",
                 "loops",
                 w,
-                ratio(lambda: n.follower.believe(outer.workers(page))),
+                ratio(lambda: n.follower.believe(edge_protocol.workers(page))),
             )
     end(lines, out)
 
@@ -536,21 +536,33 @@
                 "sessions",
                 "loops",
                 n,
-                ratio(lambda: warden.Shelf().take(wire.decoder.decode(raw).msg, 0)),
+                ratio(lambda: warden.SessionReplica().take(wire.decoder.decode(raw).msg, 0)),
+            )
+            session_replica = warden.SessionReplica()
+            session_replica.take(copy, 0)
+            lines.put(
+                "a shelf frozen at a core",
+                "sessions",
+                "loops",
+                n,
+                ratio(lambda: core.encode_session_replica(session_replica, 5)),
+            )
+            lines.put(
+                "a shelf's bytes on a core's disk",
+                "sessions",
+                "B",
+                n,
+                len(core.encode_session_replica(session_replica, 5)),
             )
-            shelf = warden.Shelf()
-            shelf.take(copy, 0)
-            lines.put("a shelf frozen at a core", "sessions", "loops", n, ratio(lambda: core.freeze_shelf(shelf, 5)))
-            lines.put("a shelf's bytes on a core's disk", "sessions", "B", n, len(core.freeze_shelf(shelf, 5)))
             lines.put("a shelf's memory", "sessions", "B", n, held(lambda: _shelved(raw)))
-            del book, told, copy, raw, shelf
+            del book, told, copy, raw, session_replica
     end(lines, out)
 
 
 def _shelved(raw):
-    shelf = warden.Shelf()
-    shelf.take(wire.decoder.decode(raw).msg, 0)
-    return shelf
+    session_replica = warden.SessionReplica()
+    session_replica.take(wire.decoder.decode(raw).msg, 0)
+    return session_replica
 
 
 def chief(w, s, parts=0):
@@ -608,7 +620,7 @@
     :param out: file for the values
     """
     lines = Lines()
-    pool = blueprint.Pool(cap=0)
+    pool = configuration.Pool(cap=0)
     for _ in range(repeats):
         for w in listed:
             c = chief(w, 0)
@@ -631,7 +643,7 @@
     :param out: file for the values
     """
     lines = Lines()
-    pool = blueprint.Pool(cap=0)
+    pool = configuration.Pool(cap=0)
     for _ in range(repeats):
         for x in sizes:
             per = x // 2600
@@ -660,16 +672,20 @@
         for r in sizes:
             had = items(r)
             now = {**had, "routes/r1": {**had["routes/r1"], "path": "/moved/"}}
-            doc = blueprint.unflatten(now)
+            doc = configuration.unflatten(now)
             raw = json.dumps(doc).encode()
-            change = blueprint.differ(had, now)
+            change = configuration.differ(had, now)
             lines.put("a whole blueprint as the operator sends it", "routes", "B", r, len(raw))
             lines.put(
                 "a plan of a whole blueprint: read, checked, compared, named",
                 "routes",
                 "loops",
                 r,
-                ratio(lambda: blueprint.describe(had, blueprint.differ(had, blueprint.flatten(json.loads(raw))))),
+                ratio(
+                    lambda: configuration.describe(
+                        had, configuration.differ(had, configuration.flatten(json.loads(raw)))
+                    )
+                ),
             )
             ledger = (
                 chain.Ledger()
@@ -692,14 +708,14 @@
                 "loops",
                 r,
                 ratio(
-                    lambda: blueprint.differ(
-                        blueprint.carve(ledger.items, "zone0"), blueprint.carve(two.items, "zone0")
+                    lambda: configuration.differ(
+                        configuration.carve(ledger.items, "zone0"), configuration.carve(two.items, "zone0")
                     )
                 )
                 / 2,
             )
             n = hollow()
-            slice = blueprint.carve(had, "zone0")
+            slice = configuration.carve(had, "zone0")
             n.follower.take_items(1, slice, True)
             place = [1]
 
@@ -743,12 +759,12 @@
     :param out: file for the values
     """
     lines = Lines()
-    pool = blueprint.Pool(cap=0, election="node", batch=64)
+    pool = configuration.Pool(cap=0, election="node", batch=64)
     shared = types.SimpleNamespace(sizes=[13_300, 800, 92, 291])
     for _ in range(repeats):
         for w in listed:
             n = seated(w)
-            place, names = n.door.carrier.place("model-0"), n.door.carrier.ready("model-0")
+            place, names = n.door.forwarder.place("model-0"), n.door.forwarder.ready("model-0")
             place.take([(name, 22, 900, 0) for name in names], True)
             cut = placement.chain([f"{k:08x}" for k in range(4)])
             place.pick(shared, cut, 291, names, pool, set())
@@ -771,7 +787,7 @@
                 "workers",
                 "loops",
                 w,
-                ratio(lambda: n.door.carrier.ready("model-0")),
+                ratio(lambda: n.door.forwarder.ready("model-0")),
             )
             lines.put(
                 "others' loads held", "workers", "B", w, held(lambda: {k: (22, 900, 0) for k in map(str.upper, names)})
@@ -787,7 +803,7 @@
         for p in pools:
             n = seated(2600, p)
             for k in range(p):
-                n.door.carrier.place(f"model-{k}")
+                n.door.forwarder.place(f"model-{k}")
             lines.put("the sweep of a node's placements, 2600 workers", "pools", "loops", p, ratio(lambda: swept(n)))
     end(lines, out)
 
@@ -795,7 +811,7 @@
 def seated(w, p=1):
     """A hollow node that knows w workers of p pools.
 
-    >>> seated(3).door.carrier.ready("model-0")
+    >>> seated(3).door.forwarder.ready("model-0")
     ['i-00000000', 'i-00000001', 'i-00000002']
     """
     n = hollow()
@@ -809,7 +825,7 @@
     >>> len(ranked(2, 3).ranks)
     2
     """
-    place, names = hollow().door.carrier.place("model-0"), [x.id for x in workers(w, 1)]
+    place, names = hollow().door.forwarder.place("model-0"), [x.id for x in workers(w, 1)]
     for key in range(k):
         place.rank(key.to_bytes(8, "big"), tuple(names))  # each election makes its own, as here
     return place
@@ -821,9 +837,9 @@
     >>> len(tried(3).trials)
     3
     """
-    place = hollow().door.carrier.place("model-0")
+    place = hollow().door.forwarder.place("model-0")
     for k in range(x):
-        place.turn(k.to_bytes(8, "big"), f"i-{k % 2600:08x}", blueprint.Terms(), 0)
+        place.turn(k.to_bytes(8, "big"), f"i-{k % 2600:08x}", configuration.Terms(), 0)
     return place
 
 
@@ -854,20 +870,20 @@
     >>> len(kept(2600).workers)
     2600
     """
-    place = hollow().door.carrier.place("model-0")
+    place = hollow().door.forwarder.place("model-0")
     for k in range(x):
         place.at(f"i-{k % 2600:08x}").note([k.to_bytes(8, "big")], [800 + k % 64])
     return place
 
 
 def swept(n):
-    """What a node's carrier does once a second.
+    """What a node's forwarder does once a second.
 
     Example: `swept(node)`
     """
     fol = n.follower
-    n.door.carrier.lines.sweep({w.id for w in fol.workers if w.state != "gone"})
-    for pool, p in n.door.carrier.places.items():
+    n.door.forwarder.lines.sweep({w.id for w in fol.workers if w.state != "gone"})
+    for pool, p in n.door.forwarder.places.items():
         p.sweep({w.id for w in fol.workers if w.pool == pool and w.state == "ready"})
 
 
@@ -883,11 +899,11 @@
 
     lines, mach = Lines(), machine.Machine(reactor)
     port = reactor.listenTCP(
-        0, wire.Listener(mach, lambda link, m: message.Copied(True), town.log), interface="127.0.0.1"
+        0, wire.Listener(mach, lambda link, m: message.Copied(True), simulated_cluster.log), interface="127.0.0.1"
     )
 
     async def go():
-        link = await wire.connect(mach, "127.0.0.1", port.getHost().port, lambda *_: None, town.log)
+        link = await wire.connect(mach, "127.0.0.1", port.getHost().port, lambda *_: None, simulated_cluster.log)
         for _ in range(repeats):
             for n in sizes:
                 copy = message.Copy(
@@ -919,14 +935,14 @@
 # ---- hollow fleets ---------------------------------------------------------------------
 
 
-class Fleet(town.Town):
+class Fleet(simulated_cluster.SimulatedCluster):
     """Real cores and nodes without traffic, before workers that one process stands in for.
 
     Example: `f = Fleet(1, nodes=8, listed=36, pools=2, routes=100)`; `f.begin()`; `f.go(3)`.
     """
 
     def __init__(self, seed, nodes=8, listed=36, pools=1, routes=0, walking=True, election="warden"):
-        doc = blueprint.unflatten(items(max(routes, pools), pools=pools, election=election))
+        doc = configuration.unflatten(items(max(routes, pools), pools=pools, election=election))
         super().__init__(seed, "small", 0, 0, 0, blueprint=doc, halls=[f"zone{k % ZONES}" for k in range(nodes)])
         self.worker_count, self.pool, self.pools, self.walking = listed, "model-0", pools, walking
         self.probing = False
@@ -938,7 +954,7 @@
             self.standing = sim.Proc(self.world, "workers", self.machine("10.0.3.1", "zone0"))
             self.standing_mach = self.standing.mach()
         k = len(self.workers)
-        w = self.workers[name] = stand.Worker(self.standing_mach, name, self.tape)
+        w = self.workers[name] = stand_ins.Worker(self.standing_mach, name, self.tape)
         self.listen(self.standing, 9001 + k, web.Server(self.standing_mach, w.handle))
         self.platform.put(name, host="10.0.3.1", port=9001 + k, pool=f"model-{k % self.pools}", state="ready")
 
@@ -958,8 +974,8 @@
         """
         for n in self.nodes.values():
             for _ in range(int(rate * lasts)):
-                n.mach.spawn(self.stream(n, lasts * n.mach.rng.random()), town.log)
-            n.mach.spawn(self.arrivals(n, rate, lasts), town.log)
+                n.mach.spawn(self.stream(n, lasts * n.mach.rng.random()), simulated_cluster.log)
+            n.mach.spawn(self.arrivals(n, rate, lasts), simulated_cluster.log)
 
     async def arrivals(self, n, rate, lasts):
         """One node's hollow sends.
@@ -968,7 +984,7 @@
         """
         while True:
             await n.mach.sleep(int(n.mach.rng.expovariate(rate) * S))
-            n.mach.spawn(self.stream(n, lasts), town.log)
+            n.mach.spawn(self.stream(n, lasts), simulated_cluster.log)
 
     async def stream(self, n, lasts):
         """One hollow send: counted where a real one would be.
@@ -976,7 +992,7 @@
         Example: `await fleet.stream(node, 19)`
         """
         pool = f"model-{n.mach.rng.randrange(self.pools)}"
-        place, names = n.door.carrier.place(pool), n.door.carrier.ready(pool)
+        place, names = n.door.forwarder.place(pool), n.door.forwarder.ready(pool)
         name = names[n.mach.rng.randrange(len(names))]
         tokens = place.begin(name, [], [], LONG if n.mach.rng.random() < LONG_SHARE else 400)
         await n.mach.sleep(100 * machine.MILLI)
@@ -991,7 +1007,7 @@
         """
         r = max((n.follower.roster for n in self.nodes.values()), key=lambda r: r.stamp)
         by_key = {d.key: d for d in r.duties}
-        out = {name: "tail" if c.council.tail() else "core" for name, c in self.cores.items()}
+        out = {name: "tail" if c.membership.tail() else "core" for name, c in self.cores.items()}
         names = {m.id: m.name for m in r.members}
         out.update({m.name: "node" for m in r.members})
         for d in r.duties:
@@ -1163,14 +1179,14 @@
     :param out: file for the values
     """
     lines = Lines()
-    was = stand.SHORT_TOKENS
+    was = stand_ins.SHORT_TOKENS
     try:
         for seed in range(1, repeats + 1):
             for by, rate, n in [
                 *(("requests/s", r, events[0]) for r in rates),
                 *(("events/s", rates[0], e) for e in events),
             ]:
-                stand.SHORT_TOKENS = n
+                stand_ins.SHORT_TOKENS = n
                 f = Fleet(seed, 4, listed, 1, 10, False, election)
                 f.blueprint["routes"]["all"] = {"path": "/v1", "pool": "model-0", "terms": "t0"}
                 f.rates = (0, rate, 0)
@@ -1189,7 +1205,7 @@
                 )
                 lines.put("requests seen", by, "/s", rate if by == "requests/s" else rate * n, done)
     finally:
-        stand.SHORT_TOKENS = was
+        stand_ins.SHORT_TOKENS = was
     end(lines, out)
 
 
@@ -1377,7 +1393,7 @@
     mine = [x for name, x in f.nodes.items() if f.roles()[name] == "node"] or list(f.nodes.values())
     match what:
         case "change":
-            done = f.office_mach.spawn(f.boss.change(f.with_probe(f.probe + 1)), town.log)
+            done = f.office_mach.spawn(f.boss.change(f.with_probe(f.probe + 1)), simulated_cluster.log)
             f.until(lambda: done.called, 30)
         case "restart":
             x = mine[0]
@@ -1402,7 +1418,7 @@
                     x.proc.host.fail()
             f.until(lambda: all(not gone & names(y) for y in live()), 30)
         case "tail":
-            was = f.tail().council.view.number
+            was = f.tail().membership.view.number
             f.tail().proc.kill()
             f.until(lambda: all(y.follower.roster.stamp[0] > was and y.follower.session.stands() for y in live()), 60)
         case "cut":
--- a/bench/cluster_model.py
+++ b/bench/cluster_model.py
@@ -122,7 +122,7 @@
     """
     machines = [Core("abcdefg"[k], k) for k in range(cores)]
     seats = [core.seat for core in machines]
-    view = message.View(1, seats, [message.ChainLink(core.ident, core.incarnation) for core in machines])
+    view = message.View(1, seats, [message.ChainReplica(core.ident, core.incarnation) for core in machines])
     record = agreement.Record(view, whole=1)
     return World(tuple(replace(core, record=record) for core in machines), limits, views=(view,))
 
--- a/bench/cluster_steps.py
+++ b/bench/cluster_steps.py
@@ -175,7 +175,9 @@
         used = cluster_model.spend(world, "leases")
         if used is None or not core.reachable or core.ident in tail.supporters:
             continue
-        answer = agreement.give_lease(core.record, core.ident, message.LeaseAsk(tail.record.view.number, tail.ident))
+        answer = agreement.give_lease(
+            core.record, core.ident, message.LeaseRequest(tail.record.view.number, tail.ident)
+        )
         if answer.ok:
             after = cluster_model.put(used, replace(core, holder=tail.ident))
             tail_after = after.cores[tail.place]
--- a/bench/core_days.py
+++ b/bench/core_days.py
@@ -5,10 +5,10 @@
 begin until some seconds after its end; no more than the deployment bears are lost at once, so a trouble may wait.
 """
 
-import bench.site as site
+import bench.platform_model as platform_model
 import bench.words as words
 
-MS, S = site.MS, site.S
+MS, S = platform_model.MS, platform_model.S
 STORM_GAPS_S = (0.15, 0.4, 0.9)
 TROUBLE_GAPS_S = (0.5, 2, 4, 6)
 RACES, RACE_GAP_S = 18, 3
@@ -23,7 +23,7 @@
 class CoreDay:
     """A drawn day under way: the site, and the core machines that count as lost.
 
-    Example: `CoreDay(site).draw(55)`
+    Example: `CoreDay(platform_model).draw(55)`
     """
 
     def __init__(self, s):
@@ -36,9 +36,9 @@
     def spawn(self, coro):
         """Run an operator's task.
 
-        Example: `day.spawn(site.race())`
+        Example: `day.spawn(platform_model.race())`
         """
-        return self.site.office.spawn(coro, site.log)
+        return self.site.office.spawn(coro, platform_model.log)
 
     async def storm(self, until):
         """Changes one after the other; after some refusals, on top of what is read.
@@ -105,11 +105,11 @@
     def tail(self):
         """The last core machine of the newest view's chain.
 
-        Example: `site.replace_core(day.tail())`
+        Example: `platform_model.replace_core(day.tail())`
         """
-        views = [c.council.view for c in self.site.cores.values() if c.proc.alive and c.council.view is not None]
+        views = [c.membership.view for c in self.site.cores.values() if c.proc.alive and c.membership.view is not None]
         newest = max(views, key=lambda view: view.number)
-        return next(n for n, c in self.site.cores.items() if c.council.me.id == newest.chain[-1].id)
+        return next(n for n, c in self.site.cores.items() if c.membership.me.id == newest.chain[-1].id)
 
     def any_core(self):
         """A core machine by lot.
@@ -130,7 +130,7 @@
 
         `lose` takes the machine's name, and returns when it is back, in seconds.
 
-        Example: `day.in_turn(lambda name: site.kill(name, 3) or 3)`
+        Example: `day.in_turn(lambda name: platform_model.kill(name, 3) or 3)`
         """
 
         def strike():
@@ -152,7 +152,7 @@
 
         Example: `day.send_to("c1")`
         """
-        place = (self.site.places[name][0], site.CONTROL)
+        place = (self.site.places[name][0], platform_model.CONTROL)
         self.site.boss.first_place = place
         if self.rng.random() < 0.5:
             self.site.rival.first_place = place
--- a/bench/days.py
+++ b/bench/days.py
@@ -17,9 +17,9 @@
 
 import bench.core_days as core_days
 import bench.judge as judge
-import bench.site as site
+import bench.platform_model as platform_model
 
-S = site.S
+S = platform_model.S
 
 
 def some(s, names, share):
@@ -52,7 +52,7 @@
             await s.next_config(("idle", "timeout")[k % 2], 60)
 
     s.go(3)
-    s.office.spawn(go(), site.log)
+    s.office.spawn(go(), platform_model.log)
 
 
 def race(s):
@@ -64,7 +64,7 @@
             await s.bad()
 
     s.go(3)
-    s.office.spawn(go(), site.log)
+    s.office.spawn(go(), platform_model.log)
 
 
 def crash(s, how):
@@ -212,7 +212,7 @@
     """A core machine is cut off, while two operators send."""
     s.go(3)
     s.cut(some(s, s.cores, 0)[0], 5)
-    s.office.spawn(s.race(), site.log)
+    s.office.spawn(s.race(), platform_model.log)
 
 
 def burst(s):
@@ -278,7 +278,7 @@
 def idle_drops(s):
     """Workers drop idle connections early and without a word."""
     for w in s.workers.values():
-        w.silent_drop, w.idle_us = True, 700 * site.MS
+        w.silent_drop, w.idle_us = True, 700 * platform_model.MS
 
 
 def closing_kill(s):
@@ -419,10 +419,10 @@
         lambda: s.ill(workers(0.2), 5, health="good", mute=0.4),
         lambda: s.ill(workers(0.2), 5, health="good", errors=0.4),
         lambda: s.ill(workers(0.2), 5, hang=0.4),
-        lambda: s.office.spawn(s.race(), site.log),
-        lambda: s.office.spawn(s.bad(), site.log),
+        lambda: s.office.spawn(s.race(), platform_model.log),
+        lambda: s.office.spawn(s.bad(), platform_model.log),
         lambda: each(range(6), 0.35, lambda _: s.change(pick(["idle", "timeout"]))),
-        lambda: s.office.spawn(s.next_config("big", 60, 280), site.log),
+        lambda: s.office.spawn(s.next_config("big", 60, 280), platform_model.log),
     ]
     for op in s.rng.sample(ops, s.rng.randrange(3, 7)):
         s.later(1.5 + 14 * s.rng.random(), op)
@@ -530,7 +530,7 @@
 
     Example: `play("calm", 1).tape.rows`
     """
-    s = site.Site(seed, shape, seconds or LENGTH.get(name, 16), load)
+    s = platform_model.Site(seed, shape, seconds or LENGTH.get(name, 16), load)
     s.begin()
     DAYS[name](s)
     s.end()
@@ -609,7 +609,7 @@
     """
     names = list(days) or list(DAYS)
     bad = [n for n in names if n not in DAYS]
-    if bad or shape not in site.SHAPES or seeds < 1 or log and (seeds > 1 or len(names) > 1):
+    if bad or shape not in platform_model.SHAPES or seeds < 1 or log and (seeds > 1 or len(names) > 1):
         print(f"days: no such day or shape, or --log with more than one run: {' '.join(bad) or shape}", file=sys.stderr)
         sys.exit(2)
     jobs = [(n, s, shape, load, seconds, log) for s in range(first, first + seeds) for n in names]
@@ -649,7 +649,7 @@
                     for k, w in (("opened", 7), ("calls", 7), ("probes", 7), ("again", 11))
                 )
             )
-    for kind in site.SHAPES[shape].kinds:
+    for kind in platform_model.SHAPES[shape].kinds:
         for name in names if len(names) == 1 else ():
             rows = [r for r in sums[name] if f"worth {kind.name}" in r]
             means = {
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -22,7 +22,7 @@
 import defopt
 
 SHAPES = {
-    # halls of the nodes, workers, pool, blueprint
+    # halls of the nodes, workers, pool, configuration
     "small": (["a", "a"], 2, "desk", "magnolia.json"),
     "magnolia": (["a", "a", "b", "b", "c", "d"], 5, "desk", "magnolia.json"),
     "swan": (["yard", "yard", "yard", "mill", "mill", "mill", "office", "office"], 6, "reviews", "swan.json"),
@@ -96,7 +96,7 @@
     def spawn(self, name, args, told=False):
         """Start one process; with `told`, read the port that it prints.
 
-        Example: `fleet.spawn("w1", ["-m", "bench.stand", "worker", "--ident", "w1"], told=True)`
+        Example: `fleet.spawn("w1", ["-m", "bench.stand_ins", "worker", "--ident", "w1"], told=True)`
         """
         log = open(os.path.join(self.folder, f"{name}.log"), "a")
         self.starts[name] = log.tell()
@@ -116,12 +116,12 @@
         return os.path.join(self.folder, f"{name}.events")
 
     def begin(self, note=None):
-        """Start everything, wait until it serves, confirm the blueprint.
+        """Start everything, wait until it serves, confirm the configuration.
 
         Example: `fleet.begin()`
         """
         self.platform = self.spawn(
-            "platform", ["-m", "bench.stand", "platform", "--events", self.events("platform")], True
+            "platform", ["-m", "bench.stand_ins", "platform", "--events", self.events("platform")], True
         )
         for k in range(1, self.worker_count + 1):
             self.add_worker(f"w{k}")
@@ -139,7 +139,7 @@
 
         Example: `fleet.add_worker("w9")`
         """
-        args = ["-m", "bench.stand", "worker", "--ident", name, "--events", self.events(name)]
+        args = ["-m", "bench.stand_ins", "worker", "--ident", name, "--events", self.events(name)]
         port = self.workers[name] = self.spawn(name, args, True)
         self.list(id=name, host=HOST, port=port, pool=self.pool, state="ready")
 
@@ -250,7 +250,7 @@
         return ask({**self.cores, **self.nodes}[name][1], "GET", "/state")[1]
 
     def confirm(self, doc, note=None):
-        """Plan and confirm a blueprint through any core: its stamp, or 0.
+        """Plan and confirm a configuration through any core: its stamp, or 0.
 
         Example: `fleet.confirm(doc)`
         """
--- a/bench/judge.py
+++ b/bench/judge.py
@@ -3,7 +3,8 @@
     python -m bench.judge day.events
 
 Only what clients, workers, operators and the platform saw is looked at. Each rule is a function that yields
-complaints; `examine` runs them all. Rows are those that bench/users.py, bench/serving.py and bench/site.py write.
+complaints; `examine` runs them all.
+Rows are those that bench/client_model.py, bench/serving.py and bench/platform_model.py write.
 """
 
 import bisect
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -18,7 +18,7 @@
 
 import bench.fleet as fleet
 import bench.scenes as scenes
-import bench.town as town
+import bench.simulated_cluster as simulated_cluster
 import iriswheel.machine as machine
 import iriswheel.message as message
 import iriswheel.replay as replay
@@ -156,12 +156,12 @@
 def slices(*, routes: list[int] = (0, 100, 1000), changes: int = 10):
     """Bytes that a change costs on each node's link, as routes outside its slice grow (simulated).
 
-    :param routes: routes of another hall that the blueprint holds
+    :param routes: routes of another hall that the configuration holds
     :param changes: changes to measure
     """
     loguru.logger.remove()
     for n in routes:
-        t = town.Town(1, "magnolia", long_rate=0, short_rate=0, talks=0)
+        t = simulated_cluster.SimulatedCluster(1, "magnolia", long_rate=0, short_rate=0, talks=0)
         t.probing = False
         for k in range(n):
             t.blueprint["routes"][f"far{k}"] = {"path": f"/far/{k}", "pool": t.pool, "zones": ["d"]}
@@ -169,10 +169,10 @@
         t.go(2)
 
         def fed():
-            return {p.member.name: p.link.sent_bytes for c in t.cores.values() for p in c.posts.values()}
+            return {p.member.name: p.link.sent_bytes for c in t.cores.values() for p in c.node_sessions.values()}
 
         def wait(doc):
-            done = t.office_mach.spawn(t.boss.change(doc), town.log)
+            done = t.office_mach.spawn(t.boss.change(doc), simulated_cluster.log)
             t.until(lambda: done.called, 20)
 
         quiet = fed()
@@ -190,7 +190,7 @@
                     wait(t.with_probe(t.probe))
                 else:
                     wait(t.with_probe(t.probe + 1))
-            took = (t.world.time - began) / town.S
+            took = (t.world.time - began) / simulated_cluster.S
             per = {name: (fed()[name] - b - rest[name] * took) / changes for name, b in before.items()}
             print(
                 f"{n} routes of hall d, a change to {what}: n1 (hall a) {per['n1']:.0f} bytes, "
@@ -234,7 +234,7 @@
     return sum(
         link.sent_bytes
         for core in t.cores.values()
-        for link in [*(post.link for post in core.posts.values()), *core.neighbours.links.values()]
+        for link in [*(post.link for post in core.node_sessions.values()), *core.peers.links.values()]
     )
 
 
@@ -248,7 +248,7 @@
     loguru.logger.remove()
     for n in nodes:
         for r in routes:
-            t = town.Town(seed, "magnolia", 0, 0, 0, halls=[f"h{k % 8}" for k in range(n)])
+            t = simulated_cluster.SimulatedCluster(seed, "magnolia", 0, 0, 0, halls=[f"h{k % 8}" for k in range(n)])
             t.probing = False
             for k in range(r):
                 t.blueprint["routes"][f"r{k}"] = {"path": f"/r/{k}", "pool": t.pool}
@@ -260,13 +260,13 @@
             took = []
             for _ in range(5):
                 began = t.world.time
-                done = t.office_mach.spawn(t.boss.change(t.with_probe(t.probe + 1)), town.log)
+                done = t.office_mach.spawn(t.boss.change(t.with_probe(t.probe + 1)), simulated_cluster.log)
                 t.until(lambda: done.called, 30)
                 took.append((t.world.time - began) / 1000)
             tail = t.tail()
             began = t.world.time
             tail.proc.kill()
-            done = t.office_mach.spawn(t.boss.change(t.with_probe(t.probe + 1)), town.log)
+            done = t.office_mach.spawn(t.boss.change(t.with_probe(t.probe + 1)), simulated_cluster.log)
             t.until(lambda: done.called, 40)
             roster = len(wire.encoder.encode(max((c.issuer.latest for c in t.cores.values()), key=lambda x: x.stamp)))
             print(
@@ -286,19 +286,19 @@
     :param seed: the run's seed
     """
     loguru.logger.remove()
-    t = town.Town(seed, shape, long_rate=0.2, short_rate=2, talks=4)
+    t = simulated_cluster.SimulatedCluster(seed, shape, long_rate=0.2, short_rate=2, talks=4)
     t.begin()
-    t.load.us = minutes * 60 * town.S
+    t.load.us = minutes * 60 * simulated_cluster.S
     kinds = ("kill_node", "kill_core", "worker_crash", "freeze", "kill_warden")
 
     async def change():
         while True:
             await t.boss.change(t.with_probe(t.probe + 1))
-            await t.office_mach.sleep(3 * town.S)
+            await t.office_mach.sleep(3 * simulated_cluster.S)
 
-    t.office_mach.spawn(change(), town.log)
+    t.office_mach.spawn(change(), simulated_cluster.log)
     for k in range(minutes):
-        end = t.world.time + 60 * town.S
+        end = t.world.time + 60 * simulated_cluster.S
         if k % 3 == 1:
             name = kinds[(k // 3) % len(kinds)]
             x = {
@@ -314,7 +314,7 @@
                 x.proc.wake()
             else:
                 scenes.kill(t, x, getattr(x, "ident", None) or x.options.name, back=4)
-        t.go((end - t.world.time) / town.S)
+        t.go((end - t.world.time) / simulated_cluster.S)
         t.tape.rows.clear()
         if (k + 1) % 5 == 0:
             print(f"{k + 1} min: " + ", ".join(f"{n} {v}" for n, v in held(t).items()), flush=True)
@@ -323,7 +323,7 @@
 def held(t):
     """The largest size of each thing that the processes keep.
 
-    Example: `held(town)["claims"]`
+    Example: `held(simulated_cluster)["claims"]`
     """
     nodes = [n for n in t.nodes.values() if n.proc.alive]
     cores = [c for c in t.cores.values() if c.proc.alive]
@@ -337,18 +337,18 @@
         "budget": most(len(w.budget.firsts) + len(w.budget.repeats) for w in ws),
         "gone": most(len(w.gone) for w in ws),
         "heard": most(len(h) for w in ws for h in w.watch.heard.values()),
-        "copies": most(len(s.sessions) + len(s.claims) for n in nodes for s in n.shelves.values()),
+        "copies": most(len(s.sessions) + len(s.claims) for n in nodes for s in n.session_replicas.values()),
         "pins": most(len(n.door.pins) for n in nodes),
         "given up": most(len(n.given_up) for n in nodes),
         "tallies": most(len(b.firsts) + len(b.repeats) for n in nodes for b in n.door.tallies.values()),
-        "links": most(len(x.neighbours.links) for x in nodes + cores),
+        "links": most(len(x.peers.links) for x in nodes + cores),
         "plans": most(len(c.chain.tip.plans) for c in cores),
         "history": most(len(c.chain.history) for c in cores),
         "entries": most(len(c.chain.log) for c in cores),
         "keys on disk": most(len(c.proc.host.synced) for c in cores),
         "bytes on disk": most(sum(len(v) for v in c.proc.host.synced.values()) for c in cores),
-        "pulses": most(len(c.council.pulses) for c in cores),
-        "posts": most(len(c.posts) for c in cores),
+        "pulses": most(len(c.membership.heartbeats) for c in cores),
+        "posts": most(len(c.node_sessions) for c in cores),
         "seated": most(len(c.seated) for c in cores),
         "left": most(len(c.issuer.left) for c in cores),
         "places": most(len(c.issuer.places) for c in cores),
--- a/bench/guards.py
+++ b/bench/mutation_checks.py
@@ -1,7 +1,7 @@
 """Guards taken out, one at a time: the checker of the point that a guard keeps must complain.
 
-python -m bench.guards --seeds 5
-python -m bench.guards --names claims via --seeds 10 --shapes swan
+python -m bench.mutation_checks --seeds 5
+python -m bench.mutation_checks --names claims via --seeds 10 --shapes swan
 """
 
 import contextlib
@@ -18,14 +18,14 @@
 import iriswheel.agreement as agreement
 import iriswheel.budget as budget
 import iriswheel.core as core
-import iriswheel.door as door
+import iriswheel.dispatch as dispatch
+import iriswheel.edge_protocol as edge_protocol
 import iriswheel.follower as follower
+import iriswheel.gateway as gateway
 import iriswheel.message as message
-import iriswheel.outer as outer
 import iriswheel.reach as reach
 import iriswheel.replay as replay
 import iriswheel.roster as roster
-import iriswheel.sender as sender
 import iriswheel.session as session
 import iriswheel.verdict as verdict
 import iriswheel.warden as warden
@@ -36,14 +36,14 @@
     return None
 
 
-async def _unsent(self, *args, send=sender.Sender.send):
+async def _unsent(self, *args, send=dispatch.Dispatcher.send):
     out = await send(self, *args)
-    return sender.Outcome.UNSENT if out is sender.Outcome.BROKE else out
+    return dispatch.Outcome.UNSENT if out is dispatch.Outcome.BROKE else out
 
 
-async def _elect_once(self, x, shun, elect=door.Door.elect):
+async def _elect_once(self, x, shun, elect=gateway.Gateway.elect):
     if shun:
-        raise verdict.Defect("no_worker", "No worker could be reached.", self.known(x))
+        raise verdict.ServiceError("no_worker", "No worker could be reached.", self.known(x))
     return await elect(self, x, shun)
 
 
@@ -52,7 +52,7 @@
     self.owner.check_workers()
 
 
-async def _no_token(self, x, worker, send, via, plain=door.Door.send):
+async def _no_token(self, x, worker, send, via, plain=gateway.Gateway.send):
     return await plain(self, x, worker, send, "")
 
 
@@ -94,7 +94,7 @@
 
 def _blank_leads(v, promises, alive):
     blank_first = sorted(alive, key=lambda i: (i in promises and promises[i].whole == v.number, i))
-    return [message.ChainLink(i, alive[i]) for i in blank_first]
+    return [message.ChainReplica(i, alive[i]) for i in blank_first]
 
 
 def _no_tips(v, promises, alive, order=agreement.order):
@@ -105,7 +105,7 @@
     return ""
 
 
-def _torn_is_whole(self, reason=None, lost=sender.Relay.connectionLost):
+def _torn_is_whole(self, reason=None, lost=dispatch.Relay.connectionLost):
     if self.tick is not None and self.tick.active():
         self.tick.cancel()
     self.done(True)
@@ -114,7 +114,7 @@
 _sent_headers = []
 
 
-def _stale_headers(headers, worker, token, onward=outer.onward):
+def _stale_headers(headers, worker, token, onward=edge_protocol.onward):
     _sent_headers.append(onward(headers, worker))
     return _sent_headers[-2] if len(_sent_headers) > 50 else _sent_headers[-1]
 
@@ -123,10 +123,10 @@
 GUARDS = {
     "claims": ([(warden.Warden, "claimed", lambda self, m: None)], "worker_storm", 1, "once"),
     "other_pools": ([(warden.Warden, "ask_pools", _nobody_has_it)], "route_moves", 3, "once"),
-    "torn_answers": ([(sender.Relay, "connectionLost", _torn_is_whole)], "worker_storm", 1, "once"),
-    "own_headers": ([(outer, "onward", _stale_headers)], "calm", 1, "own"),
+    "torn_answers": ([(dispatch.Relay, "connectionLost", _torn_is_whole)], "worker_storm", 1, "once"),
+    "own_headers": ([(edge_protocol, "onward", _stale_headers)], "calm", 1, "own"),
     "unsent_or_broke": (
-        [(sender.Sender, "send", _unsent), (door.Door, "elect", _elect_once)],
+        [(dispatch.Dispatcher, "send", _unsent), (gateway.Gateway, "elect", _elect_once)],
         "worker_freeze",
         1,
         "not_run",
@@ -146,12 +146,12 @@
     "retry_budget": ([(budget.Budget, "spend", lambda self, now: True)], "worker_breaks", 1, "budget"),
     "seats": ([(warden.Warden, "has_seat", lambda self, w, long, pool: False)], "calm", 1, "served"),
     "second_witness": ([(reach.Watch, "check", _alone)], "blind_warden", 2, "pinned"),
-    "via": ([(door.Door, "send", _no_token)], "blind_node", 1, "served"),
+    "via": ([(gateway.Gateway, "send", _no_token)], "blind_node", 1, "served"),
     "one_budget": ([(budget.Budget, "room", _local_budgets)], "worker_breaks", 1, "served"),
     "stale": ([(follower.Follower, "stale", lambda self: False)], "cut_node", 1, "in_force"),
     "places": ([(follower.Follower, "cut_off", _any_place)], "wake_without_core", 1, "in_force"),
     "all_neighbours": ([(follower.Follower, "cut_off", _half)], "cut_sides", 1, "in_force"),
-    "rerouted": ([(door.Door, "reroute", lambda self, x: None)], "crowd", 1, "served"),
+    "rerouted": ([(gateway.Gateway, "reroute", lambda self, x: None)], "crowd", 1, "served"),
     "twice_said": ([(follower.Follower, "believe", _believe_all)], "platform_bad", 1, "pinned"),
     "sweep": ([(session.Book, "sweep", _keep_all)], "release", 1, "served"),
     "early_answers": ([(web.Request, "refuse_early", lambda self, code, text: None)], "bad_requesters", 1, "answered"),
--- a/bench/site.py
+++ b/bench/platform_model.py
@@ -1,8 +1,8 @@
 """A simulated site of the users' platform: a fleet as platform/ starts it, its workers, clients, operators, faults.
 
 The fleet's processes run on bench/sim.py's machines with the options that platform/settings.py makes of a settings
-file, speak through platform/formats.py and platform/configuration.py, and see the stand-ins of bench/serving.py and
-bench/users.py. Processor time is not modelled: code takes no time here.
+file, speak through platform/formats.py and platform/configuration_api.py, and see the stand-ins of bench/serving.py and
+bench/client_model.py. Processor time is not modelled: code takes no time here.
 """
 
 import copy
@@ -11,11 +11,11 @@
 
 import loguru
 
+import bench.client_model as client_model
 import bench.engine as engine
 import bench.serving as serving
 import bench.sim as sim
-import bench.town as town
-import bench.users as users
+import bench.simulated_cluster as simulated_cluster
 import bench.words as words
 import iriswheel.core as core
 import iriswheel.machine as machine
@@ -26,7 +26,7 @@
 if words.PLATFORM not in sys.path:
     sys.path.append(words.PLATFORM)
 
-import configuration  # noqa: E402
+import configuration_api  # noqa: E402
 import formats  # noqa: E402
 import run as entry_points  # noqa: E402
 import settings  # noqa: E402
@@ -38,7 +38,7 @@
 
 log = loguru.logger.bind(part="site")
 
-LONG = users.Kind(
+LONG = client_model.Kind(
     "bundle",
     host="long.example",
     path="/lohu/",
@@ -54,8 +54,8 @@
     events=(30, 1.4, 120),
     body_bytes=34_000,
 )
-SHORT = users.Kind("phrase", host="short.example", path="/pufi/", resumable=True, share=86.0)
-DIRECT = users.Kind("direct", sort="may", deadline_ms=3_000, aim_ms=3_000, body_bytes=8)
+SHORT = client_model.Kind("phrase", host="short.example", path="/pufi/", resumable=True, share=86.0)
+DIRECT = client_model.Kind("direct", sort="may", deadline_ms=3_000, aim_ms=3_000, body_bytes=8)
 
 
 @dataclasses.dataclass
@@ -155,7 +155,7 @@
         self.world = sim.World(seed)
         self.world.held_writes = True
         self.rng = self.world.rng
-        self.tape = town.Tape()
+        self.tape = simulated_cluster.Tape()
         self.seconds, self.load = seconds, load
         self.figures = figures or engine.Figures(**self.shape.figures)
         self.cores, self.nodes, self.workers = {}, {}, {}
@@ -282,7 +282,9 @@
         c = self.cores[name] = core.Core(proc.mach(), sim.Disk(proc), o)
         c.proc = proc
         proc.reactor.listenTCP(o.port, wire.Listener(c.mach, c.serve, log))
-        proc.reactor.listenTCP(CONTROL, web.Server(c.mach, configuration.Configuration(c).handle, room=o.connections))
+        proc.reactor.listenTCP(
+            CONTROL, web.Server(c.mach, configuration_api.Configuration(c).handle, room=o.connections)
+        )
         c.start()
 
     def start_node(self, name):
@@ -341,7 +343,7 @@
         list_proc.reactor.listenTCP(LIST, self.listing)
         outside = sim.Proc(self.world, "outside", sim.Machine(self.world, "10.9.0.1", "far"))
         self.out = outside.mach()
-        self.entry = users.Entry(self.out, self.tape)
+        self.entry = client_model.Entry(self.out, self.tape)
         office = sim.Proc(self.world, "office", sim.Machine(self.world, "10.9.0.2", "far"))
         self.office = office.mach()
         for k, zone in enumerate(sh.workers, 1):
@@ -355,8 +357,8 @@
             self.start_node(f"n{k}")
         self.born = True
         self.out.spawn(self.entry.run(), log)
-        self.boss = users.Operator(self.office, self.tape, self.controls, "boss")
-        self.rival = users.Operator(self.office, self.tape, self.controls, "rival")
+        self.boss = client_model.Operator(self.office, self.tape, self.controls, "boss")
+        self.rival = client_model.Operator(self.office, self.tape, self.controls, "rival")
         self.doc, self.version = self.first(), 1
         first = self.office.spawn(self.boss.put(self.doc, 0, seconds=60), log)
         self.until(lambda: first.called, 60)
@@ -374,7 +376,7 @@
         self.traffics = []
         for zone in sorted(set(sh.nodes)):
             clients = [
-                users.Client(
+                client_model.Client(
                     self.out,
                     self.tape,
                     self.entry,
@@ -387,7 +389,7 @@
                 for j in range(11)
             ]
             share = sh.rate * self.load / len(set(sh.nodes)) * (0.9 + 0.2 * self.rng.random())
-            t = users.Traffic(self.out, clients, sh.kinds, share, phase=self.rng.random())
+            t = client_model.Traffic(self.out, clients, sh.kinds, share, phase=self.rng.random())
             self.traffics.append(t)
             self.out.spawn(t.run(self.traffic_until), log)
 
@@ -592,7 +594,9 @@
             for name in sorted(n for n in self.entry.nodes if self.entry.into(n)):
                 for path in paths:
                     self.directs += 1
-                    c = users.Client(self.out, self.tape, self.entry, f"direct{self.directs}", "far", keeps=False)
+                    c = client_model.Client(
+                        self.out, self.tape, self.entry, f"direct{self.directs}", "far", keeps=False
+                    )
                     kind = dataclasses.replace(DIRECT, host="idle.example")
                     until = self.out.now() + kind.deadline_ms * MS
                     self.out.spawn(c.once(kind, c.name, 0, f"{path}x", [], b"direct", until, 0, node=name), log)
--- a/bench/trial.py
+++ b/bench/process_trial.py
@@ -1,7 +1,7 @@
 """Real processes under load and faults, judged by the same checkers as the simulator's runs.
 
-python -m bench.trial magnolia
-python -m bench.trial swan --cases warden hall full
+python -m bench.process_trial magnolia
+python -m bench.process_trial swan --cases warden hall full
 """
 
 import json
@@ -106,7 +106,7 @@
         self.fleet.until(lambda: done() >= goal, f"{n} more exchanges are served", 30)
 
     def finish(self):
-        """Wait for the load, read the blueprint back, judge: report, complaints, recoveries.
+        """Wait for the load, read the configuration back, judge: report, complaints, recoveries.
 
         Example: `report, found, back = trial.finish()`
         """
@@ -145,7 +145,7 @@
 
 
 def change(t):
-    """A change of the blueprint is confirmed."""
+    """A change of the configuration is confirmed."""
     doc = json.loads(json.dumps(t.fleet.blueprint))
     doc["routes"]["late"] = {"path": "/v1/late", "pool": t.fleet.pool}
     began = time.monotonic()
--- a/bench/scenes.py
+++ b/bench/scenes.py
@@ -4,9 +4,9 @@
 found by name; `SCENES` lists them.
 """
 
-import bench.town as town
+import bench.simulated_cluster as simulated_cluster
 
-S = town.S
+S = simulated_cluster.S
 
 
 def changes(t, n=8, gap=4.0):
@@ -20,7 +20,7 @@
             await t.boss.change(t.with_probe(k))
             await t.office_mach.sleep(int(gap * S))
 
-    return t.office_mach.spawn(go(), town.log)
+    return t.office_mach.spawn(go(), simulated_cluster.log)
 
 
 def some_node(t, warden=None):
@@ -136,7 +136,7 @@
     """A core machine loses power just after an acknowledgement, with the disk or without."""
     for _ in range(1, 4):
         t.go(4)
-        done = t.office_mach.spawn(t.boss.change(t.with_probe(t.probe + 1)), town.log)
+        done = t.office_mach.spawn(t.boss.change(t.with_probe(t.probe + 1)), simulated_cluster.log)
         t.until(lambda: done.called, 20)
         c = t.rng.choice([x for x in (t.head(), t.tail(), some_core(t)) if x is not None])
         name = c.options.name
@@ -170,7 +170,7 @@
     for name in sorted(t.nodes)[:4]:
         t.go(4)
         n = t.nodes[name]
-        done = n.mach.spawn(n.stop(), town.log)
+        done = n.mach.spawn(n.stop(), simulated_cluster.log)
         t.until(lambda: done.called, 40)
         n.proc.kill()
         t.go(0.5 + t.rng.random())
@@ -187,7 +187,7 @@
     for name, version in [(n, next_one) for n in half] + [(n, next_one - 1) for n in half[::2]]:
         t.versions[name] = version
         x = {**t.cores, **t.nodes}[name]
-        done = x.mach.spawn(x.stop(), town.log)
+        done = x.mach.spawn(x.stop(), simulated_cluster.log)
         t.until(lambda: done.called, 40)
         x.proc.kill()
         t.go(0.5)
@@ -201,7 +201,7 @@
     for name in sorted(t.cores):
         t.go(6)
         c = t.cores[name]
-        done = c.mach.spawn(c.stop(), town.log)
+        done = c.mach.spawn(c.stop(), simulated_cluster.log)
         t.until(lambda: done.called, 5)
         c.proc.kill()
         t.go(0.5 + t.rng.random())
@@ -328,16 +328,18 @@
 
 
 def cut_node(t):
-    """One node is cut off from the fleet, but not from its requesters and the workers."""
+    """One node is cut off from the fleet, but not from its clients and the workers."""
     changes(t, 12, 3)
     for warden in (False, True):
         t.go(5 + t.rng.random())
         n = some_node(t, warden)
         t.fault("cut", n.me.name)
         t.world.cut([n.options.host], t.hosts("cores", "nodes"))
-        for _ in range(10 + t.rng.randrange(30)):  # some requesters hold on to its address
+        for _ in range(10 + t.rng.randrange(30)):  # some clients hold on to its address
             for k in (t.probe, t.probe - 1):
-                t.load.mach.spawn(t.probe_one(t.load.mach, t.load.agent, n.me.name, f"/p/{max(0, k)}"), town.log)
+                t.load.mach.spawn(
+                    t.probe_one(t.load.mach, t.load.agent, n.me.name, f"/p/{max(0, k)}"), simulated_cluster.log
+                )
             t.go(0.3)
         t.world.heal()
         t.mend("heal", n.me.name)
@@ -462,7 +464,7 @@
 
 
 def worker_storm(t):
-    """All workers crash at once, and their requesters retry, on and on."""
+    """All workers crash at once, and their clients retry, on and on."""
     changes(t, 4, 5)
     t.load.tries = 30
     for _ in range(2):
@@ -513,9 +515,9 @@
     changes(t, 4, 5)
     t.go(5)
     for _ in range(150):
-        t.load.open.append(t.load.mach.spawn(t.load.exchange("short", ["phrases"]), town.log))
+        t.load.open.append(t.load.mach.spawn(t.load.exchange("short", ["phrases"]), simulated_cluster.log))
     for _ in range(8):
-        t.load.open.append(t.load.mach.spawn(t.load.exchange("long", ["bundle"]), town.log))
+        t.load.open.append(t.load.mach.spawn(t.load.exchange("long", ["bundle"]), simulated_cluster.log))
     t.go(20)
 
 
@@ -524,7 +526,7 @@
     changes(t, 4, 5)
     t.go(5)
     for _ in range(60):
-        t.load.open.append(t.load.mach.spawn(t.load.exchange("short", ["phrases", "hot"]), town.log))
+        t.load.open.append(t.load.mach.spawn(t.load.exchange("short", ["phrases", "hot"]), simulated_cluster.log))
         t.go(0.15)
     t.go(10)
 
@@ -533,7 +535,7 @@
     """More conversations than all workers may hold."""
     t.go(3)
     for k in range(80):
-        t.load.open.append(t.load.mach.spawn(t.load.exchange("short", ["phrases", f"many-{k}"]), town.log))
+        t.load.open.append(t.load.mach.spawn(t.load.exchange("short", ["phrases", f"many-{k}"]), simulated_cluster.log))
         t.go(0.1)
     t.go(20)
 
@@ -550,15 +552,15 @@
 
 def race(t):
     """Two operators race each other, while the head is killed."""
-    other = town.Operator(t, t.office_mach, "other")
+    other = simulated_cluster.Operator(t, t.office_mach, "other")
 
     async def go(op, ks):
         for k in ks:
             await op.change(t.with_probe(k), tries=60)
 
     ds = [
-        t.office_mach.spawn(go(t.boss, range(1, 20, 2)), town.log),
-        t.office_mach.spawn(go(other, range(2, 21, 2)), town.log),
+        t.office_mach.spawn(go(t.boss, range(1, 20, 2)), simulated_cluster.log),
+        t.office_mach.spawn(go(other, range(2, 21, 2)), simulated_cluster.log),
     ]
     t.go(0.5 + t.rng.random())
     if t.head() is not None:
@@ -568,7 +570,7 @@
 
 
 def many_routes(t):
-    """The blueprint grows by many routes."""
+    """The configuration grows by many routes."""
     more = {f"r{k}": {"path": f"/r/{k}", "pool": t.pool} for k in range(400)}
 
     async def go():
@@ -577,7 +579,7 @@
             await t.boss.change(t.with_probe(k, part))
             await t.office_mach.sleep(3 * S)
 
-    t.office_mach.spawn(go(), town.log)
+    t.office_mach.spawn(go(), simulated_cluster.log)
     t.go(8)
     c = some_core(t)
     kill(t, c, c.options.name, back=3)
@@ -589,7 +591,7 @@
     changes(t, 6, 3)
     t.go(22)
     t.until(lambda: t.load_done.called, 60)
-    done = t.office_mach.spawn(t.boss.change(t.with_probe(t.probe + 1)), town.log)
+    done = t.office_mach.spawn(t.boss.change(t.with_probe(t.probe + 1)), simulated_cluster.log)
     t.until(lambda: done.called, 20)
     c = some_core(t)
     t.fault("power", c.options.name)
@@ -683,11 +685,11 @@
     t.go(4)
 
 
-# ---- blueprints that change what carries traffic ------------------------------------------
+# ---- configurations that change what carries traffic ------------------------------------------
 
 
 def spare_pool(t, n=2):
-    """Two more workers, in a second pool that the blueprint knows.
+    """Two more workers, in a second pool that the configuration knows.
 
     Example: `spare_pool(t)`
     """
@@ -698,12 +700,12 @@
 
 
 def edited(t, edit, op=None, patch=False):
-    """Let an operator change the blueprint by edit(doc), and wait for the confirm.
+    """Let an operator change the configuration by edit(doc), and wait for the confirm.
 
     Example: `edited(t, lambda doc: doc["pools"]["desk"].update(cap=2))`
     """
     edit(t.blueprint)
-    done = t.office_mach.spawn((op or t.boss).change(t.with_probe(t.probe + 1), patch=patch), town.log)
+    done = t.office_mach.spawn((op or t.boss).change(t.with_probe(t.probe + 1), patch=patch), simulated_cluster.log)
     t.until(lambda: done.called, 40)
 
 
@@ -724,12 +726,12 @@
         twins = [f"twin{k}-{j}" for j in range(10)]
         for ident in twins:
             t.load.open.append(
-                t.load.mach.spawn(t.load.send("short", ident, 1, False, ["phrases"], b"x" * 600), town.log)
+                t.load.mach.spawn(t.load.send("short", ident, 1, False, ["phrases"], b"x" * 600), simulated_cluster.log)
             )
         edited(t, lambda doc: doc["routes"][main_route(t)].update(pool=("spare", t.pool)[k % 2]), patch=k % 2 == 0)
-        for ident in twins:  # their requesters never saw the answer, and try again
+        for ident in twins:  # their clients never saw the answer, and try again
             t.load.open.append(
-                t.load.mach.spawn(t.load.send("short", ident, 2, False, ["phrases"], b"x" * 600), town.log)
+                t.load.mach.spawn(t.load.send("short", ident, 2, False, ["phrases"], b"x" * 600), simulated_cluster.log)
             )
         if k in (1, 3):
             n = some_node(t, warden=True)
@@ -781,7 +783,9 @@
 
     def open_talks(n, tag):
         for k in range(n):
-            t.load.open.append(t.load.mach.spawn(t.load.exchange("short", ["phrases", f"{tag}-{k}"]), town.log))
+            t.load.open.append(
+                t.load.mach.spawn(t.load.exchange("short", ["phrases", f"{tag}-{k}"]), simulated_cluster.log)
+            )
             t.go(0.1)
 
     t.go(6)
@@ -815,7 +819,9 @@
     for k in range(3):
         n = 3 * t.worker_count
         for j in range(n + 4):
-            t.load.open.append(t.load.mach.spawn(t.load.exchange("short", ["phrases", f"rel-{k}-{j}"]), town.log))
+            t.load.open.append(
+                t.load.mach.spawn(t.load.exchange("short", ["phrases", f"rel-{k}-{j}"]), simulated_cluster.log)
+            )
             t.go(0.1)
         if k == 1:
             w = some_node(t, warden=True)
@@ -825,7 +831,7 @@
 
 def operators(t):
     """Two operators patch the same field; plans are confirmed twice, late, and on another core."""
-    other = town.Operator(t, t.office_mach, "other")
+    other = simulated_cluster.Operator(t, t.office_mach, "other")
 
     async def patch_cap(op, caps, k0):
         for j, cap in enumerate(caps):
@@ -834,14 +840,14 @@
             await op.change(doc, patch=True)
 
     ds = [
-        t.office_mach.spawn(patch_cap(t.boss, (11, 13, 15), 1), town.log),
-        t.office_mach.spawn(patch_cap(other, (12, 14, 16), 2), town.log),
+        t.office_mach.spawn(patch_cap(t.boss, (11, 13, 15), 1), simulated_cluster.log),
+        t.office_mach.spawn(patch_cap(other, (12, 14, 16), 2), simulated_cluster.log),
     ]
     t.go(0.3 + t.rng.random())
     if t.head() is not None and t.rng.random() < 0.5:
         kill(t, t.head(), t.head().options.name, back=3)
     t.until(lambda: all(d.called for d in ds), 60)
-    done = t.office_mach.spawn(t.boss.stale_plans(t.with_probe(t.probe + 1)), town.log)
+    done = t.office_mach.spawn(t.boss.stale_plans(t.with_probe(t.probe + 1)), simulated_cluster.log)
     t.until(lambda: done.called, 60)
     t.go(5)
 
@@ -850,7 +856,7 @@
 
 
 def wake_without_core(t):
-    """A node sleeps through a change and wakes while the whole core is gone; requesters hold on to its address."""
+    """A node sleeps through a change and wakes while the whole core is gone; clients hold on to its address."""
     t.go(3)
     for _ in range(2):
         n = some_node(t, warden=False)
@@ -864,7 +870,7 @@
         n.proc.wake()
         for _ in range(20):  # it can't learn what it missed before the core is back, and must not serve
             for k in (t.probe, t.probe - 1):
-                t.load.mach.spawn(t.probe_one(t.load.mach, t.load.agent, n.me.name, f"/p/{k}"), town.log)
+                t.load.mach.spawn(t.probe_one(t.load.mach, t.load.agent, n.me.name, f"/p/{k}"), simulated_cluster.log)
             t.go(0.3)
         t.go(2)
         t.mend("wake", n.me.name)
@@ -898,14 +904,14 @@
             (
                 x
                 for x in t.cores.values()
-                if x.council.view is not None
-                and x.chain.place(x.council.view.number) == min(place, len(x.council.view.chain) - 1)
+                if x.membership.view is not None
+                and x.chain.place(x.membership.view.number) == min(place, len(x.membership.view.chain) - 1)
             ),
             None,
         ) or some_core(t)
         m = c.proc.host
         m.trap = t.rng.choice(["before sync", "after sync", "after answer"])
-        done = t.office_mach.spawn(t.boss.change(t.with_probe(t.probe + 1)), town.log)
+        done = t.office_mach.spawn(t.boss.change(t.with_probe(t.probe + 1)), simulated_cluster.log)
         if t.until(lambda: not m.power, 5):
             t.fault(f"power {m.trap_sprung}", c.options.name)
             if t.rng.random() < 0.4:
@@ -1066,7 +1072,7 @@
     t.go(14)
 
 
-# ---- requesters ------------------------------------------------------------------------------
+# ---- clients ------------------------------------------------------------------------------
 
 
 def rush(t):
@@ -1075,7 +1081,7 @@
     t.go(4)
     for _ in range(int(t.rates[1] * 10 * 4)):
         parts = ["phrases"] if t.rng.random() < 0.8 else ["phrases", "hot"]
-        t.load.open.append(t.load.mach.spawn(t.load.exchange("short", parts), town.log))
+        t.load.open.append(t.load.mach.spawn(t.load.exchange("short", parts), simulated_cluster.log))
         t.go(1 / (t.rates[1] * 10))
     t.go(10)
 
@@ -1086,13 +1092,13 @@
     t.go(3)
     for _ in range(60):
         n = t.nodes[t.rng.choice(sorted(t.nodes))]
-        t.load.mach.spawn(t.rude(n.options.host, t.rng.choice(town.RUDE)), town.log)
+        t.load.mach.spawn(t.rude(n.options.host, t.rng.choice(simulated_cluster.RUDE)), simulated_cluster.log)
         t.go(0.25)
     t.go(14)
 
 
 def retriers(t):
-    """A node dies while requesters retry at once and without end."""
+    """A node dies while clients retry at once and without end."""
     changes(t, 4, 5)
     t.load.tries, t.load.quick = 40, 0.8
     t.go(5)
@@ -1114,7 +1120,7 @@
         parts = ["phrases"] if k % 2 else ["phrases", f"twin-{k}"]
         for send in (1, 2):
             t.load.open.append(
-                t.load.mach.spawn(t.load.send("short", ident, send, repeat, parts, b"x" * 600), town.log)
+                t.load.mach.spawn(t.load.send("short", ident, send, repeat, parts, b"x" * 600), simulated_cluster.log)
             )
             t.go(t.rng.choice([0, 0.002, 0.02, 0.2]))
         t.go(0.5)
@@ -1129,7 +1135,9 @@
         t.go(5 + t.rng.random())
         n = some_node(t, warden=k % 2 == 0)
         for j in range(12):
-            t.load.open.append(t.load.mach.spawn(t.load.exchange("short", ["phrases", f"ctd-{k}-{j}"]), town.log))
+            t.load.open.append(
+                t.load.mach.spawn(t.load.exchange("short", ["phrases", f"ctd-{k}-{j}"]), simulated_cluster.log)
+            )
         t.go(0.004 + t.rng.random() * 0.012)
         if k == 3:
             t.fault("cut", n.me.name)
@@ -1231,7 +1239,7 @@
 def five_cores(t):
     """Five core machines, of which any two may be lost: kills, lost disks, a blackout right after a change."""
     changes(t, 6, 4)
-    t.until(lambda: t.tail() is not None and len(t.tail().council.view.chain) == 5, 10)
+    t.until(lambda: t.tail() is not None and len(t.tail().membership.view.chain) == 5, 10)
     t.go(4)
     for c in t.rng.sample(sorted(t.cores), 2):
         kill(t, t.cores[c], c, back=4)
@@ -1261,7 +1269,7 @@
         t.start_core(f"c{k}", f"10.0.1.{k}", c.options.zone)
         t.go(1 + t.rng.random() * 3)
         t.fault("stop", name)
-        done = c.mach.spawn(c.stop(), town.log)
+        done = c.mach.spawn(c.stop(), simulated_cluster.log)
         t.until(lambda: done.called, 10)
         c.proc.kill()
         del t.cores[name]
@@ -1277,7 +1285,7 @@
     for k in (4, 5, 6):
         t.go(4)
         replace(t, t.cores[sorted(t.cores)[0]], f"c{k}", f"10.0.1.{k}")
-        t.seeds = [f"{t.options[c][0]}:{town.PEER}" for c in sorted(t.cores)]
+        t.seeds = [f"{t.options[c][0]}:{simulated_cluster.PEER}" for c in sorted(t.cores)]
         t.go(6)
     for name in sorted(t.nodes)[:3]:
         kill(t, t.nodes[name], name, back=0.5)
@@ -1370,7 +1378,7 @@
 
     Example: `t = play("kill_warden", 7)`; `replay.judge(t.tape.rows)`.
     """
-    t = town.Town(seed, shape, **getattr(SCENES[scene], "town", {}))
+    t = simulated_cluster.SimulatedCluster(seed, shape, **getattr(SCENES[scene], "town", {}))
     t.begin()
     SCENES[scene](t)
     t.load.end()  # no new exchanges; those under way end
--- a/bench/sim.py
+++ b/bench/sim.py
@@ -1,7 +1,7 @@
 """The simulated world: one virtual clock, machines, their disks, and a network of halls.
 
 The real core and node code runs here unchanged. A seed gives the same run each time.
-Nothing in here knows what a fleet is; bench/town.py builds fleets out of it.
+Nothing in here knows what a fleet is; bench/simulated_cluster.py builds fleets out of it.
 """
 
 import collections
@@ -22,7 +22,7 @@
 
 HALL_US = 1_500  # between halls, one way
 NEAR_US = 200  # within a hall
-FAR_US = 4_000  # to and from requesters
+FAR_US = 4_000  # to and from clients
 WINDOW = 65_536
 RESEND_US = 200_000  # how long TCP needs to notice that a cut has healed
 WIRE = types.SimpleNamespace(name="wire")  # on whose account the simulated network's own work goes
@@ -394,7 +394,7 @@
                 self.mach.held.append(land)
                 return
             if self.mach.disk == "full":
-                self.proc.call(lambda: d.errback(store.DiskDefect("No space is left.")))
+                self.proc.call(lambda: d.errback(store.DiskError("No space is left.")))
                 return
             trap, self.mach.trap = self.mach.trap, None
             if trap == "before sync":
--- a/bench/town.py
+++ b/bench/simulated_cluster.py
@@ -10,16 +10,16 @@
 
 import bench.fleet as fleet
 import bench.sim as sim
-import bench.stand as stand
+import bench.stand_ins as stand_ins
 import iriswheel.command as command
 import iriswheel.core as core
+import iriswheel.dispatch as dispatch
+import iriswheel.edge_protocol as edge_protocol
 import iriswheel.linearizability as linearizability
 import iriswheel.load as load
 import iriswheel.machine as machine
 import iriswheel.node as node
 import iriswheel.options as options
-import iriswheel.outer as outer
-import iriswheel.sender as sender
 import iriswheel.web as web
 import iriswheel.wire as wire
 
@@ -33,7 +33,7 @@
 
 
 class Rude(protocol.Protocol):
-    """Keeps what comes back to a rude requester.
+    """Keeps what comes back to a rude client.
 
     >>> Rude().got
     []
@@ -72,10 +72,10 @@
         return "".join(json.dumps(r) + "\n" for r in self.rows)
 
 
-class Town:
+class SimulatedCluster:
     """One simulated run.
 
-    Example: `t = Town(seed=7, shape="magnolia"); t.begin(); t.go(30); t.end()`
+    Example: `t = SimulatedCluster(seed=7, shape="magnolia"); t.begin(); t.go(30); t.end()`
     """
 
     def __init__(
@@ -122,14 +122,14 @@
         return self.world.machines.get(host) or sim.Machine(self.world, host, zone)
 
     def begin(self):
-        """Start everything and let the blueprint be confirmed.
+        """Start everything and let the configuration be confirmed.
 
         Example: `town.begin()`
         """
         zones = sorted(set(self.halls))
         self.seeds = [f"10.0.1.{k}:{PEER}" for k in range(1, min(3, self.core_count) + 1)]
         self.platform_proc = sim.Proc(self.world, "platform", self.machine("10.0.4.1", zones[0]))
-        self.platform = stand.Platform(self.platform_proc.mach(), self.tape)
+        self.platform = stand_ins.Platform(self.platform_proc.mach(), self.tape)
         self.listen(self.platform_proc, 9000, web.Server(self.platform.mach, self.platform.handle))
         for k in range(1, self.worker_count + 1):
             self.start_worker(f"w{k}", f"10.0.3.{k}")
@@ -220,7 +220,7 @@
         """
         proc = sim.Proc(self.world, name, self.machine(host, sorted(set(self.halls))[0]))
         mach = proc.mach()
-        w = self.workers[name] = stand.Worker(mach, name, self.tape)
+        w = self.workers[name] = stand_ins.Worker(mach, name, self.tape)
         w.proc, w.host = proc, host
         self.listen(proc, 9001, web.Server(mach, w.handle))
         self.platform.put(name, host=host, port=9001, pool=self.pool, state="ready")
@@ -247,7 +247,7 @@
         return True
 
     def end(self):
-        """The day's end: what is open ends, and the blueprint is read back.
+        """The day's end: what is open ends, and the configuration is read back.
 
         Example: `town.end()`
         """
@@ -262,7 +262,7 @@
     # ---- users ----------------------------------------------------------------------------
 
     def with_probe(self, k, more=None):
-        """The blueprint with probe route k, and perhaps more routes.
+        """The configuration with probe route k, and perhaps more routes.
 
         Example: `town.with_probe(3)`
         """
@@ -276,7 +276,7 @@
 
         Example: `mach.spawn(town.probe_all(mach))`
         """
-        agent = sender.Sender(mach).fresh
+        agent = dispatch.Dispatcher(mach).fresh
         while self.probing:
             await mach.sleep(S)
             for name in [n for n in sorted(self.nodes) if self.platform.told.get(n)]:
@@ -284,7 +284,7 @@
                     mach.spawn(self.probe_one(mach, agent, name, path), log)
 
     async def rude(self, host, how):
-        """A requester that misbehaves: leaves, reads slowly, or sends bad HTTP.
+        """A client that misbehaves: leaves, reads slowly, or sends bad HTTP.
 
         Example: `await town.rude("10.0.2.1", "bad head")`
         """
@@ -328,10 +328,10 @@
         self.probes += 1
         ident = f"p{self.probes}"
         host, port = self.platform.nodes[name]
-        heads = load.http_headers.Headers({outer.REPEAT: ["yes"], outer.EXCHANGE: [ident]})
+        heads = load.http_headers.Headers({edge_protocol.REPEAT: ["yes"], edge_protocol.EXCHANGE: [ident]})
         try:
             res = await mach.within(
-                agent.request(b"POST", f"http://{host}:{port}{path}".encode(), heads, sender.Body(b"probe")), 8 * S
+                agent.request(b"POST", f"http://{host}:{port}{path}".encode(), heads, dispatch.Body(b"probe")), 8 * S
             )
         except Exception:
             self.tape.put(
@@ -353,11 +353,11 @@
             path=path,
             exchange=ident,
             status=res.code,
-            worker=(res.headers.getRawHeaders(outer.TARGET) or [None])[0],
+            worker=(res.headers.getRawHeaders(edge_protocol.TARGET) or [None])[0],
             done=mach.now(),
         )
         res.deliverBody(
-            sender.Collect(
+            dispatch.Collect(
                 lambda raw: self.tape.put(
                     began, "probe", code=json.loads(raw)["code"] if raw and res.code != 200 else "", **row
                 )
@@ -371,16 +371,16 @@
 
         Example: `town.tail().options.name`
         """
-        return next((c for c in self.cores.values() if c.proc.alive and c.council.leased()), None)
+        return next((c for c in self.cores.values() if c.proc.alive and c.membership.leased()), None)
 
     def head(self):
         """The core that is the head of the newest view, or None.
 
         Example: `town.head()`
         """
-        live = [c for c in self.cores.values() if c.proc.alive and c.council.view is not None]
-        v = max((c.council.view for c in live), key=lambda v: v.number, default=None)
-        return next((c for c in live if v is not None and c.council.me.id == v.chain[0].id), None)
+        live = [c for c in self.cores.values() if c.proc.alive and c.membership.view is not None]
+        v = max((c.membership.view for c in live), key=lambda v: v.number, default=None)
+        return next((c for c in live if v is not None and c.membership.me.id == v.chain[0].id), None)
 
     def warden(self):
         """The node that is the seated warden, or None.
@@ -515,7 +515,7 @@
         self.town.probe = max(self.town.probe, probe)
 
     async def change(self, doc, tries=40, patch=False):
-        """Get a blueprint confirmed, whole or as a JSON Patch; the stamp, or 0.
+        """Get a configuration confirmed, whole or as a JSON Patch; the stamp, or 0.
 
         Example: `stamp = await operator.change(doc)`
         """
@@ -594,7 +594,7 @@
         return 0
 
     async def read(self, tries=60):
-        """Read the blueprint back.
+        """Read the configuration back.
 
         Example: `await operator.read()`
         """
--- a/bench/stand.py
+++ b/bench/stand_ins.py
@@ -12,10 +12,10 @@
 import loguru
 import twisted.internet.defer as defer
 
+import iriswheel.dispatch as dispatch
+import iriswheel.edge_protocol as edge_protocol
 import iriswheel.load as load
 import iriswheel.machine as machine
-import iriswheel.outer as outer
-import iriswheel.sender as sender
 import iriswheel.web as web
 
 PREFILL_BYTES_PER_S = 400_000  # prompt bytes read per second, alone
@@ -95,8 +95,8 @@
         Example: `await worker.run(req)`
         """
         heads = req.requestHeaders
-        ident, send = outer.ident(heads, outer.EXCHANGE), outer.send_number(heads)
-        parts = outer.prefix(heads)
+        ident, send = edge_protocol.ident(heads, edge_protocol.EXCHANGE), edge_protocol.send_number(heads)
+        parts = edge_protocol.prefix(heads)
         raw = req.content.read()
         self.runs += 1
         run = f"{self.ident}-{self.mach.boot}-{self.runs}"
@@ -108,7 +108,7 @@
             exchange=ident,
             send=send,
             parts=parts,
-            target=outer.header(heads, outer.TARGET),
+            target=edge_protocol.header(heads, edge_protocol.TARGET),
             path=req.path.decode("latin-1"),
         )
         if self.sick:
@@ -187,7 +187,7 @@
         self.nodes = {}  # name -> (host, HTTP port)
         self.mood = ""  # or slow, nonsense, empty, half: how it answers the question for its workers
         self.told = {}  # name -> whether it said that it is ready
-        self.sender = sender.Sender(mach)
+        self.sender = dispatch.Dispatcher(mach)
 
     async def ask_nodes(self):
         """Ask every node whether it is ready, over and over.
@@ -205,7 +205,7 @@
         Example: `await platform.ask_node("n1", "127.0.0.1", 8101)`
         """
         try:
-            await self.sender.fetch(host, port, outer.READY_PATH, 400 * machine.MILLI)
+            await self.sender.fetch(host, port, edge_protocol.READY_PATH, 400 * machine.MILLI)
             ready = True
         except defer.CancelledError:
             raise
@@ -216,7 +216,7 @@
             self.events.put(self.mach.now(), "asked", node=name, ready=ready)
 
     def places(self):
-        """Where requesters are handed to: the ready nodes; all of them where none is.
+        """Where clients are handed to: the ready nodes; all of them where none is.
 
         Example: `load.Load(mach, platform.places, ...)`
         """
--- a/iriswheel/agreement.py
+++ b/iriswheel/agreement.py
@@ -2,7 +2,7 @@
 
 A view (who votes, and the order of the chain) is agreed by single-decree Paxos among the voters of the view
 before it. Each function here takes the state of one acceptor and a typed message, and returns the new state
-with the typed answer. Disk, clock and network belong to the caller: `view.Council` syncs a changed state before
+with the typed answer. Disk, clock and network belong to the caller: `view.Membership` syncs a changed state before
 it sends the answer, and `bench.explore` searches the interleavings of the same functions.
 """
 
@@ -80,18 +80,18 @@
 def is_serving(record, ident, boot):
     """Whether this incarnation of a machine is a member of the record's chain, and the view is not sealed.
 
-    >>> is_serving(Record(message.View(2, [], [message.ChainLink("a", "1")])), "a", "2")
+    >>> is_serving(Record(message.View(2, [], [message.ChainReplica("a", "1")])), "a", "2")
     False
     """
     if record.view is None or is_sealed(record):
         return False
-    return message.ChainLink(ident, boot) in record.view.chain
+    return message.ChainReplica(ident, boot) in record.view.chain
 
 
 def is_tail(record, ident, boot):
     """Whether this incarnation of a machine serves as the tail of the record's chain.
 
-    >>> is_tail(Record(message.View(2, [], [message.ChainLink("a", "1")])), "a", "1")
+    >>> is_tail(Record(message.View(2, [], [message.ChainReplica("a", "1")])), "a", "1")
     True
     """
     return is_serving(record, ident, boot) and record.view.chain[-1].id == ident
@@ -100,7 +100,7 @@
 def may_lead_reads(record, ident, boot):
     """Whether a machine may ask for the read lease, and serve reads while it holds it.
 
-    >>> may_lead_reads(Record(message.View(2, [], [message.ChainLink("a", "1")]), whole=1), "a", "1")
+    >>> may_lead_reads(Record(message.View(2, [], [message.ChainReplica("a", "1")]), whole=1), "a", "1")
     False
     """
     return is_tail(record, ident, boot) and is_synced(record)
@@ -109,7 +109,7 @@
 def may_commit(record, ident, boot, copies):
     """Whether all that is synced on this machine is committed: it is the synced tail of a chain of enough copies.
 
-    >>> may_commit(Record(message.View(2, [], [message.ChainLink("a", "1")]), whole=2), "a", "1", copies=2)
+    >>> may_commit(Record(message.View(2, [], [message.ChainReplica("a", "1")]), whole=2), "a", "1", copies=2)
     False
     """
     return may_lead_reads(record, ident, boot) and len(record.view.chain) >= copies
@@ -204,7 +204,7 @@
 
     The head of a view is synced in it by construction.
 
-    >>> adopt(Record(), "a", message.View(1, [], [message.ChainLink("a", "1")])).whole
+    >>> adopt(Record(), "a", message.View(1, [], [message.ChainReplica("a", "1")])).whole
     1
     """
     if newer_view(record, view.number) is not None:
@@ -219,7 +219,7 @@
     A chain acknowledges nothing while one of its members is not synced. So a member that held all of the view
     before, and was not synced in this one, holds all of this one too.
 
-    >>> view = message.View(3, [], [message.ChainLink("a", "1"), message.ChainLink("b", "1")])
+    >>> view = message.View(3, [], [message.ChainReplica("a", "1"), message.ChainReplica("b", "1")])
     >>> complete_through(Record(view, whole=2), "b"), complete_through(Record(view, whole=1), "b")
     (3, 1)
     >>> complete_through(Record(view, whole=2), "c")
@@ -254,9 +254,9 @@
 
 
 def give_lease(record, ident, request):
-    """Answer a LeaseAsk: given to the tail of an unsealed view.
+    """Answer a LeaseRequest: given to the tail of an unsealed view.
 
-    >>> give_lease(Record(), "a", message.LeaseAsk(1, "b")).ok
+    >>> give_lease(Record(), "a", message.LeaseRequest(1, "b")).ok
     False
     """
     view = record.view
@@ -314,7 +314,7 @@
     A member holds all that those behind it hold. One that holds less came back with an older
     disk, and counts as a newcomer.
 
-    >>> a, b, c = [message.ChainLink(i, "x") for i in "abc"]
+    >>> a, b, c = [message.ChainReplica(i, "x") for i in "abc"]
     >>> v = message.View(4, [], [a, b, c])
     >>> said = {i: message.Promise(True, (1, "b"), None, None, i, "x", w, True)
     ...         for i, w in (("b", 4), ("c", 4))}
@@ -339,13 +339,13 @@
     if not lead:
         return None
     rest = [i for i in able if i not in lead] + [i for i in sorted(alive) if i not in old and i not in lead]
-    return [message.ChainLink(i, alive[i]) for i in lead + rest]
+    return [message.ChainReplica(i, alive[i]) for i in lead + rest]
 
 
 def is_handing_over(view, alive, leaving, synced):
     """Whether the only synced members of the chain are about to leave, and must bring another up to date first.
 
-    >>> chain = [message.ChainLink("a", "1"), message.ChainLink("b", "1")]
+    >>> chain = [message.ChainReplica("a", "1"), message.ChainReplica("b", "1")]
     >>> view = message.View(4, [], chain)
     >>> is_handing_over(view, {"b": "1"}, {"a": "1"}, {"a"}), is_handing_over(view, {"b": "1"}, {"a": "1"}, {"a", "b"})
     (True, False)
@@ -362,7 +362,7 @@
     machine that leaves can lead, it stays for one more view, with the seats as they are, to bring the others up
     to date.
 
-    >>> a, b = message.ChainLink("a", "1"), message.ChainLink("b", "1")
+    >>> a, b = message.ChainReplica("a", "1"), message.ChainReplica("b", "1")
     >>> old = message.View(4, [message.Seat(i, i, 1, "zone") for i in "ab"], [a, b])
     >>> said = {
     ...     i: message.Promise(True, (1, "a"), None, None, i, "1", whole, True) for i, whole in (("a", 4), ("b", 3))}
--- a/iriswheel/budget.py
+++ b/iriswheel/budget.py
@@ -18,7 +18,7 @@
     [True, True, False]
 
     Where there were too few first sends, one repeat in a window is free: else a lone
-    requester whose node died could never come back.
+    client whose node died could never come back.
 
     >>> b = Budget()
     >>> for k in range(10): b.first(0, f"x{k}")
--- a/iriswheel/chain.py
+++ b/iriswheel/chain.py
@@ -8,7 +8,7 @@
 import twisted.internet.defer as defer
 
 import iriswheel.agreement as agreement
-import iriswheel.blueprint as blueprint
+import iriswheel.configuration as configuration
 import iriswheel.machine as machine
 import iriswheel.message as message
 import iriswheel.store as store
@@ -111,7 +111,7 @@
             return self._replace(taken=taken)
         by_age = sorted(taken, key=taken.get)
         dropped, kept = by_age[:-TAKEN], by_age[-TAKEN:]
-        forgotten = max(self.forgotten, *map(blueprint.change_number, dropped))
+        forgotten = max(self.forgotten, *map(configuration.change_number, dropped))
         return self._replace(taken=immutables.Map({k: taken[k] for k in kept}), forgotten=forgotten)
 
     def change(self, changes):
@@ -127,7 +127,7 @@
                     fed.pop(key, None)
                 else:
                     items[key] = val
-                    fed[key] = blueprint.bare(val)
+                    fed[key] = configuration.bare(val)
             return self._replace(items=items.finish(), fed=fed.finish())
 
     def freeze(self):
@@ -157,7 +157,7 @@
         """
         kept = unpack_snapshot(raw)
         plans = immutables.Map(kept.plans)
-        fed = immutables.Map({k: blueprint.bare(v) for k, v in kept.items.items()})
+        fed = immutables.Map({k: configuration.bare(v) for k, v in kept.items.items()})
         taken, forgotten = kept.taken, kept.forgotten
         if taken is None:
             taken, forgotten = taken_in_format_2(plans)
@@ -180,7 +180,7 @@
     taken = {k: p.stamp for k, p in plans.items() if p.stamp}
     if len(taken) < PLANS:
         return taken, 0
-    numbers = [blueprint.change_number(k) for k in taken]
+    numbers = [configuration.change_number(k) for k in taken]
     return taken, max(0, min((n for n in numbers if n), default=0) - 1)
 
 
@@ -211,14 +211,14 @@
 class Chain:
     """One core machine's link.
 
-    Example: `chain = Chain(mach, disk, state, neighbours)`; then `chain.council = council`.
+    Example: `chain = Chain(mach, disk, state, peers)`; then `chain.membership = membership`.
     """
 
-    def __init__(self, mach, disk, state, neighbours):
+    def __init__(self, mach, disk, state, peers):
         self.mach = mach
         self.disk = disk
-        self.neighbours = neighbours
-        self.council = None
+        self.peers = peers
+        self.membership = None
         self.base = Ledger.thaw(state[b"frame"]) if b"frame" in state else Ledger()
         entries = [unpack_entry(v) for k, v in sorted(state.items()) if k.startswith(b"e")]
         self.log = {e.n: e for e in entries}
@@ -235,7 +235,7 @@
         self.recovered = self.synced > self.base.n  # which of the entries from the disk stand is not known yet
         self.pinned = None  # the snapshot that is being sent to the next link
         self.incoming = transfer.Incoming()
-        self.grown = machine.Signal()
+        self.appended = machine.Signal()
         self.committed = machine.Signal()
         self.on_commit = lambda: None
 
@@ -246,7 +246,7 @@
 
         Example: `chain.whole()`
         """
-        c = self.council
+        c = self.membership
         return c.view is not None and c.record.whole == c.view.number
 
     def place(self, number):
@@ -254,16 +254,16 @@
 
         Example: `chain.place(4)`
         """
-        if not self.council.serving(number):
+        if not self.membership.serving(number):
             return None
-        return [link.id for link in self.council.view.chain].index(self.council.me.id)
+        return [link.id for link in self.membership.view.chain].index(self.membership.me.id)
 
     def install(self, view):
         """Start on a new view: the link to the next machine is made anew.
 
         Example: `chain.install(view)`
         """
-        self.grown.wake()
+        self.appended.wake()
         self.committed.wake()
         self.mach.spawn(self.start(view), log)
 
@@ -280,17 +280,17 @@
         if k == len(view.chain) - 1:
             self.settle_tail(view.number)
         else:
-            await self.pump(view, self.council.seat(view.chain[k + 1].id))
+            await self.pump(view, self.membership.seat(view.chain[k + 1].id))
 
     def settle_tail(self, number):
         """At the tail: all that is synced here is synced everywhere, so it stands.
 
         Example: `chain.settle_tail(4)`
         """
-        v = self.council.view
+        v = self.membership.view
         if self.place(number) != len(v.chain) - 1 or not self.whole():
             return
-        if len(v.chain) >= self.council.copies:
+        if len(v.chain) >= self.membership.copies:
             self.recovered = False
             self.commit(self.synced)
         elif self.recovered:
@@ -338,7 +338,7 @@
                 del self.log[k]
             if self.pinned is not None and not self.reaches(self.pinned.position.n):
                 self.pinned = None
-        except store.DiskDefect:
+        except store.DiskError:
             self.framed -= KEEP // 2  # again a little later
         finally:
             self.lock.release()
@@ -353,7 +353,7 @@
         sent = None
         while self.place(view.number) is not None:
             if not self.whole() or (sent is not None and sent >= self.synced):
-                await self.grown.wait()
+                await self.appended.wait()
                 continue
             try:
                 if sent is None:
@@ -361,10 +361,10 @@
                 else:
                     sent = await self.deliver(seat, message.Append(view.number, self.batch(sent + 1)))
                 if sent is not None:
-                    if self.place(view.number) is not None and len(view.chain) >= self.council.copies:
+                    if self.place(view.number) is not None and len(view.chain) >= self.membership.copies:
                         self.commit(sent)
                     continue
-            except (wire.Broken, machine.Late):
+            except (wire.ConnectionBrokenError, machine.DeadlineError):
                 sent = None
             await self.mach.sleep(50 * machine.MILLI)
 
@@ -387,7 +387,7 @@
 
         Example: `placed = await chain.call(seat, message.Place(4, "c0ffee"))`
         """
-        return await self.neighbours.call(seat.host, seat.port, msg, CALL_US)
+        return await self.peers.call(seat.host, seat.port, msg, CALL_US)
 
     async def deliver(self, seat, msg):
         """Send entries to the next link; returns how far they stand below, or None where it refused.
@@ -419,7 +419,7 @@
 
         Example: `sent = await chain.catch_up(4, seat)`
         """
-        got = await self.call(seat, message.Place(number, self.council.me.id))
+        got = await self.call(seat, message.Place(number, self.membership.me.id))
         if not got.ok:
             return None
         if not got.pieces:
@@ -529,7 +529,7 @@
             async with self.lock:
                 if not self.place(msg.view) or not self.whole() or not await self.extend(msg.entries):
                     return message.Stored(False)
-        except store.DiskDefect:
+        except store.DiskError:
             return message.Stored(False)
         return await self.wait_below(msg.view, msg.entries)
 
@@ -543,9 +543,9 @@
                 if not self.place(msg.view) or not await self.store_refill(msg):
                     return message.Stored(False)
                 if msg.last:
-                    await self.council.grow_whole(msg.view)
+                    await self.membership.grow_whole(msg.view)
                     self.incoming = transfer.Incoming()
-        except store.DiskDefect:
+        except store.DiskError:
             return message.Stored(False)
         if not msg.last:
             return message.Stored(True, msg.entries[-1].n)
@@ -606,7 +606,7 @@
 
         Example: `fits = await chain.restore(raw, Ledger.thaw(raw), entries)`
         """
-        may_restore = agreement.may_restore(self.council.record, self.synced, ledger.n)
+        may_restore = agreement.may_restore(self.membership.record, self.synced, ledger.n)
         if not may_restore or not transfer.follow(ledger.n, entries):
             return False
         puts = [(entry_key(k), None) for k in self.log]
@@ -632,9 +632,9 @@
         if not self.place(number) or not self.whole():
             return message.Stored(False)
         n = entries[-1].n if entries else self.synced
-        self.grown.wake()
+        self.appended.wake()
         self.settle_tail(number)
-        tail = self.place(number) == len(self.council.view.chain) - 1
+        tail = self.place(number) == len(self.membership.view.chain) - 1
         while not tail and self.base.n < n:
             await self.committed.wait()
             if not self.place(number):
@@ -660,7 +660,7 @@
             number = m.view
             if self.place(number) != 0 or not self.whole():
                 return self.refuse("no_chain", "This machine is not the head of the chain now.")
-            here, copies = len(self.council.view.chain), self.council.copies
+            here, copies = len(self.membership.view.chain), self.membership.copies
             if here < copies:
                 return self.refuse(
                     "too_few_copies", f"Machines with a disk: {here} are there, {copies} must keep a change."
@@ -696,12 +696,12 @@
                     e = message.Entry(n, number, m.kind, m.plan, m.base, m.changes)
                     try:
                         await self.disk.commit([(b"e%016d" % n, pack(e))])
-                    except store.DiskDefect:
+                    except store.DiskError:
                         return message.Proposed("no_chain", "may_have_run", "The head's disk does not work.")
                     self.log[n] = e
                     self.tip = self.tip.apply(e)
                     self.synced = n
-                    self.grown.wake()
+                    self.appended.wake()
                     self.settle_tail(number)  # where one copy is enough, the head may be the tail
         finally:
             self.lock.release()
@@ -730,7 +730,7 @@
 
         Example: `chain.look(message.Look(view=4, plan="3-ab"))`
         """
-        if not self.council.leased() or self.settled != self.council.view.number:
+        if not self.membership.leased() or self.settled != self.membership.view.number:
             return message.Seen(False)
         plan = self.base.plans.get(m.plan)
         told = None
--- a/iriswheel/client.py
+++ b/iriswheel/client.py
@@ -28,7 +28,7 @@
 log = loguru.logger.bind(part="client")
 
 
-class Unreached(Exception):
+class UnreachableError(Exception):
     """No connection to a worker could be had: nothing was sent."""
 
     code = "unreached"
@@ -309,13 +309,13 @@
             raise defer.CancelledError() from e  # an endpoint says it by an error of its own
         except Exception as e:
             self.gone(w.id)
-            raise Unreached(type(e).__name__) from e
+            raise UnreachableError(type(e).__name__) from e
         line.on_free = self.free
         line.on_stale = self.stale
         line.on_gone = lambda line: self.gone(line.worker)
         if not line.up:
             self.gone(w.id)
-            raise Unreached("closed")
+            raise UnreachableError("closed")
         return line
 
     def gone(self, worker):
--- a/iriswheel/command.py
+++ b/iriswheel/command.py
@@ -11,14 +11,14 @@
 import twisted.internet.error as error
 import twisted.web.http_headers as http_headers
 
-import iriswheel.blueprint as blueprint
+import iriswheel.configuration as configuration
+import iriswheel.dispatch as dispatch
 import iriswheel.history as operators_history
 import iriswheel.load as load_generator
 import iriswheel.machine as machine
 import iriswheel.options as options_reader
 import iriswheel.process as process
 import iriswheel.replay as judge
-import iriswheel.sender as sender
 
 REFUSED, UNKNOWN = 4, 5
 
@@ -32,8 +32,8 @@
     """
     try:
         return options_reader.read(role, path, flags)
-    except options_reader.BadOptions as e:
-        process.fail(process.BAD_INPUT, e.defects)
+    except options_reader.OptionsError as e:
+        process.fail(process.BAD_INPUT, e.errors)
 
 
 def core(
@@ -80,7 +80,7 @@
     platform: str | None = None,
     log_level: str | None = None,
 ):
-    """Run a light node: the requesters' door.
+    """Run a light node: the clients' door.
 
     Example: iriswheel node --options node.toml --name n1
 
@@ -88,7 +88,7 @@
     :param name: this node's name; a node's new life drives out the one before
     :param host: IP number to listen on and to be reached at
     :param port: port for iriswheel's own processes; 0 lets the system pick
-    :param http_port: port for requesters; 0 lets the system pick
+    :param http_port: port for clients; 0 lets the system pick
     :param zone: hall or zone of this node
     :param seeds: IP:port of core machines
     :param platform: IP:port at which the platform lists the workers
@@ -112,17 +112,17 @@
 
     Example: `status, doc = await ask(mach, ["127.0.0.1:8001"], "GET", "/blueprint")`
     """
-    agent = sender.Sender(mach).fresh
+    agent = dispatch.Dispatcher(mach).fresh
     for text in cores:
         host, port = options_reader.address(text)
-        body = None if doc is None else sender.Body(json.dumps(doc).encode())
+        body = None if doc is None else dispatch.Body(json.dumps(doc).encode())
         heads = http_headers.Headers({"Content-Type": ["application/json"]})
         try:
             res = await agent.request(method.encode(), f"http://{host}:{port}{path}".encode(), heads, body)
         except (error.ConnectError, error.TimeoutError):
             continue
         got = defer.Deferred()
-        res.deliverBody(sender.Collect(got.callback))
+        res.deliverBody(dispatch.Collect(got.callback))
         raw = await got
         if raw is None:
             raise ValueError("the answer broke off")
@@ -174,25 +174,25 @@
 
 
 def check(blueprint_file: str):
-    """Check a blueprint file and say all that is wrong with it.
+    """Check a configuration file and say all that is wrong with it.
 
     Example: iriswheel check blueprint.json
 
-    :param blueprint_file: the blueprint, as JSON
+    :param blueprint_file: the configuration, as JSON
     """
     try:
-        items = blueprint.flatten(read_json(blueprint_file))
-    except blueprint.BadBlueprint as e:
-        process.fail(process.BAD_INPUT, e.defects)
+        items = configuration.flatten(read_json(blueprint_file))
+    except configuration.InvalidConfigurationError as e:
+        process.fail(process.BAD_INPUT, e.errors)
     print(f"{blueprint_file}: {len(items)} items, no mistakes.")
 
 
 def plan(file: str, *, core: list[str], patch: bool = False, base: int | None = None):
-    """Send a blueprint or a JSON Patch and get a plan of what would change.
+    """Send a configuration or a JSON Patch and get a plan of what would change.
 
     Example: iriswheel plan blueprint.json --core 127.0.0.1:8001
 
-    :param file: the blueprint, or the patch, as JSON
+    :param file: the configuration, or the patch, as JSON
     :param core: IP:port of core machines' HTTP doors, tried in turn
     :param patch: the file is a JSON Patch (RFC 6902)
     :param base: the stamp that the change was made for; refused where it has moved
@@ -219,7 +219,7 @@
 def change(file: str, *, number: int, built_on: int, core: list[str]):
     """Have a change taken under a number of your own, in one step and without a plan.
 
-    The file holds a whole blueprint, or {"upsert": {"routes": {...}}, "remove": {"routes": [...]}}.
+    The file holds a whole configuration, or {"upsert": {"routes": {...}}, "remove": {"routes": [...]}}.
     Saying the same again gives the same answer and changes nothing more.
 
     Example: iriswheel change night.json --number 9 --built-on 7 --core 127.0.0.1:8001
@@ -235,7 +235,7 @@
 
 
 def show(what: str = "blueprint", *, core: list[str]):
-    """Read the blueprint back, or a plan by its id, or the state of a process.
+    """Read the configuration back, or a plan by its id, or the state of a process.
 
     Example: iriswheel show blueprint --core 127.0.0.1:8001
 
@@ -306,7 +306,7 @@
                 rows, cut = judge.read(f)
         except OSError as e:
             process.fail(process.BAD_INPUT, [f"{path}: {e.strerror}"])
-        except (judge.Damaged, UnicodeDecodeError) as e:
+        except (judge.DamagedLogError, UnicodeDecodeError) as e:
             process.fail(process.BAD_INPUT, [f"{path}: damaged: {e}"])
         lines += rows
         cuts += [path] if cut else []
--- a/iriswheel/blueprint.py
+++ b/iriswheel/configuration.py
@@ -1,6 +1,6 @@
-"""The operators' blueprint: pools, routes and terms, read and checked.
+"""The operators' configuration: pools, routes and terms, read and checked.
 
-A blueprint travels as a flat map of items, `pools/desk`, `routes/clerk`,
+A configuration travels as a flat map of items, `pools/desk`, `routes/clerk`,
 `terms/default`, so that a change names just the items that it touches.
 """
 
@@ -110,7 +110,7 @@
     """Which exchanges go to which pool: a host and path prefix, in some zones or in all.
 
     `split` shares the exchanges out over pools by weight; `pool` then names the first.
-    `repeat` says whether they may run more than once: "asked" (by the requester's word),
+    `repeat` says whether they may run more than once: "asked" (by the client's word),
     "may", "never"; `resume` whether a stream may be taken up at another worker; `sends` to
     how many workers one try may go (0: no bound of its own). `cutoff_us` is the longest that
     an exchange is held, `aim_us` the time to its first byte that the operator aims at,
@@ -147,7 +147,7 @@
 
 @dataclasses.dataclass
 class Limits(Strict):
-    """What a requester may send, and how long it may take over it; the one item is `limits/door`.
+    """What a client may send, and how long it may take over it; the one item is `limits/door`.
 
     >>> Limits().head_bytes
     16384
@@ -162,7 +162,7 @@
 
 @dataclasses.dataclass
 class Marks(Strict):
-    """The operator's own number of the blueprint; the one item is `marks/operator`.
+    """The operator's own number of the configuration; the one item is `marks/operator`.
 
     >>> Marks(7).number
     7
@@ -178,52 +178,52 @@
 ONLY = {"limits": "door", "marks": "operator"}  # kinds of which there is one item, by this name
 
 
-class BadBlueprint(ValueError):
-    """All that is wrong with a blueprint, at once.
+class InvalidConfigurationError(ValueError):
+    """All that is wrong with a configuration, at once.
 
-    >>> BadBlueprint(["a", "b"]).defects
+    >>> InvalidConfigurationError(["a", "b"]).errors
     ['a', 'b']
     """
 
     code = "bad_blueprint"
 
-    def __init__(self, defects):
-        super().__init__("; ".join(defects))
-        self.defects = defects
+    def __init__(self, errors):
+        super().__init__("; ".join(errors))
+        self.errors = errors
 
 
 def flatten(doc):
-    """Turn a blueprint document into items, after checking all of it.
+    """Turn a configuration document into items, after checking all of it.
 
     >>> flatten({"pools": {"desk": {}}, "terms": {"default": {}}})
     {'pools/desk': {}, 'terms/default': {}}
     >>> flatten({"routes": {"r": {"path": "x", "pool": "p", "terms": "d"}}})
     Traceback (most recent call last):
     ...
-    iriswheel.blueprint.BadBlueprint: routes/r: path must begin with '/'; routes/r: no pool 'p'; routes/r: no terms 'd'
+    iriswheel.configuration.InvalidConfigurationError: routes/r: path must begin with '/'; ...
     """
-    defects, items = [], {}
+    errors, items = [], {}
     if not isinstance(doc, dict):
-        raise BadBlueprint(["The blueprint is not an object."])
+        raise InvalidConfigurationError(["The blueprint is not an object."])
     for kind in sorted(set(doc) - set(KINDS)):
-        defects.append(f"{kind}: unknown section")
+        errors.append(f"{kind}: unknown section")
     for kind in KINDS:
         part = doc.get(kind, {})
         if not isinstance(part, dict):
-            defects.append(f"{kind}: not an object")
+            errors.append(f"{kind}: not an object")
             continue
         for name, item in part.items():
             if not NAME.match(name) or name != ONLY.get(kind, name):
-                defects.append(f"{kind}/{name}: bad name")
+                errors.append(f"{kind}/{name}: bad name")
             items[f"{kind}/{name}"] = item
-    check(items, defects)
-    if defects:
-        raise BadBlueprint(defects)
+    check(items, errors)
+    if errors:
+        raise InvalidConfigurationError(errors)
     return items
 
 
-def check(items, defects):
-    """Add every mistake in the items to defects.
+def check(items, errors):
+    """Add every mistake in the items to errors.
 
     >>> found = []; check({"pools/p": {"cap": "4"}}, found); found
     ['pools/p: cap: wants int, not str']
@@ -234,51 +234,51 @@
         try:
             item = KINDS[kind].from_dict(items[key])
         except mashumaro.exceptions.MissingField as e:
-            defects.append(f"{key}: {e.field_name} is missing")
+            errors.append(f"{key}: {e.field_name} is missing")
             continue
         except mashumaro.exceptions.ExtraKeysError as e:
-            defects.append(f"{key}: unknown field {', '.join(sorted(map(str, e.extra_keys)))}")
+            errors.append(f"{key}: unknown field {', '.join(sorted(map(str, e.extra_keys)))}")
             continue
         except (ValueError, TypeError) as e:
-            defects.append(f"{key}: {e}")
+            errors.append(f"{key}: {e}")
             continue
         match item:
             case Route():
                 if not item.path.startswith("/"):
-                    defects.append(f"{key}: path must begin with '/'")
-                shares(key, item, defects)
+                    errors.append(f"{key}: path must begin with '/'")
+                shares(key, item, errors)
                 for pool in {item.pool: 1, **dict.fromkeys(s.get("pool") for s in item.split)}:
                     if f"pools/{pool}" not in items:
-                        defects.append(f"{key}: no pool '{pool}'")
+                        errors.append(f"{key}: no pool '{pool}'")
                 for t in [item.terms, *item.requesters.values()]:
                     if not isinstance(t, str) or f"terms/{t}" not in items:
-                        defects.append(f"{key}: no terms '{t}'")
+                        errors.append(f"{key}: no terms '{t}'")
                 for zone in item.zones or [""]:
                     other = paths.setdefault((item.host.lower(), item.path, zone), key)
                     if other != key:
-                        defects.append(f"{key}: same host, path and zone as {other}")
+                        errors.append(f"{key}: same host, path and zone as {other}")
                 if item.repeat not in REPEATS:
-                    defects.append(f"{key}: repeat is none of {', '.join(REPEATS)}")
+                    errors.append(f"{key}: repeat is none of {', '.join(REPEATS)}")
                 if item.urgency > 9:
-                    defects.append(f"{key}: urgency is above 9")
+                    errors.append(f"{key}: urgency is above 9")
             case Terms(lifetime_us=0):
-                defects.append(f"{key}: lifetime_us must be above 0")
+                errors.append(f"{key}: lifetime_us must be above 0")
             case Pool():
                 if item.election not in ELECTIONS:
-                    defects.append(f"{key}: election is none of {', '.join(ELECTIONS)}")
+                    errors.append(f"{key}: election is none of {', '.join(ELECTIONS)}")
                 for f in ("slots", "long_slots", "waiting", "event_tokens"):
                     if getattr(item, f) < 1:
-                        defects.append(f"{key}: {f} must be above 0")
+                        errors.append(f"{key}: {f} must be above 0")
                 if item.long_slots > item.slots:
-                    defects.append(f"{key}: long_slots is above slots")
+                    errors.append(f"{key}: long_slots is above slots")
             case Limits():
                 for f in ("head_bytes", "head_us", "idle_us"):
                     if getattr(item, f) < 1:
-                        defects.append(f"{key}: {f} must be above 0")
+                        errors.append(f"{key}: {f} must be above 0")
 
 
-def shares(key, item, defects):
-    """Add what is wrong with a route's split to defects.
+def shares(key, item, errors):
+    """Add what is wrong with a route's split to errors.
 
     >>> found = []; shares("routes/r", Route("/", "p", split=[{"pool": "p", "weight": 0}]), found); found
     ['routes/r: the weights sum to 0']
@@ -290,12 +290,12 @@
             or type(s["weight"]) not in (int, float)
             or not 0 <= s["weight"] < 1 << 53
         ):
-            defects.append(f"{key}: split wants pools and weights")
+            errors.append(f"{key}: split wants pools and weights")
             return
     if item.split and not sum(s["weight"] for s in item.split):
-        defects.append(f"{key}: the weights sum to 0")
+        errors.append(f"{key}: the weights sum to 0")
     if item.split and item.split[0]["pool"] != item.pool:
-        defects.append(f"{key}: pool is not the split's first")
+        errors.append(f"{key}: pool is not the split's first")
 
 
 def unflatten(items):
@@ -329,7 +329,7 @@
     try:
         return jsonpatch.JsonPatch(ops).apply(doc)
     except (jsonpatch.JsonPatchException, jsonpatch.JsonPointerException, TypeError, KeyError) as e:
-        raise BadBlueprint([f"The patch does not apply: {e}"]) from e
+        raise InvalidConfigurationError([f"The patch does not apply: {e}"]) from e
 
 
 def amend(doc, upsert, remove):
@@ -339,11 +339,11 @@
     {'pools': {'b': {}, 'c': {'cap': 3}}}
     """
     if not isinstance(upsert, dict) or not all(isinstance(v, dict) for v in upsert.values()):
-        raise BadBlueprint(["upsert: wants items by kind and name"])
+        raise InvalidConfigurationError(["upsert: wants items by kind and name"])
     if not isinstance(remove, dict) or not all(
         isinstance(v, list) and all(isinstance(n, str) for n in v) for v in remove.values()
     ):
-        raise BadBlueprint(["remove: wants lists of names by kind"])
+        raise InvalidConfigurationError(["remove: wants lists of names by kind"])
     out = {kind: dict(part) for kind, part in doc.items()}
     for kind, names in remove.items():
         for name in names:
@@ -354,7 +354,7 @@
 
 
 def number(items):
-    """The operator's own number of the blueprint; 0 where there is none yet.
+    """The operator's own number of the configuration; 0 where there is none yet.
 
     >>> number({"marks/operator": {"number": 7}}), number({})
     (7, 0)
--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -9,8 +9,8 @@
 import twisted.python.failure as failure
 
 import iriswheel.agreement as agreement
-import iriswheel.blueprint as blueprint
 import iriswheel.chain as chain
+import iriswheel.configuration as configuration
 import iriswheel.lease as lease
 import iriswheel.loads as loads
 import iriswheel.machine as machine
@@ -61,7 +61,7 @@
 class Order(typing.NamedTuple):
     """An operator's numbered change, built on the number `built_on`.
 
-    make(items) gives the new items, or raises BadBlueprint. `whole` says that these don't
+    make(items) gives the new items, or raises InvalidConfigurationError. `whole` says that these don't
     depend on the old ones.
     """
 
@@ -82,10 +82,10 @@
     sure: bool
 
 
-class Post:
+class NodeSession:
     """One node's session: the feed of its slice and of the roster.
 
-    Example: `post = Post(core, link, join)`; `mach.spawn(post.feed())`.
+    Example: `post = NodeSession(core, link, join)`; `mach.spawn(post.feed())`.
     """
 
     def __init__(self, core, link, join):
@@ -124,7 +124,7 @@
             self.sliced = cut_from
             now = self.slice()
             if self.sent is None:
-                self.link.tell(message.Frame(base.n, now))
+                self.link.tell(message.Snapshot(base.n, now))
             else:
                 delta = self.core.slices.delta(self.sent, now)
                 if delta or base.n > self.n:
@@ -154,8 +154,8 @@
             await self.core.mach.pause(self.changed, BEAT_US)
         if self.link.up:
             self.link.tell(message.Elsewhere(self.core.seats()))
-        if self.core.posts.get(self.member.id) is self:
-            del self.core.posts[self.member.id]
+        if self.core.node_sessions.get(self.member.id) is self:
+            del self.core.node_sessions[self.member.id]
             self.core.lease.close(self.member.id)
             self.core.report_now.wake()
 
@@ -163,7 +163,7 @@
 def replicas(v):
     """The machines of a view's chain, as (core id, incarnation).
 
-    >>> replicas(message.View(4, [], [message.ChainLink("a", "x")]))
+    >>> replicas(message.View(4, [], [message.ChainReplica("a", "x")]))
     [('a', 'x')]
     """
     return [(replica.id, replica.boot) for replica in v.chain]
@@ -197,7 +197,7 @@
         Example: `slices.slice(chain.base, "north", ("desk",))`
         """
         key = (ledger.n, ledger.made, zone, pools)
-        return self.slices.get(key) or self._keep(self.slices, key, blueprint.carve(ledger.fed, zone, pools))
+        return self.slices.get(key) or self._keep(self.slices, key, configuration.carve(ledger.fed, zone, pools))
 
     def delta(self, old, new):
         """The changes from one slice to another, as a map; None removes.
@@ -209,29 +209,29 @@
         key = (id(old), id(new))
         kept = self.deltas.get(key)  # with the slices themselves, so that their ids stay theirs
         if kept is None:
-            kept = self._keep(self.deltas, key, (old, new, dict(blueprint.differ(old, new))))
+            kept = self._keep(self.deltas, key, (old, new, dict(configuration.differ(old, new))))
         return kept[2]
 
 
-def freeze_shelf(shelf, now):
-    """A shelf's sessions as bytes, with the time.
+def encode_session_replica(session_replica, now):
+    """A session replica's sessions as bytes, with the time.
 
-    >>> thaw_shelf(freeze_shelf(warden.Shelf(), 5), 7).told(7)
+    >>> decode_session_replica(encode_session_replica(warden.SessionReplica(), 5), 7).told(7)
     ([], [])
     """
-    return msgspec.msgpack.encode([now, shelf.term, shelf.told(now)[0]])
+    return msgspec.msgpack.encode([now, session_replica.term, session_replica.told(now)[0]])
 
 
-def thaw_shelf(raw, now):
-    """A shelf from bytes. After a restart of the machine its clock has begun anew.
+def decode_session_replica(raw, now):
+    """A session replica from bytes. After a restart of the machine its clock has begun anew.
 
-    Example: `thaw_shelf(raw, mach.now())`
+    Example: `decode_session_replica(raw, mach.now())`
     """
     at, term, sessions = msgspec.msgpack.decode(raw, type=tuple[int, tuple[int, int], list[message.Session]])
-    shelf = warden.Shelf()
-    shelf.term = term
-    shelf.sessions = {s.id: (s, min(at, now)) for s in sessions}
-    return shelf
+    session_replica = warden.SessionReplica()
+    session_replica.term = term
+    session_replica.sessions = {s.id: (s, min(at, now)) for s in sessions}
+    return session_replica
 
 
 class Core:
@@ -245,7 +245,7 @@
         self.options = options
         state = disk.read()
         if int(state.get(b"format", b"0")) > FORMAT:
-            raise store.DiskDefect(
+            raise store.DiskError(
                 f"The data folder was written by a newer program (format {state[b'format'].decode()})."
             )
         self.disk = store.Guard(mach, disk)
@@ -261,25 +261,25 @@
             if b"council" in state
             else agreement.Record()
         )
-        self.neighbours = wire.Neighbours(mach, self.serve, log)
-        self.chain = chain.Chain(mach, self.disk, state, self.neighbours)
-        self.council = view.Council(
+        self.peers = wire.Peers(mach, self.serve, log)
+        self.chain = chain.Chain(mach, self.disk, state, self.peers)
+        self.membership = view.Membership(
             mach,
             self.disk,
             record,
             me,
             options.seed_list() if options.found else [],
-            self.neighbours,
+            self.peers,
             self.installed,
             options.seats,
             options.copies,
         )
-        self.council.learn_seeds(options.seed_list())
-        self.chain.council = self.council
-        self.council.tip = lambda: (self.chain.tip.made, self.chain.tip.n)
-        self.chain.on_commit = self.wake_posts
-        self.issuer = roster.Issuer(mach, self.council, self.pools)
-        self.posts = {}
+        self.membership.learn_seeds(options.seed_list())
+        self.chain.membership = self.membership
+        self.membership.tip = lambda: (self.chain.tip.made, self.chain.tip.n)
+        self.chain.on_commit = self.wake_node_sessions
+        self.issuer = roster.Issuer(mach, self.membership, self.pools)
+        self.node_sessions = {}
         self.slices = Slices()
         self.named = (-1, [])  # the pools that have wardens, and the state they were read from
         self.beaten = (0, 0)  # when this core sent the newest report that the tail has answered, and in which view
@@ -293,13 +293,13 @@
         self.seated = {}  # duty -> the newest term under which its holder here said that it is seated
         self.contested = {}  # duty -> the term that its holder here can't use
         self.report_now = machine.Signal()
-        self.shelves = {}  # pool -> warden.Shelf, late copies of the wardens' sessions
+        self.session_replicas = {}  # pool -> warden.SessionReplica, late copies of the wardens' sessions
         for key, raw in state.items():
             if key.startswith(b"shelf/"):
-                self.shelves[key[6:].decode()] = thaw_shelf(raw, mach.now())
-        self.soiled = set()  # pools whose shelf is not on the disk as it is
-        self.forced = 0  # every node has come at least this far
-        self.forced_on = machine.Signal()
+                self.session_replicas[key[6:].decode()] = decode_session_replica(raw, mach.now())
+        self.dirty = set()  # pools whose session replica is not on the disk as it is
+        self.applied_by_all = 0  # every node has come at least this far
+        self.applied_by_all_changed = machine.Signal()
         self.sessions = 0  # members that have a session, as the tail counts them
         self.counts = {"plans": 0, "confirms": 0, "changes": 0, "refused": 0, "joins": 0, "views": 0}
         self.spread = None  # the stamp of the roster last spread from here
@@ -313,29 +313,32 @@
         """
         for coro in (
             self.disk.watch(),
-            self.council.pulse_all(),
-            self.council.renew(),
-            self.council.mend(),
+            self.membership.exchange_heartbeats(),
+            self.membership.renew(),
+            self.membership.mend(),
             self.report(),
             self.beat(),
             self.issue(),
-            self.keep_shelves(),
+            self.keep_session_replicas(),
             self.loads.run(),
         ):
             self.mach.spawn(coro, log)
-        if self.council.view is not None:
+        if self.membership.view is not None:
             log.info(
-                "Core {} starts with view {} at {}.", self.council.me.id, self.council.view.number, self.chain.tip.n
+                "Core {} starts with view {} at {}.",
+                self.membership.me.id,
+                self.membership.view.number,
+                self.chain.tip.n,
             )
         else:
-            log.info("Core {} starts blank.", self.council.me.id)
+            log.info("Core {} starts blank.", self.membership.me.id)
 
     def renew(self, options):
         """Take in options that were read again: further seeds.
 
         Example: `core.renew(options.read("core", path, {}))`
         """
-        self.council.learn_seeds(options.seed_list())
+        self.membership.learn_seeds(options.seed_list())
         log.info("The options were read again.")
 
     # ---- state -----------------------------------------------------------------
@@ -362,7 +365,7 @@
 
         Example: `core.seats()`
         """
-        return list(self.council.view.seats) if self.council.view is not None else []
+        return list(self.membership.view.seats) if self.membership.view is not None else []
 
     def serving(self):
         """Whether nodes may rely on this core: the tail was heard just now.
@@ -370,7 +373,7 @@
         Example: `core.serving()`
         """
         heard, number = self.beaten
-        c = self.council
+        c = self.membership
         return (
             not self.stopping
             and c.view is not None
@@ -386,18 +389,18 @@
         """
         self.counts["views"] += 1
         self.heard_reports = {}
-        self.holders.installed(self.council.predecessors, replicas(v), self.mach.now())
+        self.holders.installed(self.membership.predecessors, replicas(v), self.mach.now())
         self.chain.install(v)
         self.report_now.wake()
         self.beat_now.wake()
-        self.neighbours.keep(self.council.addresses())
+        self.peers.keep(self.membership.addresses())
 
-    def wake_posts(self):
+    def wake_node_sessions(self):
         """Let all nodes' sessions look for news.
 
-        Example: `core.wake_posts()`
+        Example: `core.wake_node_sessions()`
         """
-        for post in list(self.posts.values()):
+        for post in list(self.node_sessions.values()):
             post.changed.wake()
         self.beat_now.wake()
 
@@ -409,8 +412,10 @@
         Example: `Listener(mach, core.serve, log)`
         """
         match msg:
-            case message.Pulse() | message.Prepare() | message.Accept() | message.Decided() | message.LeaseAsk():
-                return self.council.answer(msg)
+            case (
+                message.Heartbeat() | message.Prepare() | message.Accept() | message.Decided() | message.LeaseRequest()
+            ):
+                return self.membership.answer(msg)
             case message.Place() | message.Piece() | message.Refill() | message.Append():
                 return self.chain.answer(msg)
             case message.Propose() | message.Look():
@@ -441,12 +446,12 @@
             case message.Leave():
                 return self.pass_leave(msg)
             case message.Copy(pool=pool):
-                if self.shelves.setdefault(pool, warden.Shelf()).take(msg, self.mach.now()):
-                    self.soiled.add(pool)
+                if self.session_replicas.setdefault(pool, warden.SessionReplica()).take(msg, self.mach.now()):
+                    self.dirty.add(pool)
                 if link is not None and link.post is not None:
                     for s in self.seats():
-                        if s.id != self.council.me.id:
-                            self.mach.spawn(self.neighbours.tell(s.host, s.port, msg), log)
+                        if s.id != self.membership.me.id:
+                            self.mach.spawn(self.peers.tell(s.host, s.port, msg), log)
             case message.Gather():
                 return self.gathered(msg)
             case _:
@@ -472,7 +477,7 @@
         self.take_same(report.same)
         self.issuer.take(report)
         self.spread_roster()
-        if self.council.tail() and report.view == self.council.view.number:
+        if self.membership.tail() and report.view == self.membership.view.number:
             self.heard_reports[report.core] = max(report.sent_at, self.heard_reports.get(report.core, 0))
             self.holders.heard(report.core, report.leases, self.mach.now())
         if self.applied() != before:
@@ -483,27 +488,27 @@
 
         Example: `core.applied()`
         """
-        return self.holders.applied(self.chain.base.n, self.mach.now()) if self.council.leased() else 0
+        return self.holders.applied(self.chain.base.n, self.mach.now()) if self.membership.leased() else 0
 
     async def pass_leave(self, msg):
         """Pass a leaving node's word on to the tail.
 
         Example: `await core.pass_leave(message.Leave("c0ffee"))`
         """
-        if self.council.tail():
+        if self.membership.tail():
             self.issuer.leave(msg.member)
             self.spread_roster()
-        elif self.council.view is not None:
-            tail = self.council.seat(self.council.view.chain[-1].id)
+        elif self.membership.view is not None:
+            tail = self.membership.seat(self.membership.view.chain[-1].id)
             if (tail.host, tail.port) != (self.options.host, self.options.port):
-                await self.neighbours.tell(tail.host, tail.port, msg)
+                await self.peers.tell(tail.host, tail.port, msg)
 
     def hear_beat(self, m):
         """Take the tail's beat.
 
         Example: `core.hear_beat(beat)`
         """
-        if self.council.view is None or m.view != self.council.view.number:
+        if self.membership.view is None or m.view != self.membership.view.number:
             return
         self.lease.renew(m.echo)
         if not m.echo:
@@ -513,10 +518,10 @@
         self.issuer.learn(m.roster)
         if self.chain.whole():
             self.chain.commit(m.n)
-        self.take_forced(m.forced)
+        self.take_forced(m.applied_by_all)
         self.take_same(m.same)
         self.sessions = m.sessions
-        self.wake_posts()
+        self.wake_node_sessions()
 
     def take_same(self, same):
         """Take a word that the worker list stands, if it is the newest.
@@ -531,9 +536,9 @@
 
         Example: `core.take_forced(17)`
         """
-        if n > self.forced:
-            self.forced = n
-            self.forced_on.wake()
+        if n > self.applied_by_all:
+            self.applied_by_all = n
+            self.applied_by_all_changed.wake()
 
     def join(self, link, m):
         """Begin a node's session.
@@ -544,12 +549,17 @@
         if self.stopping:
             link.tell(message.Elsewhere(self.seats()))
             return
-        if not self.serving() and m.place < 0 and self.chain.tip.n and self.mach.now() - self.council.began < EARLY_US:
+        if (
+            not self.serving()
+            and m.place < 0
+            and self.chain.tip.n
+            and self.mach.now() - self.membership.began < EARLY_US
+        ):
             tip = self.chain.tip
-            link.tell(message.Early((tip.made, tip.n), blueprint.carve(tip.items, m.member.zone)))
+            link.tell(message.Early((tip.made, tip.n), configuration.carve(tip.items, m.member.zone)))
         self.loads.pending.pop(m.member.id, None)
         self.counts["joins"] += 1
-        post = self.posts[m.member.id] = Post(self, link, m)
+        post = self.node_sessions[m.member.id] = NodeSession(self, link, m)
         log.info("Node {} joins at {}; serving: {}.", m.member.name, m.place, self.serving())
         self.lease.close(m.member.id)
         self.lease.heard(m.member.id, m.place, self.mach.now())
@@ -564,18 +574,18 @@
         Example: `mach.spawn(core.report())`
         """
         while True:
-            v = self.council.view
-            if v is not None and self.council.serving():
-                for i in [i for i, p in self.posts.items() if not p.link.up]:
-                    del self.posts[i]
+            v = self.membership.view
+            if v is not None and self.membership.serving():
+                for i in [i for i, p in self.node_sessions.items() if not p.link.up]:
+                    del self.node_sessions[i]
                     self.lease.close(i)
-                members = [self.posts[i].member for i in sorted(self.posts)]
-                places = [self.posts[i].place for i in sorted(self.posts)]
+                members = [self.node_sessions[i].member for i in sorted(self.node_sessions)]
+                places = [self.node_sessions[i].place for i in sorted(self.node_sessions)]
                 latest = self.issuer.latest
                 told = latest if latest is not None and latest.stamp[0] < v.number else None
                 tail = v.chain[-1].id
                 msg = message.Sessions(
-                    self.council.me.id,
+                    self.membership.me.id,
                     v.number,
                     members,
                     places,
@@ -587,18 +597,18 @@
                     self.mach.now(),
                     self.lease.report(self.mach.now()),
                 )
-                if tail == self.council.me.id:
+                if tail == self.membership.me.id:
                     self.serve(None, msg)
                 else:
-                    seat = self.council.seat(tail)
-                    self.mach.spawn(self.neighbours.tell(seat.host, seat.port, msg), log)
+                    seat = self.membership.seat(tail)
+                    self.mach.spawn(self.peers.tell(seat.host, seat.port, msg), log)
             await self.mach.pause(self.report_now, BEAT_US)
             await self.mach.sleep(REPORT_US)
 
     def news_of_workers(self, v):
         """The worker list, for the tail of a view: where it is new to it, and again now and then.
 
-        Example: `core.news_of_workers(council.view)`
+        Example: `core.news_of_workers(membership.view)`
         """
         if self.listing is None:
             return None
@@ -616,30 +626,35 @@
 
         Example: `res = await core.gathered(message.Gather("desk", (3, 1), "n1-c0ffee"))`
         """
-        shelf = self.shelves.setdefault(m.pool, warden.Shelf())
-        had = shelf.term > (0, 0)
-        shelf.fence(m.term)
+        session_replica = self.session_replicas.setdefault(m.pool, warden.SessionReplica())
+        had = session_replica.term > (0, 0)
+        session_replica.fence(m.term)
         if not had:
             try:
-                await self.disk.commit([(b"shelf/" + m.pool.encode(), freeze_shelf(shelf, self.mach.now()))])
-            except store.DiskDefect:
+                await self.disk.commit(
+                    [(b"shelf/" + m.pool.encode(), encode_session_replica(session_replica, self.mach.now()))]
+                )
+            except store.DiskError:
                 return message.Gathered(False)
-        return message.Gathered(True, shelf.told(self.mach.now())[0], copy=had)
+        return message.Gathered(True, session_replica.told(self.mach.now())[0], copy=had)
 
-    async def keep_shelves(self):
+    async def keep_session_replicas(self):
         """Now and then, bring the late copies of sessions to the disk.
 
-        Example: `mach.spawn(core.keep_shelves())`
+        Example: `mach.spawn(core.keep_session_replicas())`
         """
         while True:
             await self.mach.sleep(500 * machine.MILLI)
             now = self.mach.now()
-            for pool in sorted(self.soiled):
-                self.shelves[pool].sweep(now)
-            puts = [(b"shelf/" + pool.encode(), freeze_shelf(self.shelves[pool], now)) for pool in sorted(self.soiled)]
-            self.soiled.clear()
+            for pool in sorted(self.dirty):
+                self.session_replicas[pool].sweep(now)
+            puts = [
+                (b"shelf/" + pool.encode(), encode_session_replica(self.session_replicas[pool], now))
+                for pool in sorted(self.dirty)
+            ]
+            self.dirty.clear()
             if puts:
-                with contextlib.suppress(store.DiskDefect):  # only a late copy; the guard has noted the defect
+                with contextlib.suppress(store.DiskError):  # only a late copy; the guard has noted the error
                     await self.disk.commit(puts)
 
     async def issue(self):
@@ -649,7 +664,7 @@
         """
         while True:
             await self.mach.sleep(100 * machine.MILLI)
-            if self.council.tail():
+            if self.membership.tail():
                 self.issuer.issue()
                 self.spread_roster()
 
@@ -660,7 +675,7 @@
         """
         if self.issuer.latest is not None and self.issuer.latest.stamp != self.spread:
             self.spread = self.issuer.latest.stamp
-            self.wake_posts()
+            self.wake_node_sessions()
 
     async def beat(self):
         """At the tail, under the lease: tell all cores what stands.
@@ -670,8 +685,8 @@
         told = {}
         beats = 0
         while True:
-            v = self.council.view
-            if self.council.leased():
+            v = self.membership.view
+            if self.membership.leased():
                 beats += 1
                 if beats % 4 == 0:
                     told.clear()  # a roster may have been lost with a link
@@ -681,19 +696,19 @@
                     news = latest if latest is not None and told.get(link) != (v.number, latest.stamp) else None
                     if latest is not None:
                         told[link] = (v.number, latest.stamp)
-                    forced = self.applied()
+                    applied_by_all = self.applied()
                     echo = self.heard_reports.get(link.id, 0)
-                    msg = message.Beat(v.number, n, forced, self.issuer.sessions(), news, self.same, echo)
-                    if link.id == self.council.me.id:
+                    msg = message.Beat(v.number, n, applied_by_all, self.issuer.sessions(), news, self.same, echo)
+                    if link.id == self.membership.me.id:
                         self.lease.renew(echo)
                         self.beaten = (self.mach.now(), v.number)
-                        self.take_forced(forced)
+                        self.take_forced(applied_by_all)
                         self.sessions = self.issuer.sessions()
-                        for post in list(self.posts.values()):
+                        for post in list(self.node_sessions.values()):
                             post.changed.wake()
                     else:
-                        seat = self.council.seat(link.id)
-                        self.mach.spawn(self.neighbours.tell(seat.host, seat.port, msg), log)
+                        seat = self.membership.seat(link.id)
+                        self.mach.spawn(self.peers.tell(seat.host, seat.port, msg), log)
             await self.mach.pause(self.beat_now, BEAT_US)
 
     # ---- operators ----------------------------------------------------------------------
@@ -707,13 +722,13 @@
         match (req.method, path):
             case (b"GET", ["blueprint"]):
                 seen = await self.read_state()
-                req.answer_json(200, {"stamp": seen.stamp, "blueprint": blueprint.unflatten(seen.items)})
+                req.answer_json(200, {"stamp": seen.stamp, "blueprint": configuration.unflatten(seen.items)})
             case (b"POST", ["plans"]):
                 req.answer_json(200, await self.plan(req.json()))
             case (b"GET", ["plans", ident]):
                 seen = await self.look(ident)
                 if seen.plan is None:
-                    raise verdict.Defect("not_found", "No such plan is remembered.")
+                    raise verdict.ServiceError("not_found", "No such plan is remembered.")
                 req.answer_json(200, {**seen.plan, "now": seen.stamp})
             case (b"POST", ["plans", ident, "confirm"]):
                 self.counts["confirms"] += 1
@@ -728,16 +743,16 @@
                 ok = self.serving()
                 req.answer_json(200 if ok else 503, {"ready": ok})
             case (_, ["blueprint" | "plans" | "changes" | "state" | "ready", *_]):
-                raise verdict.Defect("bad_method", "This path does not take that method.")
+                raise verdict.ServiceError("bad_method", "This path does not take that method.")
             case _:
-                raise verdict.Defect("not_found", "There is no such path.")
+                raise verdict.ServiceError("not_found", "There is no such path.")
 
     def state(self):
         """What this core shows of itself.
 
         Example: `core.state()["view"]`
         """
-        c = self.council
+        c = self.membership
         v = c.view
         return {
             "role": "core",
@@ -756,8 +771,8 @@
             "tip": self.chain.tip.n,
             "lease_left_us": max(0, self.lease.until - self.mach.now()),
             "disk_ok": self.disk.ok,
-            "sessions": sorted(p.member.name for p in self.posts.values()),
-            "fed_bytes": {p.member.name: p.link.sent_bytes for p in self.posts.values()},
+            "sessions": sorted(p.member.name for p in self.node_sessions.values()),
+            "fed_bytes": {p.member.name: p.link.sent_bytes for p in self.node_sessions.values()},
             "roster": message.plain(self.issuer.latest),
             "counts": self.counts,
         }
@@ -767,19 +782,21 @@
 
         Example: `res = await core.ask_link(-1, lambda number: message.Look(number))`
         """
-        v = self.council.view
+        v = self.membership.view
         if v is None:
-            raise verdict.Defect("no_chain", "No view is agreed yet.")
-        seat = self.council.seat(v.chain[k].id)
+            raise verdict.ServiceError("no_chain", "No view is agreed yet.")
+        seat = self.membership.seat(v.chain[k].id)
         msg = make(v.number)
         try:
-            if seat.id == self.council.me.id:
+            if seat.id == self.membership.me.id:
                 return await self.mach.within(shield(defer.ensureDeferred(self.chain.answer(msg))), us)
-            return await self.mach.within(defer.ensureDeferred(self.neighbours.call(seat.host, seat.port, msg, us)), us)
-        except (wire.Broken, machine.Late) as e:
-            if isinstance(e, wire.Broken) and not e.sent:
-                raise verdict.Defect("no_chain", "The chain's machine can't be reached.") from e
-            raise verdict.Defect("unknown_outcome", "No answer came in time.", verdict.Verdict.MAY_HAVE_RUN) from e
+            return await self.mach.within(defer.ensureDeferred(self.peers.call(seat.host, seat.port, msg, us)), us)
+        except (wire.ConnectionBrokenError, machine.DeadlineError) as e:
+            if isinstance(e, wire.ConnectionBrokenError) and not e.sent:
+                raise verdict.ServiceError("no_chain", "The chain's machine can't be reached.") from e
+            raise verdict.ServiceError(
+                "unknown_outcome", "No answer came in time.", verdict.Verdict.MAY_HAVE_RUN
+            ) from e
 
     async def look(self, ident, us=ANSWER_US):
         """Read at the tail.
@@ -788,10 +805,10 @@
         """
         try:
             seen = await self.ask_link(-1, lambda number: message.Look(number, ident), us)
-        except verdict.Defect:
-            raise verdict.Defect("no_chain", "The tail does not answer now.") from None
+        except verdict.ServiceError:
+            raise verdict.ServiceError("no_chain", "The tail does not answer now.") from None
         if not seen.ok:
-            raise verdict.Defect("no_chain", "The tail holds no lease now.")
+            raise verdict.ServiceError("no_chain", "The tail holds no lease now.")
         return seen
 
     async def read(self):
@@ -810,7 +827,7 @@
         while True:
             try:
                 return await self.look("", max(1, until - self.mach.now()))
-            except verdict.Defect:
+            except verdict.ServiceError:
                 if self.mach.now() >= until:
                     raise
             await self.mach.sleep(AGAIN_US)
@@ -824,7 +841,7 @@
         res = await self.ask_link(0, make, us)
         if res.code:
             self.counts["refused"] += 1
-            raise verdict.Defect(res.code, res.text, verdict.Verdict(res.verdict))
+            raise verdict.ServiceError(res.code, res.text, verdict.Verdict(res.verdict))
         return res
 
     async def confirm(self, ident):
@@ -833,11 +850,11 @@
         Example: `res = await core.confirm("3-ab")`
         """
         if self.without_nodes():
-            raise verdict.Defect("no_nodes", "No node can be reached; a change would not come into force.")
+            raise verdict.ServiceError("no_nodes", "No node can be reached; a change would not come into force.")
         res = await self.propose("confirm", ident)
         await self.show(res.stamp, self.mach.now() + self.options.lease_us + FORCE_US)
         if self.without_nodes():
-            raise verdict.Defect(
+            raise verdict.ServiceError(
                 "unknown_outcome",
                 "The change is committed, but no node can be reached.",
                 verdict.Verdict.MAY_HAVE_RUN,
@@ -853,13 +870,13 @@
         return latest is not None and bool(latest.members) and not self.sessions
 
     async def take_change(self, doc):
-        """Take a numbered change: a whole blueprint, or items to put in and to remove.
+        """Take a numbered change: a whole configuration, or items to put in and to remove.
 
         Example: `await core.take_change({"number": 9, "built_on": 7, "remove": {"routes": ["old"]}})`
         """
         match doc:
             case {"blueprint": _, "upsert": _} | {"blueprint": _, "remove": _}:
-                raise verdict.Defect(
+                raise verdict.ServiceError(
                     "bad_request", "Send a blueprint, or items to put in and remove.", field="blueprint"
                 )
             case (
@@ -869,22 +886,22 @@
             ):
                 pass
             case _:
-                raise verdict.Defect(
+                raise verdict.ServiceError(
                     "bad_request", "A change wants number, built_on, and what it changes.", field="number"
                 )
         for name in doc:
             if name not in ("number", "built_on", "blueprint", "upsert", "remove"):
-                raise verdict.Defect("bad_request", "Unknown field.", field=name)
+                raise verdict.ServiceError("bad_request", "Unknown field.", field=name)
 
         def make(items):
-            whole = blueprint.unflatten(items)
-            return blueprint.flatten(
+            whole = configuration.unflatten(items)
+            return configuration.flatten(
                 doc["blueprint"]
                 if "blueprint" in doc
-                else blueprint.amend(whole, doc.get("upsert", {}), doc.get("remove", {}))
+                else configuration.amend(whole, doc.get("upsert", {}), doc.get("remove", {}))
             )
 
-        ident = blueprint.change_id(number, built_on, doc)
+        ident = configuration.change_id(number, built_on, doc)
         return number, await self.change(Order(ident, number, built_on, make, "blueprint" in doc))
 
     async def change(self, order):
@@ -912,7 +929,7 @@
                     stamp = stamp or await self.apply(known, order, until)
                     await self.show(stamp, until)
                     return stamp
-            except verdict.Defect as d:
+            except verdict.ServiceError as d:
                 maybe = maybe or d.verdict is verdict.Verdict.MAY_HAVE_RUN
                 known, why = None, d
             else:
@@ -922,10 +939,10 @@
                 continue
             await self.mach.sleep(AGAIN_US)
         if maybe or why is None:
-            raise verdict.Defect(
+            raise verdict.ServiceError(
                 "unknown_outcome", "It is not known yet whether the change was taken.", verdict.Verdict.MAY_HAVE_RUN
             )
-        raise verdict.Defect("no_chain", f"The change can't be taken now: {why.text}")
+        raise verdict.ServiceError("no_chain", f"The change can't be taken now: {why.text}")
 
     def known_here(self, order):
         """What this machine's own copy says of an order; it may be old.
@@ -948,13 +965,13 @@
 
         Example: `stamp = core.stands_already(known, order)`
         """
-        if not order.whole or blueprint.number(known.items) != order.number:
+        if not order.whole or configuration.number(known.items) != order.number:
             return 0
         try:
             made = self.renumber(order, known.items)
-        except verdict.Defect:
+        except verdict.ServiceError:
             return 0
-        return known.stamp if not blueprint.differ(known.items, made) else 0
+        return known.stamp if not configuration.differ(known.items, made) else 0
 
     def refusal(self, known, order):
         """Why an order that is not among those taken can't be taken on a state; None where it can.
@@ -964,15 +981,15 @@
 
         Example: `defect = core.refusal(known, order)`
         """
-        current = blueprint.number(known.items)
+        current = configuration.number(known.items)
         if current != order.built_on:
             if order.number <= known.forgotten:
                 text = "Changes of that age are no longer remembered."
-                return verdict.Defect("unknown_outcome", text, verdict.Verdict.MAY_HAVE_RUN)
-            return verdict.Defect("base_moved", f"The blueprint is at number {current}.")
+                return verdict.ServiceError("unknown_outcome", text, verdict.Verdict.MAY_HAVE_RUN)
+            return verdict.ServiceError("base_moved", f"The blueprint is at number {current}.")
         try:
             self.renumber(order, known.items)
-        except verdict.Defect as d:
+        except verdict.ServiceError as d:
             return d
         return None
 
@@ -981,29 +998,29 @@
 
         Example: `stamp = await core.apply(known, order, until)`
         """
-        changes = blueprint.differ(known.items, self.renumber(order, known.items))
+        changes = configuration.differ(known.items, self.renumber(order, known.items))
         left = max(0, until - self.mach.now())
         try:
             return (await self.propose("apply", order.ident, known.stamp, changes, left)).stamp
-        except verdict.Defect as d:
+        except verdict.ServiceError as d:
             if d.code != "base_moved":
                 raise
-        raise verdict.Defect("no_chain", "Another change came first.")  # the tail says what became of this one
+        raise verdict.ServiceError("no_chain", "Another change came first.")  # the tail says what became of this one
 
     def renumber(self, order, items):
         """The items that an order makes, under its number; raises Defect.
 
         Example: `core.renumber(order, items)`
         """
-        defects = []
+        errors = []
         if order.number <= order.built_on:
-            defects.append(f"marks/operator: number {order.number} is not above {order.built_on}")
+            errors.append(f"marks/operator: number {order.number} is not above {order.built_on}")
         try:
             new = order.make(items)
-        except blueprint.BadBlueprint as e:
-            defects += e.defects
-        if defects:
-            raise verdict.Defect("bad_blueprint", "; ".join(defects[:50]), field="blueprint")
+        except configuration.InvalidConfigurationError as e:
+            errors += e.errors
+        if errors:
+            raise verdict.ServiceError("bad_blueprint", "; ".join(errors[:50]), field="blueprint")
         return {**new, "marks/operator": {**new.get("marks/operator", {}), "number": order.number}}
 
     async def show(self, stamp, until):
@@ -1011,50 +1028,52 @@
 
         Example: `await core.show(17, until)`
         """
-        while self.forced < stamp:
+        while self.applied_by_all < stamp:
             left = until - self.mach.now()
             if left <= 0:
-                raise verdict.Defect(
+                raise verdict.ServiceError(
                     "unknown_outcome",
                     "The change is committed, but a node may not have applied it yet.",
                     verdict.Verdict.MAY_HAVE_RUN,
                 )
-            await self.mach.pause(self.forced_on, left)
+            await self.mach.pause(self.applied_by_all_changed, left)
 
     async def plan(self, doc):
-        """Make a plan of an operator's intent: a whole blueprint, or a JSON Patch.
+        """Make a plan of an operator's intent: a whole configuration, or a JSON Patch.
 
         Example: `await core.plan({"blueprint": {...}, "base": 7})`
         """
         self.counts["plans"] += 1
         match doc:
             case {"blueprint": _, "patch": _}:
-                raise verdict.Defect("bad_request", "Send a blueprint or a patch, not both.", field="patch")
+                raise verdict.ServiceError("bad_request", "Send a blueprint or a patch, not both.", field="patch")
             case {"blueprint": _} | {"patch": _}:
                 pass
             case _:
-                raise verdict.Defect("bad_request", "A blueprint or a patch is needed.", field="blueprint")
+                raise verdict.ServiceError("bad_request", "A blueprint or a patch is needed.", field="blueprint")
         for name in doc:
             if name not in ("blueprint", "patch", "base"):
-                raise verdict.Defect("bad_request", "Unknown field.", field=name)
+                raise verdict.ServiceError("bad_request", "Unknown field.", field=name)
         seen = await self.look("")
         base = doc.get("base", seen.stamp)
         if type(base) is not int:
-            raise verdict.Defect("bad_request", "base is not a stamp.", field="base")
+            raise verdict.ServiceError("bad_request", "base is not a stamp.", field="base")
         if base != seen.stamp:
-            raise verdict.Defect("base_moved", f"The blueprint is at {seen.stamp}, not at {base}.")
+            raise verdict.ServiceError("base_moved", f"The blueprint is at {seen.stamp}, not at {base}.")
         try:
             new = doc.get("blueprint")
             if "patch" in doc:
-                new = blueprint.patch(blueprint.unflatten(seen.items), doc["patch"])
-            items = blueprint.flatten(new)
-        except blueprint.BadBlueprint as e:
-            raise verdict.Defect("bad_blueprint", "; ".join(e.defects[:50]), field="blueprint") from e
-        changes = blueprint.differ(seen.items, items)
-        ident = blueprint.plan_id(base, changes)
+                new = configuration.patch(configuration.unflatten(seen.items), doc["patch"])
+            items = configuration.flatten(new)
+        except configuration.InvalidConfigurationError as e:
+            raise verdict.ServiceError("bad_blueprint", "; ".join(e.errors[:50]), field="blueprint") from e
+        changes = configuration.differ(seen.items, items)
+        ident = configuration.plan_id(base, changes)
         await self.propose("plan", ident, base, changes)
-        told = blueprint.describe(seen.items, changes)
-        held = {pool: len(self.shelves[pool].sessions) for pool in told["pools"] if pool in self.shelves}
+        told = configuration.describe(seen.items, changes)
+        held = {
+            pool: len(self.session_replicas[pool].sessions) for pool in told["pools"] if pool in self.session_replicas
+        }
         return {"id": ident, "base": base, **told, "open_sessions": held}
 
     async def stop(self):
@@ -1066,10 +1085,10 @@
         Example: `await core.stop()`
         """
         self.stopping = True
-        self.wake_posts()
-        self.council.leave()
+        self.wake_node_sessions()
+        self.membership.leave()
         until = self.mach.now() + self.options.grace_us
         await self.mach.sleep(100 * machine.MILLI)
-        while self.council.holds_only_copy() or (self.council.needed() and self.mach.now() < until):
-            self.council.pulse_now.wake()
+        while self.membership.holds_only_copy() or (self.membership.needed() and self.mach.now() < until):
+            self.membership.heartbeat_now.wake()
             await self.mach.sleep(50 * machine.MILLI)
--- a/iriswheel/core_session.py
+++ b/iriswheel/core_session.py
@@ -154,7 +154,7 @@
                     self._leased(connection)
                 connection.tell(self.heartbeat())
         self.follower.take(msg)
-        if isinstance(msg, (message.Frame, message.Change)):
+        if isinstance(msg, (message.Snapshot, message.Change)):
             connection.tell(self.heartbeat())
 
     def _leased(self, connection):
@@ -250,7 +250,7 @@
                 await self.mach.pause(connection.lost, STEP_US)
             if self.candidates.pop(connection, None) is not None:
                 connection.close()
-        except wire.Broken:
+        except wire.ConnectionBrokenError:
             pass
         finally:
             self.attempts.discard(address)
--- a/iriswheel/sender.py
+++ b/iriswheel/dispatch.py
@@ -11,8 +11,8 @@
 import twisted.web.iweb as iweb
 import zope.interface as interface
 
+import iriswheel.edge_protocol as edge_protocol
 import iriswheel.machine as machine
-import iriswheel.outer as outer
 
 CONNECT_US = 700 * machine.MILLI
 FIRST_US = 10 * machine.SECOND  # until the answer's head
@@ -30,10 +30,10 @@
     'WHOLE'
     """
 
-    WHOLE = 1  # the worker's whole answer went to the requester
+    WHOLE = 1  # the worker's whole answer went to the client
     UNSENT = 2  # no worker was reached
-    BROKE = 3  # sent, but no byte of an answer came to the requester
-    TORN = 4  # the answer broke off after bytes had gone to the requester
+    BROKE = 3  # sent, but no byte of an answer came to the client
+    TORN = 4  # the answer broke off after bytes had gone to the client
 
 
 @interface.implementer(iweb.IBodyProducer)
@@ -155,10 +155,10 @@
         req.responseHeaders.removeHeader(name)
 
 
-class NoAnswer(ValueError):
+class NoAnswerError(ValueError):
     """The far side answered, but not with what was asked for.
 
-    >>> NoAnswer("answer 404").answered
+    >>> NoAnswerError("answer 404").answered
     True
     """
 
@@ -190,10 +190,10 @@
             self.waiting.cancel()
 
 
-class Sender:
+class Dispatcher:
     """This process's connections to workers and platform.
 
-    Example: `sender = Sender(mach)`; `raw = await sender.fetch(host, port, "/load", 500_000)`.
+    Example: `sender = Dispatcher(mach)`; `raw = await sender.fetch(host, port, "/load", 500_000)`.
     """
 
     def __init__(self, mach, heard=lambda worker: None):
@@ -222,7 +222,7 @@
         res.deliverBody(Collect(lambda raw: got.called or got.callback(raw)))
         raw = await got
         if res.code != 200 or raw is None:
-            raise NoAnswer(f"answer {res.code}")
+            raise NoAnswerError(f"answer {res.code}")
         return raw
 
     async def knock(self, host, port, us):
@@ -253,7 +253,7 @@
         agent = self.agent if repeatable and not token else self.fresh
         host, port = door or (worker.host, worker.port)
         uri = b"http://%s:%d%s" % (host.encode(), port, req.uri)
-        asked = agent.request(req.method, uri, outer.onward(req.requestHeaders, worker.id, token), Body(raw))
+        asked = agent.request(req.method, uri, edge_protocol.onward(req.requestHeaders, worker.id, token), Body(raw))
         send.waiting = self.mach.within(asked, FIRST_US)
         try:
             res = await send.waiting
@@ -269,15 +269,15 @@
             log.warning("Worker {} gave no answer: {}", worker.id, type(e).__name__)
             return Outcome.BROKE
         send.begun, send.last = True, self.mach.now()
-        if token and res.headers.hasHeader(outer.PASS):
-            unsent = res.headers.getRawHeaders(outer.PASS) == ["unsent"]
+        if token and res.headers.hasHeader(edge_protocol.PASS):
+            unsent = res.headers.getRawHeaders(edge_protocol.PASS) == ["unsent"]
             res.deliverBody(Collect(lambda raw: None))
             return Outcome.UNSENT if unsent else Outcome.BROKE
         if not token:
             self.heard(worker.id)
         done = send.waiting = defer.Deferred(lambda _: relay.stopProducing())
         req.setResponseCode(res.code, res.phrase)
-        for name, vals in outer.back(res.headers, worker.id):
+        for name, vals in edge_protocol.back(res.headers, worker.id):
             req.responseHeaders.setRawHeaders(name, vals)
         if res.length is not client.UNKNOWN_LENGTH:
             req.setHeader("Content-Length", str(res.length))
--- a/iriswheel/outer.py
+++ b/iriswheel/edge_protocol.py
@@ -49,7 +49,7 @@
     if not vals:
         return None
     if len(vals) > 1:
-        raise verdict.Defect("bad_request", f"{name} is given twice.", field=name)
+        raise verdict.ServiceError("bad_request", f"{name} is given twice.", field=name)
     return vals[0].decode("latin-1").strip()
 
 
@@ -65,7 +65,7 @@
         return []
     parts = [p.strip() for p in text.split(",")]
     if len(parts) > PARTS or not all(PART.match(p) for p in parts):
-        raise verdict.Defect("bad_request", f"{PREFIX} is not a list of up to {PARTS} parts.", field=PREFIX)
+        raise verdict.ServiceError("bad_request", f"{PREFIX} is not a list of up to {PARTS} parts.", field=PREFIX)
     return parts
 
 
@@ -80,7 +80,7 @@
     if text is None:
         return ""
     if not ID.match(text):
-        raise verdict.Defect("bad_request", f"{name} is not an id.", field=name)
+        raise verdict.ServiceError("bad_request", f"{name} is not an id.", field=name)
     return text
 
 
@@ -95,7 +95,7 @@
     if text is None:
         return 0
     if not text.isdigit() or not 1 <= int(text[:9]) <= 1_000_000 or len(text) > 7:
-        raise verdict.Defect("bad_request", f"{SEND} is not a number from 1.", field=SEND)
+        raise verdict.ServiceError("bad_request", f"{SEND} is not a number from 1.", field=SEND)
     return int(text)
 
 
@@ -111,7 +111,7 @@
             return False
         case "yes" | "true" | "1":
             return True
-    raise verdict.Defect("bad_request", f"{REPEAT} is neither yes nor no.", field=REPEAT)
+    raise verdict.ServiceError("bad_request", f"{REPEAT} is neither yes nor no.", field=REPEAT)
 
 
 def onward(headers, worker, token=""):
@@ -130,7 +130,7 @@
 
 
 def back(headers, worker):
-    """The headers that go to the requester, as pairs.
+    """The headers that go to the client, as pairs.
 
     >>> import twisted.web.http_headers as hh
     >>> back(hh.Headers({"Keep-Alive": ["5"]}), "w1")
@@ -209,7 +209,7 @@
 
 @dataclasses.dataclass
 class Ask:
-    """What a requester says of its exchange.
+    """What a client says of its exchange.
 
     >>> Ask().left_us is None
     True
@@ -223,19 +223,19 @@
     send: int = 0
     repeatable: bool = False
     requester: str = ""
-    left_us: int | None = None  # how long the requester will wait
+    left_us: int | None = None  # how long the client will wait
     tag: str = ""  # what the worker's answer carries back
     host: str = ""
     model: str = ""
-    after: str = ""  # the last event that the requester has, where it takes a stream up again
+    after: str = ""  # the last event that the client has, where it takes a stream up again
 
 
-class Outer:
-    """The formats towards requesters, workers and platform; this class has iriswheel's own.
+class EdgeProtocol:
+    """The formats towards clients, workers and platform; this class has iriswheel's own.
 
     A site whose formats differ hands in a subclass; nothing else changes.
 
-    >>> Outer().ready(True)
+    >>> EdgeProtocol().ready(True)
     (200, {'ready': True})
     """
 
@@ -295,7 +295,7 @@
     def mine(self, tag, status, heads):
         """Whether an answer is the one to this exchange: True, False, or None where it does not say.
 
-        >>> Outer().mine("x1", 200, {})
+        >>> EdgeProtocol().mine("x1", 200, {})
         True
         """
         return True
@@ -303,7 +303,7 @@
     def unrun(self, status, heads):
         """Whether the worker says that it did not run the request.
 
-        >>> Outer().unrun(503, {}), Outer().unrun(200, {})
+        >>> EdgeProtocol().unrun(503, {}), EdgeProtocol().unrun(200, {})
         (True, False)
         """
         return status in (421, 429, 503)
@@ -311,15 +311,15 @@
     def sound(self, status, heads):
         """Whether the head can be a worker's.
 
-        >>> Outer().sound(200, {})
+        >>> EdgeProtocol().sound(200, {})
         True
         """
         return True
 
     def home(self, heads, worker):
-        """The headers of a worker's answer that go to the requester, as pairs of bytes.
+        """The headers of a worker's answer that go to the client, as pairs of bytes.
 
-        >>> Outer().home([(b"Keep-Alive", b"5"), (b"X-A", b"b")], "w1")
+        >>> EdgeProtocol().home([(b"Keep-Alive", b"5"), (b"X-A", b"b")], "w1")
         [(b'X-A', b'b'), (b'X-Target-Worker', b'w1')]
         """
         named = {
@@ -331,9 +331,9 @@
         ]
 
     def refusal(self, d):
-        """The answer to a defect: status, pairs of headers, body.
+        """The answer to an error: status, pairs of headers, body.
 
-        >>> Outer().refusal(verdict.Defect("busy", "Full."))[:2]
+        >>> EdgeProtocol().refusal(verdict.ServiceError("busy", "Full."))[:2]
         (503, [('Retry-After', '1')])
         """
         return d.status, [] if d.retry_after is None else [("Retry-After", str(d.retry_after))], d.body()
@@ -341,7 +341,7 @@
     def list_path(self, token):
         """Where the platform's list, or its page of that token, is asked for.
 
-        >>> Outer().list_path("")
+        >>> EdgeProtocol().list_path("")
         '/workers'
         """
         return WORKERS_PATH
@@ -349,7 +349,7 @@
     def page(self, raw):
         """A page of the platform's list: workers, and the next page's token or "".
 
-        >>> Outer().page(b'{"workers": []}')
+        >>> EdgeProtocol().page(b'{"workers": []}')
         ([], '')
         """
         return workers(raw), ""
@@ -357,7 +357,7 @@
     def load(self, raw):
         """A worker's load report: exchanges that run there, and that wait.
 
-        >>> Outer().load(b'{"running": 3, "queued": 2}')
+        >>> EdgeProtocol().load(b'{"running": 3, "queued": 2}')
         (3, 2)
         """
         return load(raw)
@@ -365,7 +365,7 @@
     def ready(self, ok, why=""):
         """The answer to the platform's question whether a node is ready.
 
-        >>> Outer().ready(False, "stopping")
+        >>> EdgeProtocol().ready(False, "stopping")
         (503, {'ready': False, 'why': 'stopping'})
         """
         return ready(ok, why)
--- a/iriswheel/follower.py
+++ b/iriswheel/follower.py
@@ -1,4 +1,4 @@
-"""A node's view of the fleet: its slice of the blueprint, the roster, the workers.
+"""A node's view of the fleet: its slice of the configuration, the roster, the workers.
 
 The node keeps one session with a core machine. It follows the numbered feed from its
 place on; what it has never goes back.
@@ -7,7 +7,7 @@
 import loguru
 import twisted.internet.defer as defer
 
-import iriswheel.blueprint as blueprint
+import iriswheel.configuration as configuration
 import iriswheel.core_session as core_session
 import iriswheel.machine as machine
 import iriswheel.message as message
@@ -17,10 +17,10 @@
 REJOIN_US = 1 * machine.SECOND  # how long a thawed node waits for its session
 STALE_US = 2_500 * machine.MILLI  # worker news older than this is not relied on
 GO_US = 700 * machine.MILLI
-GOES_US = 1_200 * machine.MILLI  # a neighbour's word counts this long; it is asked for twice a second
+GOES_US = 1_200 * machine.MILLI  # a peer's word counts this long; it is asked for twice a second
 ASK_US = 500 * machine.MILLI  # between questions to the platform
 ORPHAN_US = 1_500 * machine.MILLI  # without news for this long, a node asks for itself
-FEW = 3  # neighbours that a node asks that serves on without the core
+FEW = 3  # peers that a node asks that serves on without the core
 SPAN_US = 4 * machine.SECOND
 POLL_US = 1 * machine.SECOND
 PAGES = 200  # of the platform's list
@@ -63,7 +63,7 @@
         self.routes = {}
         self.pools = {}
         self.terms = {}
-        self.limits = blueprint.Limits()
+        self.limits = configuration.Limits()
         self.index = {}  # (host, path) -> names of the routes there
         self.longest = 0  # the longest path of a route
         self.roster = message.Roster((0, 0), [], [], [], [])
@@ -78,7 +78,7 @@
         self.news_at = None  # when worker news last came
         self.ticked = self.mach.now()
         self.thawed = None
-        self.goes = {}  # neighbour -> (when, Goes) while cut off from the core
+        self.goes = {}  # peer -> (when, Goes) while cut off from the core
 
     # ---- what the node knows ------------------------------------------------------
 
@@ -196,7 +196,7 @@
 
         Without the core, a node goes on only if every member says that it has lost the core
         too, or its machine says that nobody listens there any more. One that can't be
-        reached may be with a core that takes changes; one whose blueprint is ahead shows that
+        reached may be with a core that takes changes; one whose configuration is ahead shows that
         this node missed a change.
 
         A node that is told to serve on (option `serve_on`) never counts itself as cut off.
@@ -220,11 +220,11 @@
             return
         self.early = None
         had = self.items or {}
-        changes = blueprint.differ(had, items) if whole else items.items()
+        changes = configuration.differ(had, items) if whole else items.items()
         parsed = [
-            (*key.split("/", 1), None if val is None else blueprint.KINDS[key.split("/", 1)[0]].from_dict(val))
+            (*key.split("/", 1), None if val is None else configuration.KINDS[key.split("/", 1)[0]].from_dict(val))
             for key, val in changes
-            if key.split("/", 1)[0] in blueprint.KINDS
+            if key.split("/", 1)[0] in configuration.KINDS
         ]
         self.items = dict(items) if whole else {k: v for k, v in {**had, **items}.items() if v is not None}
         self.place = n
@@ -241,13 +241,13 @@
                     else:
                         kept[name] = item
                 case "limits":
-                    self.limits = item or blueprint.Limits()
+                    self.limits = item or configuration.Limits()
         self.node.on_news()
 
     def put_route(self, name, route):
         """Put a route into the index, or take it out with None.
 
-        Example: `fol.put_route("clerk", blueprint.Route("/v1", "desk"))`
+        Example: `fol.put_route("clerk", configuration.Route("/v1", "desk"))`
         """
         old = self.routes.pop(name, None)
         if old is not None:
@@ -323,7 +323,7 @@
         return True
 
     def orphan(self):
-        """Whether this node has a blueprint, but has had no news of workers for a while.
+        """Whether this node has a configuration, but has had no news of workers for a while.
 
         Example: `fol.orphan()`
         """
@@ -362,7 +362,7 @@
         Example: `fol.take(message.Change(17, {}))`
         """
         match msg:
-            case message.Frame(n=n, items=items):
+            case message.Snapshot(n=n, items=items):
                 self.take_items(n, items, True)
             case message.Early():
                 self.take_early(msg)
@@ -388,7 +388,7 @@
         return message.Join(self.node.me, self.applied(), roster, self.mach.now())
 
     async def watch(self):
-        """Tick, so that a freeze is noticed; while cut off, ask the neighbours.
+        """Tick, so that a freeze is noticed; while cut off, ask the peers.
 
         Example: `mach.spawn(fol.watch())`
         """
@@ -404,11 +404,11 @@
                 asked = now
                 self.ask_neighbours()
             if self.thawed is not None and now - self.thawed > REJOIN_US and not self.cut_off():
-                self.thawed = None  # the whole core is gone; neighbours are there
+                self.thawed = None  # the whole core is gone; peers are there
                 self.node.on_news()
 
     def ask_neighbours(self):
-        """Ask the neighbours whether the core stands with them.
+        """Ask the peers whether the core stands with them.
 
         All of them, since one that may be with a core that takes changes must be heard; but a
         node that serves on in any case only wants to know where the core is, and asks a few.
@@ -422,22 +422,20 @@
             self.mach.spawn(self.ask_neighbour(m), log)
 
     async def ask_neighbour(self, m):
-        """Ask one neighbour whether the core stands with it.
+        """Ask one peer whether the core stands with it.
 
         Example: `await fol.ask_neighbour(member)`
         """
         try:
             a = await self.mach.within(
-                defer.ensureDeferred(
-                    self.node.neighbours.call(m.host, m.port, message.HowGoes(self.roster.stamp), GO_US)
-                ),
+                defer.ensureDeferred(self.node.peers.call(m.host, m.port, message.HowGoes(self.roster.stamp), GO_US)),
                 GO_US,
             )
-        except wire.Broken as e:
+        except wire.ConnectionBrokenError as e:
             if not e.refused:
                 return
             a = message.Goes(False, None)  # its process is dead
-        except machine.Late:
+        except machine.DeadlineError:
             return
         self.goes[m.id] = (self.mach.now(), a)
         self.take_roster(a.roster)
@@ -524,10 +522,10 @@
                     by_core = told is not msg and self.session.stands()  # it tells the others that the list stands
                     for m in [] if by_core else self.roster.members:
                         if m.id != self.node.me.id:
-                            self.mach.spawn(self.node.neighbours.tell(m.host, m.port, news), log)
+                            self.mach.spawn(self.node.peers.tell(m.host, m.port, news), log)
                 else:
                     self.take_workers(workers)
                     for m in self.roster.members:
                         if m.id != self.node.me.id:
-                            self.mach.spawn(self.node.neighbours.tell(m.host, m.port, message.Heard(workers)), log)
+                            self.mach.spawn(self.node.peers.tell(m.host, m.port, message.Heard(workers)), log)
             await self.mach.pause(self.list_now, self.options.list_us)
--- a/iriswheel/carry.py
+++ b/iriswheel/forwarding.py
@@ -24,7 +24,7 @@
 FIRST_MUTE_US = 1_200 * machine.MILLI  # and before the first event, where many wait
 QUIET, BROKEN = 0.3, 0.5  # how much a silence, or a broken connection, counts against a worker
 CONNECTS = 3  # workers tried that give no connection
-BACK_US = 150 * machine.MILLI  # a refused requester may come back after so long
+BACK_US = 150 * machine.MILLI  # a refused client may come back after so long
 SWEEP_US = 1 * machine.SECOND
 RENEWED_US = 12 * machine.SECOND  # what runs when options are read again, or comes soon after, has ended by then
 PROMISES = frozenset((408, 421, 429, 503))  # statuses by which a node promises that a request never ran
@@ -42,32 +42,32 @@
     'WHOLE'
     """
 
-    WHOLE = 1  # the worker's whole answer went to the requester
+    WHOLE = 1  # the worker's whole answer went to the client
     UNRUN = 2  # the worker said that it did not run it
-    FAILED = 3  # the worker's own answer is a failure; nothing went to the requester
-    BROKE = 4  # it may have run; nothing went to the requester
-    TORN = 5  # it broke off after something had gone to the requester
+    FAILED = 3  # the worker's own answer is a failure; nothing went to the client
+    BROKE = 4  # it may have run; nothing went to the client
+    TORN = 5  # it broke off after something had gone to the client
     LATE = 6  # the time is over
 
 
 class Flow:
-    """One send: takes what the worker's connection brings, and hands it to the requester.
+    """One send: takes what the worker's connection brings, and hands it to the client.
 
-    Example: `flow = Flow(carrier, x, worker, "")`; `line.start(raw, flow)`; `out = await flow.done`.
+    Example: `flow = Flow(forwarder, x, worker, "")`; `line.start(raw, flow)`; `out = await flow.done`.
     """
 
-    def __init__(self, carrier, x, worker):
-        self.carrier = carrier
+    def __init__(self, forwarder, x, worker):
+        self.forwarder = forwarder
         self.x = x
         self.worker = worker
-        self.mach = carrier.mach
+        self.mach = forwarder.mach
         self.bodyless = x.req.method == b"HEAD"  # its answer is a head alone
         self.line = None
         self.done = defer.Deferred(lambda _: self.stop())
         self.began = self.last = self.mach.now()
         self.expected = 0  # how long its first event was expected to take
         self.blamed = False
-        self.paused = False  # while the requester reads too slowly
+        self.paused = False  # while the client reads too slowly
         self.tokens = 0  # of the prompt, not read yet as far as is known
         self.status = 0
         self.heads = []
@@ -80,8 +80,8 @@
 
         Example: `flow.owns(200, {"x-attempt-id": "a1"}, 1)`
         """
-        mine = self.carrier.outer.mine(self.x.ask.tag, status, low)
-        return used <= 1 and self.carrier.outer.unrun(status, low) or None if mine is None else mine
+        mine = self.forwarder.outer.mine(self.x.ask.tag, status, low)
+        return used <= 1 and self.forwarder.outer.unrun(status, low) or None if mine is None else mine
 
     def head(self, status, heads, low):
         """The answer's head came.
@@ -105,7 +105,7 @@
         Example: `flow.data(b"id: 1\ndata: x\n\n")`
         """
         self.hear()
-        if not 200 <= self.status < 300 or not self.carrier.outer.sound(self.status, self.low):
+        if not 200 <= self.status < 300 or not self.forwarder.outer.sound(self.status, self.low):
             self.small.append(data)
             return
         if not self.seen:
@@ -127,8 +127,8 @@
         Example: `flow.end()`
         """
         if not 200 <= self.status < 300:
-            self.finish(Outcome.UNRUN if self.carrier.outer.unrun(self.status, self.low) else Outcome.FAILED)
-        elif not self.carrier.outer.sound(self.status, self.low):
+            self.finish(Outcome.UNRUN if self.forwarder.outer.unrun(self.status, self.low) else Outcome.FAILED)
+        elif not self.forwarder.outer.sound(self.status, self.low):
             self.finish(Outcome.BROKE)
         else:
             if self.rest:
@@ -139,7 +139,7 @@
             self.finish(Outcome.WHOLE)
 
     def hand_over(self):
-        """Give the worker's own failure to the requester, as it is.
+        """Give the worker's own failure to the client, as it is.
 
         Example: `flow.hand_over()`
         """
@@ -147,7 +147,7 @@
         if req.gone:
             return
         req.setResponseCode(self.status)
-        for name, val in self.carrier.outer.home(self.heads, self.worker):
+        for name, val in self.forwarder.outer.home(self.heads, self.worker):
             req.responseHeaders.addRawHeader(name, val)
         req.setHeader("Content-Length", str(len(body)))
         req.write(body)
@@ -158,7 +158,7 @@
 
         Example: `flow.lost("closed")`
         """
-        self.carrier.counts["broke"] += 1
+        self.forwarder.counts["broke"] += 1
         self.x.placement.blame(self.worker, BROKEN)
         self.finish(Outcome.TORN if self.x.begun else Outcome.BROKE)
 
@@ -192,7 +192,7 @@
             self.line.resume()
 
     def stopProducing(self):
-        pass  # the requester's going away is noticed by the door
+        pass  # the client's going away is noticed by the door
 
 
 def whole_events(raw):
@@ -207,10 +207,10 @@
     return raw[:cut], raw[cut:]
 
 
-class Passage:
+class ForwardedRequest:
     """One exchange on this way; what is kept over its sends.
 
-    Example: `x = Passage(exchange, placement)`
+    Example: `x = ForwardedRequest(exchange, placement)`
     """
 
     def __init__(self, exchange, place):
@@ -227,13 +227,13 @@
         self.loose = max(0, self.ask.tokens_in - sum(self.ask.sizes))  # tokens that no part names
         self.own = self.loose + (self.ask.sizes[-1] if self.ask.sizes else 0)
         self.after = self.ask.after
-        self.begun = False  # whether a byte went to the requester
+        self.begun = False  # whether a byte went to the client
         self.ran = False  # whether a worker may have run it
         self.sends = 0
         self.shun = set()  # workers that it is not sent to any more
 
     def pass_on(self, flow, data):
-        r"""Hand a piece to the requester; the first one takes the answer's head along.
+        r"""Hand a piece to the client; the first one takes the answer's head along.
 
         Example: `x.pass_on(flow, b"data: x\n\n")`
         """
@@ -242,21 +242,21 @@
         if not self.begun:
             self.begun = True
             self.req.setResponseCode(flow.status)
-            for name, val in flow.carrier.outer.home(flow.heads, flow.worker):
+            for name, val in flow.forwarder.outer.home(flow.heads, flow.worker):
                 self.req.responseHeaders.addRawHeader(name, val)
             length = flow.low.get("content-length")
             if length is not None and not self.resume:  # what another worker adds may be longer or shorter
                 self.req.setHeader("Content-Length", length)
-            if flow.carrier.node.stopping:
+            if flow.forwarder.node.stopping:
                 self.req.setHeader("Connection", "close")
         if data:
             self.req.write(data)
 
 
-class Carrier:
-    """A node's carrier of exchanges to workers that it elects itself.
+class Forwarder:
+    """A node's forwarder of exchanges to workers that it elects itself.
 
-    Example: `carrier = Carrier(node)`; `await carrier.carry(exchange)`.
+    Example: `forwarder = Forwarder(node)`; `await forwarder.carry(exchange)`.
     """
 
     def __init__(self, node):
@@ -283,7 +283,7 @@
     def place(self, pool):
         """The placement over a pool.
 
-        Example: `carrier.place("desk")`
+        Example: `forwarder.place("desk")`
         """
         if pool not in self.places:
             p = self.places[pool] = placement.Placement(self.mach, pool)
@@ -293,7 +293,7 @@
     async def look(self):
         """Look after streams that fell silent, idle connections and sessions; one task.
 
-        Example: `mach.spawn(carrier.look())`
+        Example: `mach.spawn(forwarder.look())`
         """
         swept = 0
         while not self.node.left:
@@ -314,7 +314,7 @@
 
         Where many sends wait for longer than they should, it is the load, and more sends make it worse.
 
-        Example: `carrier.look_for_silence(mach.now())`
+        Example: `forwarder.look_for_silence(mach.now())`
         """
         waiting = [f for f in self.flows if not f.seen]
         over = {f for f in waiting if now - f.began > f.x.placement.patience_us(f.expected)}
@@ -344,7 +344,7 @@
     def planned_work(self, now):
         """Whether this node stops, or has read its options again not long ago.
 
-        Example: `carrier.planned_work(mach.now())`
+        Example: `forwarder.planned_work(mach.now())`
         """
         renewed_at = self.node.renewed_at
         return self.node.stopping or renewed_at is not None and now - renewed_at < RENEWED_US
@@ -352,30 +352,30 @@
     def may_repeat(self, x):
         """Whether an exchange may be sent once more, by its route and this node's share of the budget.
 
-        Example: `carrier.may_repeat(x)`
+        Example: `forwarder.may_repeat(x)`
         """
         return (not x.route.sends or x.sends < x.route.sends) and self.node.door.tally(x).room(self.mach.now())
 
     def ready(self, pool):
         """The workers of a pool that may be sent to.
 
-        Example: `carrier.ready("desk")`
+        Example: `forwarder.ready("desk")`
         """
         return [w.id for w in self.node.follower.workers if w.pool == pool and w.state == "ready"]
 
     def others(self, x, *but):
         """The workers that an exchange may still be sent to.
 
-        Example: `carrier.others(x, "w1")`
+        Example: `forwarder.others(x, "w1")`
         """
         return [n for n in self.ready(x.pool_name) if n not in x.shun and n not in but]
 
     async def carry(self, exchange):
         """Carry one exchange to its end; raises verdict.Defect where it is refused.
 
-        Example: `await carrier.carry(exchange)`
+        Example: `await forwarder.carry(exchange)`
         """
-        x = Passage(exchange, self.place(exchange.pool_name))
+        x = ForwardedRequest(exchange, self.place(exchange.pool_name))
         work = defer.ensureDeferred(self.run(x))
         lost = x.req.lost.wait()
         lost.addCallback(lambda _: work.cancel())
@@ -390,7 +390,7 @@
     async def run(self, x):
         """Send until an answer stands or the exchange must be given up.
 
-        Example: `await carrier.run(x)`
+        Example: `await forwarder.run(x)`
         """
         unreached = 0
         while True:
@@ -421,7 +421,7 @@
                     if x.begun:
                         x.req.break_off()
                         return
-                    raise verdict.Defect("too_late", "No answer came in time.", self.known(x))
+                    raise verdict.ServiceError("too_late", "No answer came in time.", self.known(x))
                 case Outcome.UNRUN:
                     self.counts["unrun"] += 1
                     x.shun.add(name)
@@ -451,23 +451,23 @@
     def known(self, x):
         """What may be said of an exchange that is given up now.
 
-        Example: `carrier.known(x)`
+        Example: `forwarder.known(x)`
         """
         return verdict.Verdict.MAY_HAVE_RUN if x.ran else verdict.Verdict.NOT_RUN
 
     def give_up(self, x, code, text, back_us=0):
         """The final answer to an exchange that is given up.
 
-        Example: `raise carrier.give_up(x, "busy", "The worker turned it away.")`
+        Example: `raise forwarder.give_up(x, "busy", "The worker turned it away.")`
         """
         if x.ran:
-            return verdict.Defect("worker_broke", text, verdict.Verdict.MAY_HAVE_RUN)
-        return verdict.Defect(code, text, retry_us=max(BACK_US, back_us))
+            return verdict.ServiceError("worker_broke", text, verdict.Verdict.MAY_HAVE_RUN)
+        return verdict.ServiceError(code, text, retry_us=max(BACK_US, back_us))
 
     async def send(self, x, w):
         """Send to one worker: (Outcome, Flow), or (None, None) where it was not reached.
 
-        Example: `outcome, flow = await carrier.send(x, worker)`
+        Example: `outcome, flow = await forwarder.send(x, worker)`
         """
         place = x.placement
         flow = Flow(self, x, w.id)
@@ -479,7 +479,7 @@
             try:
                 fresh_us = FRESH_REPEAT_US if x.repeatable else FRESH_US
                 line = await self.lines.get(w, fresh_us, x.until - self.mach.now())
-            except client.Unreached:
+            except client.UnreachableError:
                 place.blame(w.id, BROKEN)
                 self.counts["unreached"] += 1
                 return None, None
@@ -513,9 +513,9 @@
                 x.req.unregisterProducer()
 
     def state(self):
-        """What this carrier shows of itself.
+        """What this forwarder shows of itself.
 
-        Example: `carrier.state()["counts"]`
+        Example: `forwarder.state()["counts"]`
         """
         return {
             "counts": self.counts,
--- a/iriswheel/door.py
+++ b/iriswheel/gateway.py
@@ -4,11 +4,11 @@
 import twisted.internet.defer as defer
 
 import iriswheel.budget as budget
-import iriswheel.carry as carry
+import iriswheel.dispatch as dispatch
+import iriswheel.edge_protocol as edge_protocol
+import iriswheel.forwarding as forwarding
 import iriswheel.machine as machine
 import iriswheel.message as message
-import iriswheel.outer as outer
-import iriswheel.sender as sender
 import iriswheel.session as session
 import iriswheel.verdict as verdict
 import iriswheel.wire as wire
@@ -46,7 +46,7 @@
         self.long = False
         self.work = 0
         self.until = now
-        self.place = 0  # the blueprint's place when it was routed
+        self.place = 0  # the configuration's place when it was routed
         self.sent = False  # whether a send may have reached a worker
         self.asked = False  # whether a warden may hold a grant for it
 
@@ -62,7 +62,7 @@
 
     def __init__(self, mach, room, hands, work):
         self.mach = mach or machine.Machine(None, now=lambda: 0)
-        self.holding = machine.Holding(room)
+        self.holding = machine.BoundedQueue(room)
         self.hands = hands
         self.work = work
         self.running = 0
@@ -90,10 +90,10 @@
             self.running -= 1
 
 
-class Door:
-    """The node's side towards requesters.
+class Gateway:
+    """The node's side towards clients.
 
-    Example: `door = Door(node)`; `Server(mach, door.handle)`.
+    Example: `door = Gateway(node)`; `Server(mach, door.handle)`.
     """
 
     def __init__(self, node):
@@ -106,7 +106,7 @@
             False: Lane(self.mach, room=512, hands=256, work=self.carry),
             True: Lane(self.mach, room=64, hands=48, work=self.carry),
         }
-        self.carrier = carry.Carrier(node)
+        self.forwarder = forwarding.Forwarder(node)
         self.filters = [self.parse, self.route, self.terms, self.admit]
         self.count = 0
         self.open = 0
@@ -124,7 +124,7 @@
         """
         path = req.path.decode("latin-1")
         match (req.method, path):
-            case (b"GET", outer.READY_PATH):
+            case (b"GET", edge_protocol.READY_PATH):
                 if self.node.stopping:
                     self.node.asked_at = self.node.asked_at or self.mach.now()
                 req.answer_json(*self.node.outer.ready(*self.node.ready()))
@@ -132,14 +132,14 @@
             case (b"GET", "/state"):
                 req.answer_json(200, self.node.state())
                 return
-        if req.requestHeaders.hasHeader(outer.PASS):
+        if req.requestHeaders.hasHeader(edge_protocol.PASS):
             await self.pass_on(req)
             return
         self.counts["exchanges"] += 1
         self.open += 1
         try:
             await self.take(req)
-        except verdict.Defect as d:
+        except verdict.ServiceError as d:
             self.refused[d.code] = self.refused.get(d.code, 0) + 1
             raise
         finally:
@@ -156,25 +156,25 @@
         for f in self.filters:
             f(x)
         if x.pool.election == "node":
-            await self.carrier.carry(x)
+            await self.forwarder.carry(x)
             return
         x.done = defer.Deferred()
         if not self.lanes[x.long].put(x):
-            raise verdict.Defect("busy", "This node holds as many exchanges as it can.")
+            raise verdict.ServiceError("busy", "This node holds as many exchanges as it can.")
         await x.done
 
     # ---- filters -------------------------------------------------------------------
 
     def parse(self, x):
-        """Read what the requester says about the exchange.
+        """Read what the client says about the exchange.
 
         Example: `door.parse(x)`
         """
         req, heads = x.req, x.req.requestHeaders
         if req.method != b"POST" and not self.node.outer.any_method:
-            raise verdict.Defect("bad_method", "Exchanges are sent with POST.")
+            raise verdict.ServiceError("bad_method", "Exchanges are sent with POST.")
         if req.method == b"POST" and not heads.hasHeader("content-length") and not heads.hasHeader("transfer-encoding"):
-            raise verdict.Defect("length_required", "The body's length is not said.", field="Content-Length")
+            raise verdict.ServiceError("length_required", "The body's length is not said.", field="Content-Length")
         x.said = self.node.outer.ask(req)
         x.parts, x.exchange, x.send = x.said.parts, x.said.exchange, x.said.send
         x.repeatable = x.said.repeatable
@@ -187,12 +187,12 @@
         """
         fol = self.node.follower
         if fol.items is None:
-            raise verdict.Defect("not_ready", "This node has no blueprint yet.")
+            raise verdict.ServiceError("not_ready", "This node has no blueprint yet.")
         x.route = fol.find(x.said.host, x.req.path.decode("latin-1"))
         if x.route is None and (fol.stale() or not fol.settled()):
-            raise verdict.Defect("not_ready", "This node is cut off for now.", self.known(x))
+            raise verdict.ServiceError("not_ready", "This node is cut off for now.", self.known(x))
         if x.route is None:
-            raise verdict.Defect("no_route", "No route fits this path.", self.known(x), field="path")
+            raise verdict.ServiceError("no_route", "No route fits this path.", self.known(x), field="path")
         match x.route.repeat:
             case "may":
                 x.repeatable = True
@@ -237,12 +237,12 @@
         Example: `door.admit(x)`
         """
         if self.node.closing:
-            raise verdict.Defect("stopping", "This node is stopping.")
+            raise verdict.ServiceError("stopping", "This node is stopping.")
         if x.send <= 1:
             self.tally(x).first(self.mach.now(), x.exchange or x.ask)
 
     def reroute(self, x):
-        """Find the route anew, where the blueprint changed while the exchange waited.
+        """Find the route anew, where the configuration changed while the exchange waited.
 
         Example: `door.reroute(x)`
         """
@@ -279,7 +279,7 @@
     # ---- elect and send ----------------------------------------------------------------
 
     async def carry(self, x):
-        """Elect, send and stream one exchange; its requester's going away ends it at once.
+        """Elect, send and stream one exchange; its client's going away ends it at once.
 
         Example: `Lane(mach, 64, 48, door.carry)`
         """
@@ -317,19 +317,19 @@
                     self.tally(x).repeats.append(self.mach.now())
                     self.counts["repeats"] += 1
                 outcome = verdict.Verdict.MAY_HAVE_RUN
-                send = self.sends[x.ask] = sender.Send(worker.id, self.mach.now())
+                send = self.sends[x.ask] = dispatch.Send(worker.id, self.mach.now())
                 match await self.send(x, worker, send, via):
-                    case sender.Outcome.WHOLE:
+                    case dispatch.Outcome.WHOLE:
                         outcome = verdict.Verdict.RAN
                         self.counts["whole"] += 1
                         return
-                    case sender.Outcome.TORN:
+                    case dispatch.Outcome.TORN:
                         self.counts["torn"] += 1
                         x.req.break_off()
                         return
-                    case sender.Outcome.UNSENT:
+                    case dispatch.Outcome.UNSENT:
                         outcome = verdict.Verdict.NOT_RUN
-                    case sender.Outcome.BROKE:
+                    case dispatch.Outcome.BROKE:
                         x.sent = True
                         broke += 1
                         x.until = max(x.until, self.mach.now() + REJOIN_US)
@@ -340,29 +340,29 @@
             x.ask = anew(x.ask)
             most = min(RESENDS + 1, x.route.sends or RESENDS + 1)
             if broke and (not x.repeatable or broke >= most):
-                raise verdict.Defect(
+                raise verdict.ServiceError(
                     "worker_broke", f"Worker {worker.id} gave no answer.", verdict.Verdict.MAY_HAVE_RUN
                 )
 
     async def send(self, x, worker, send, via):
         """Send to a worker; by way of another node where this one does not reach it.
 
-        Example: `out = await door.send(x, worker, sender.Send("w1"), "n2-c0ffee")`
+        Example: `out = await door.send(x, worker, dispatch.Send("w1"), "n2-c0ffee")`
         """
         lost = self.node.reach.lost
         m = self.node.follower.member(via) if worker.id in lost else None
         send.via = m is not None
         if m is None:
             out = await self.node.sender.send(x.req, x.raw, worker, x.repeatable, send)
-            if out is sender.Outcome.UNSENT:
+            if out is dispatch.Outcome.UNSENT:
                 self.node.reach.miss(worker.id)
             return out
         try:
-            res = await self.node.neighbours.call(m.host, m.port, message.Pass(worker.id), PASS_US)
-        except (wire.Broken, machine.Late):
-            return sender.Outcome.UNSENT
+            res = await self.node.peers.call(m.host, m.port, message.Pass(worker.id), PASS_US)
+        except (wire.ConnectionBrokenError, machine.DeadlineError):
+            return dispatch.Outcome.UNSENT
         if not res.token:
-            return sender.Outcome.UNSENT
+            return dispatch.Outcome.UNSENT
         self.counts["passed"] += 1
         return await self.node.sender.send(x.req, x.raw, worker, x.repeatable, send, res.token, (m.host, m.http))
 
@@ -385,13 +385,13 @@
 
         Example: `await door.pass_on(req)`
         """
-        name, until = self.passes.pop(outer.header(req.requestHeaders, outer.PASS), ("", 0))
+        name, until = self.passes.pop(edge_protocol.header(req.requestHeaders, edge_protocol.PASS), ("", 0))
         w = self.node.follower.states.get(name)
-        out = sender.Outcome.UNSENT
+        out = dispatch.Outcome.UNSENT
         if w is not None and w.state == "ready" and self.mach.now() < until:
             self.count += 1
             ask = f"{self.node.me.id}-{self.count}"
-            send = self.sends[ask] = sender.Send(name, self.mach.now())
+            send = self.sends[ask] = dispatch.Send(name, self.mach.now())
             work = defer.ensureDeferred(self.node.sender.send(req, req.content.read(), w, False, send))
             lost = req.lost.wait()
             lost.addCallback(lambda _: work.cancel())
@@ -407,11 +407,11 @@
                 lost.addErrback(lambda _: None)
                 lost.cancel()
         match out:
-            case sender.Outcome.TORN:
+            case dispatch.Outcome.TORN:
                 req.break_off()
-            case sender.Outcome.UNSENT | sender.Outcome.BROKE:
-                d = verdict.Defect("no_worker", "The worker was not reached.")
-                req.answer(d.status, d.body(), {outer.PASS: out.name.lower()})
+            case dispatch.Outcome.UNSENT | dispatch.Outcome.BROKE:
+                d = verdict.ServiceError("no_worker", "The worker was not reached.")
+                req.answer(d.status, d.body(), {edge_protocol.PASS: out.name.lower()})
 
     def cut_dark(self, name):
         """Wait no longer for a first byte of a worker that nobody reaches.
@@ -481,9 +481,9 @@
             now = self.mach.now()
             left = x.until - now
             if left <= 0:
-                raise said or verdict.Defect("no_warden", "The pool's warden does not answer.", self.known(x))
+                raise said or verdict.ServiceError("no_warden", "The pool's warden does not answer.", self.known(x))
             if not fol.settled() or not fol.worker_news() or fol.stale():
-                said = verdict.Defect("not_ready", "This node is cut off for now.", self.known(x))
+                said = verdict.ServiceError("not_ready", "This node is cut off for now.", self.known(x))
                 x.until = min(x.until, x.arrived + REJOIN_US)
                 await self.mach.sleep(min(left, 50 * machine.MILLI))
                 continue
@@ -510,10 +510,10 @@
                     self.give_back(x, verdict.Verdict.NOT_RUN)
                     x.ask = anew(x.ask)
                 case message.Denied(code="no_warden"):
-                    said = verdict.Defect("no_warden", res.text, self.known(x))
+                    said = verdict.ServiceError("no_warden", res.text, self.known(x))
                 case message.Denied():
                     may = self.known(x) if res.verdict == "not_run" else verdict.Verdict(res.verdict)
-                    raise verdict.Defect(res.code, res.text, may, res.retry_us)
+                    raise verdict.ServiceError(res.code, res.text, may, res.retry_us)
                 case None:
                     w = self.bypass(x, shun)
                     if w is not None:
@@ -594,8 +594,8 @@
         if m is None:
             return None
         try:
-            link = await self.node.neighbours.reach(m.host, m.port)
-        except wire.Broken:
+            link = await self.node.peers.reach(m.host, m.port)
+        except wire.ConnectionBrokenError:
             return None
         d = link.call(msg, left + 500 * machine.MILLI)
         got, answered = [], machine.Signal()
--- a/iriswheel/load.py
+++ b/iriswheel/load.py
@@ -1,4 +1,4 @@
-"""The load generator: the brief's mix of exchanges, as requesters would send them."""
+"""The load generator: the brief's mix of exchanges, as clients would send them."""
 
 import json
 
@@ -8,9 +8,9 @@
 import twisted.web.client as client
 import twisted.web.http_headers as http_headers
 
+import iriswheel.dispatch as dispatch
+import iriswheel.edge_protocol as edge_protocol
 import iriswheel.machine as machine
-import iriswheel.outer as outer
-import iriswheel.sender as sender
 
 LONG_BYTES = 48_000
 SHORT_BYTES = 600
@@ -69,7 +69,7 @@
 
 
 class Places:
-    """The nodes that requesters are handed to: a fixed list, or what the platform says now.
+    """The nodes that clients are handed to: a fixed list, or what the platform says now.
 
     >>> Places([("127.0.0.1", 8101)])()
     [('127.0.0.1', 8101)]
@@ -86,7 +86,7 @@
 
         Example: `mach.spawn(places.follow(mach, "127.0.0.1", 9000))`
         """
-        web = sender.Sender(mach)
+        web = dispatch.Dispatcher(mach)
         while True:
             try:
                 raw = await web.fetch(host, port, "/nodes", machine.SECOND)
@@ -106,15 +106,15 @@
 
     def __init__(self, mach, places, path, us, long_rate, short_rate, talks, events):
         self.mach = mach
-        self.places = places  # gives the nodes that requesters are handed to now
+        self.places = places  # gives the nodes that clients are handed to now
         self.path = path
         self.us = us
         self.long_rate, self.short_rate, self.talks = long_rate, short_rate, talks
         self.events = events
-        self.agent = sender.Sender(mach).fresh  # requesters come on fresh connections
+        self.agent = dispatch.Dispatcher(mach).fresh  # clients come on fresh connections
         self.began = mach.now()
         self.tries = TRIES
-        self.quick = 0.2  # the share of requesters that retry at once
+        self.quick = 0.2  # the share of clients that retry at once
         self.count = 0
         self.rows = []  # (kind, first byte, longest pause) of whole answers
         self.codes = {}
@@ -181,7 +181,7 @@
             turn = (turn + 1) % turns
 
     async def exchange(self, kind, parts):
-        """One exchange with its requester's retries; the worker's name where it came through.
+        """One exchange with its client's retries; the worker's name where it came through.
 
         Example: `await gen.exchange("short", ["system"])`
         """
@@ -209,10 +209,10 @@
         host, port = self.mach.rng.choice(self.places())
         heads = http_headers.Headers(
             {
-                outer.PREFIX: [", ".join(parts)],
-                outer.EXCHANGE: [ident],
-                outer.SEND: [str(send)],
-                outer.REPEAT: ["yes" if repeat else "no"],
+                edge_protocol.PREFIX: [", ".join(parts)],
+                edge_protocol.EXCHANGE: [ident],
+                edge_protocol.SEND: [str(send)],
+                edge_protocol.REPEAT: ["yes" if repeat else "no"],
                 "Content-Type": ["text/plain"],
             }
         )
@@ -231,7 +231,7 @@
         wait = 500 * machine.MILLI
         try:
             res = await self.mach.within(
-                self.agent.request(b"POST", f"http://{host}:{port}{self.path}".encode(), heads, sender.Body(body)),
+                self.agent.request(b"POST", f"http://{host}:{port}{self.path}".encode(), heads, dispatch.Body(body)),
                 GIVE_UP_US,
             )
         except Exception as e:
@@ -244,7 +244,7 @@
         whole = await done
         now = self.mach.now()
         raw = b"".join(taker.raw)
-        worker = (res.headers.getRawHeaders(outer.TARGET) or [None])[0]
+        worker = (res.headers.getRawHeaders(edge_protocol.TARGET) or [None])[0]
         if res.code == 200:
             end = "whole" if whole else "torn"
             self.ends[end] += 1
--- a/iriswheel/loads.py
+++ b/iriswheel/loads.py
@@ -104,7 +104,7 @@
         """
         return {
             (pool, name): tuple(vals)
-            for pool, place in self.node.door.carrier.places.items()
+            for pool, place in self.node.door.forwarder.places.items()
             for name, *vals in place.told()
         }
 
@@ -143,7 +143,7 @@
 
         Example: `side.take(message.Loads("c0ffee", True, {"desk": [("w1", 3, 900, 0)]}))`
         """
-        for pool, place in self.node.door.carrier.places.items():
+        for pool, place in self.node.door.forwarder.places.items():
             if m.whole or pool in m.rows:
                 place.take(m.rows.get(pool, []), m.whole)
 
@@ -199,15 +199,15 @@
 
         Example: `side.targets()`
         """
-        cores = [s.id for s in self.core.seats() if s.id != self.core.council.me.id]
-        return [*self.core.posts, *cores]
+        cores = [s.id for s in self.core.seats() if s.id != self.core.membership.me.id]
+        return [*self.core.node_sessions, *cores]
 
     def tell(self, who, some=None):
         """Tell one what is new to it: all of it, or some keys.
 
         Example: `side.tell("n1-c0ffee")`
         """
-        core, post = self.core, self.core.posts.get(who)
+        core, post = self.core, self.core.node_sessions.get(who)
         keys = self.pending.setdefault(who, None)
         whole = keys is None
         told = set(self.all) if whole else keys & set(some) if some is not None else set(keys)
@@ -218,13 +218,13 @@
             table = {}
             for k in told:
                 table[k] = plus(self.all.get(k, NONE), NONE, own.get(k, NONE))
-            post.link.tell(message.Loads(core.council.me.id, whole, rows(table, told)))
+            post.link.tell(message.Loads(core.membership.me.id, whole, rows(table, told)))
         else:
-            s = core.council.seat(who)
+            s = core.membership.seat(who)
             if s is None:
                 return
             core.mach.spawn(
-                core.neighbours.tell(s.host, s.port, message.Loads(core.council.me.id, whole, rows(self.sums, told))),
+                core.peers.tell(s.host, s.port, message.Loads(core.membership.me.id, whole, rows(self.sums, told))),
                 log,
             )
         self.pending[who] = set() if whole else keys - told
@@ -244,12 +244,12 @@
                 if who in self.heard:
                     gone = who not in seats or now - self.heard[who] > OLD_US
                 else:
-                    gone = who not in core.posts
+                    gone = who not in core.node_sessions
                 if gone:
                     self.change(who, who not in self.heard, message.Loads(who, True, {}))
                     del self.tables[who]
                     self.heard.pop(who, None)
-            for who in [w for w in self.pending if w not in core.posts and w not in seats]:
+            for who in [w for w in self.pending if w not in core.node_sessions and w not in seats]:
                 del self.pending[who]
             for who in self.targets():
                 if who in seats and not beats % 6:
--- a/iriswheel/machine.py
+++ b/iriswheel/machine.py
@@ -17,7 +17,7 @@
 MILLI = 1_000
 
 
-class Late(Exception):
+class DeadlineError(Exception):
     """An answer did not come within its time."""
 
     code = "late"
@@ -116,11 +116,11 @@
     @staticmethod
     def _expire(out, d):
         if not out.called:
-            out.errback(Late())
+            out.errback(DeadlineError())
             d.cancel()
 
     def spawn(self, coro, log=None):
-        """Run a coroutine as a task of its own; a defect in it is logged, not lost.
+        """Run a coroutine as a task of its own; an error in it is logged, not lost.
 
         >>> async def answer():
         ...     return 42
@@ -181,10 +181,10 @@
                 d.callback(None)
 
 
-class Holding:
+class BoundedQueue:
     """A bounded holding between two stages; put says whether there was room.
 
-    >>> h = Holding(1)
+    >>> h = BoundedQueue(1)
     >>> h.put("a"), h.put("b"), h.take(), len(h)
     (True, False, 'a', 0)
     """
@@ -200,7 +200,7 @@
     def put(self, item):
         """Add an item unless the holding is full.
 
-        >>> Holding(0).put("a")
+        >>> BoundedQueue(0).put("a")
         False
         """
         if len(self.items) >= self.room:
@@ -211,7 +211,7 @@
     def take(self):
         """Remove and return the item that came first.
 
-        >>> h = Holding(2); _ = h.put("one"), h.put("two"); h.take()
+        >>> h = BoundedQueue(2); _ = h.put("one"), h.put("two"); h.take()
         'one'
         """
         return self.items.popleft()
