--- a/iriswheel/message.py
+++ b/iriswheel/message.py
@@ -41,7 +41,7 @@
     zone: str
 
 
-class ChainLink(Message):
+class ChainReplica(Message, tag="ChainLink"):
     """A place in the chain: a voter, in one of its lives."""
 
     id: str
@@ -53,7 +53,7 @@
 
     number: int
     seats: list[Seat]
-    chain: list[ChainLink]
+    chain: list[ChainReplica]
 
 
 class Entry(Message):
@@ -148,7 +148,7 @@
 # ---- between core machines -------------------------------------------------
 
 
-class Pulse(Message):
+class Heartbeat(Message, tag="Pulse"):
     """A core's sign of life, and the answer to one."""
 
     id: str
@@ -206,7 +206,7 @@
     view: View
 
 
-class LeaseAsk(Message):
+class LeaseRequest(Message, tag="LeaseAsk"):
     """The tail of a view asks a voter to renew its lease."""
 
     view: int
@@ -310,7 +310,7 @@
 
 
 class Look(Message):
-    """Read at the tail: the blueprint, and a plan where one is named."""
+    """Read at the tail: the configuration, and a plan where one is named."""
 
     view: int
     plan: str = ""
@@ -348,7 +348,7 @@
 
     view: int
     n: int
-    forced: int  # every member has come at least this far
+    applied_by_all: int  # every member has come at least this far
     sessions: int  # members that have a session
     roster: Roster | None
     same: Same | None = None
@@ -383,7 +383,7 @@
     items: dict[str, typing.Any]
 
 
-class Frame(Message):
+class Snapshot(Message, tag="Frame"):
     """All items that a node needs, as of entry `n`."""
 
     n: int
@@ -631,7 +631,7 @@
 
 
 class HowGoes(Message):
-    """A node that has lost the core asks its neighbours how they fare.
+    """A node that has lost the core asks its peers how they fare.
 
     `stamp` is that of the roster it has.
     """
@@ -650,8 +650,8 @@
 
     core: bool
     roster: Roster | None  # where it is newer than the asking node's
-    at: tuple[str, int] | None = None  # the core that the neighbour has its session with
-    place: int = 0  # how far its blueprint has come
+    at: tuple[str, int] | None = None  # the core that the peer has its session with
+    place: int = 0  # how far its configuration has come
 
 
 class Hello(Message):
@@ -665,13 +665,13 @@
 
 
 Any = typing.Union[
-    Pulse,
+    Heartbeat,
     Prepare,
     Promise,
     Accept,
     Accepted,
     Decided,
-    LeaseAsk,
+    LeaseRequest,
     LeaseGiven,
     Place,
     Placed,
@@ -689,7 +689,7 @@
     Beat,
     Join,
     Elsewhere,
-    Frame,
+    Snapshot,
     Change,
     News,
     Alive,
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -1,18 +1,18 @@
-"""A light node: the door towards requesters, and the controllers beside it."""
+"""A light node: the door towards clients, and the controllers beside it."""
 
 import inspect
 
 import loguru
 import twisted.internet.defer as defer
 
-import iriswheel.door as door
+import iriswheel.dispatch as dispatch
+import iriswheel.edge_protocol as edge_protocol
 import iriswheel.follower as follower
+import iriswheel.gateway as gateway
 import iriswheel.loads as loads
 import iriswheel.machine as machine
 import iriswheel.message as message
-import iriswheel.outer as outer
 import iriswheel.reach as reach
-import iriswheel.sender as sender
 import iriswheel.verdict as verdict
 import iriswheel.warden as warden
 import iriswheel.wire as wire
@@ -34,16 +34,16 @@
     def __init__(self, mach, options, formats=None):
         self.mach = mach
         self.options = options
-        self.outer = formats or outer.Outer()
+        self.outer = formats or edge_protocol.EdgeProtocol()
         self.me = None
-        self.neighbours = wire.Neighbours(mach, self.serve, log)
+        self.peers = wire.Peers(mach, self.serve, log)
         self.reach = reach.Reach(self)
-        self.sender = sender.Sender(mach, self.reach.hear)
+        self.sender = dispatch.Dispatcher(mach, self.reach.hear)
         self.follower = follower.Follower(self, options)
-        self.door = door.Door(self)
+        self.door = gateway.Gateway(self)
         self.loads = loads.NodeSide(self)
         self.wardens = {}  # pool -> Warden, where the duty is here
-        self.shelves = {}  # pool -> Shelf, copies of others' records
+        self.session_replicas = {}  # pool -> SessionReplica, copies of others' records
         self.grants = {}  # ask -> Grant, of sends under way here
         self.given_up = {}  # ask -> (pool, until), given up here without a send
         self.stopping = False  # no longer ready, but still serving whoever comes
@@ -66,7 +66,7 @@
             self.tell_running(),
             self.door.look_for_hangs(),
             self.reach.walk(),
-            self.door.carrier.look(),
+            self.door.forwarder.look(),
             self.loads.run(),
         ):
             self.mach.spawn(coro, log)
@@ -85,7 +85,7 @@
     # ---- state ---------------------------------------------------------------------
 
     def ready(self):
-        """Whether requesters should be sent here, and why not.
+        """Whether clients should be sent here, and why not.
 
         Example: `ok, why = node.ready()`
         """
@@ -124,7 +124,7 @@
             "pools": sorted(fol.pools),
             "duties": message.plain(fol.roster.duties),
             "wardens": [w.state() for _, w in sorted(self.wardens.items())],
-            "carrier": self.door.carrier.state(),
+            "carrier": self.door.forwarder.state(),
             "open": self.door.open,
             "counts": self.door.counts,
             "refused": self.door.refused,
@@ -145,24 +145,24 @@
             if pool not in mine or mine[pool].term != w.duty.term:
                 del self.wardens[pool]
                 w.end()
-                w.leave_to(self.shelf(pool))
+                w.leave_to(self.session_replica(pool))
         for pool, d in sorted(mine.items()):
-            shelf = self.shelf(pool)
-            if pool not in self.wardens and shelf.fence(d.term):
+            session_replica = self.session_replica(pool)
+            if pool not in self.wardens and session_replica.fence(d.term):
                 w = self.wardens[pool] = warden.Warden(self, pool, d)
                 self.mach.spawn(w.run(), log)
         for w in list(self.wardens.values()):
             w.check_workers()
-        self.neighbours.keep({(m.host, m.port) for m in fol.roster.members})
+        self.peers.keep({(m.host, m.port) for m in fol.roster.members})
 
-    def shelf(self, pool):
+    def session_replica(self, pool):
         """The copies kept here of a pool's records.
 
-        Example: `node.shelf("desk").claims`
+        Example: `node.session_replica("desk").claims`
         """
-        if pool not in self.shelves:
-            self.shelves[pool] = warden.Shelf()
-        return self.shelves[pool]
+        if pool not in self.session_replicas:
+            self.session_replicas[pool] = warden.SessionReplica()
+        return self.session_replicas[pool]
 
     async def tell_running(self):
         """Every second, list to each pool's warden the grants held here.
@@ -195,8 +195,8 @@
                     )
             self.door.cut_drained()
             now = self.mach.now()
-            for shelf in self.shelves.values():
-                shelf.sweep(now)
+            for session_replica in self.session_replicas.values():
+                session_replica.sweep(now)
             pins = self.door.pins
             for key in [k for k, (_, until) in pins.items() if until < now]:
                 del pins[key]
@@ -213,7 +213,7 @@
             return
         m = self.follower.member(ident)
         if m is not None:
-            self.mach.spawn(self.neighbours.tell(m.host, m.port, msg), log)
+            self.mach.spawn(self.peers.tell(m.host, m.port, msg), log)
 
     async def ask_members(self, members, msg, us):
         """Put a call to members, this one included; None where no answer came.
@@ -225,7 +225,7 @@
             if m.id == self.me.id:
                 res = self.serve(None, msg)
                 return await res if inspect.iscoroutine(res) else res
-            return await self.mach.within(defer.ensureDeferred(self.neighbours.call(m.host, m.port, msg, us)), us)
+            return await self.mach.within(defer.ensureDeferred(self.peers.call(m.host, m.port, msg, us)), us)
 
         ds = [defer.ensureDeferred(ask(m)) for m in members]
         res = await defer.DeferredList(ds, consumeErrors=True)
@@ -256,7 +256,7 @@
             case message.Gather(pool=pool, term=term):
                 return self.gathered(pool, term)
             case message.Copy(pool=pool):
-                return message.Copied(self.shelf(pool).take(msg, self.mach.now()))
+                return message.Copied(self.session_replica(pool).take(msg, self.mach.now()))
             case message.Unpin(pool=pool, sessions=idents):
                 for ident in idents:
                     self.door.pins.pop((pool, ident), None)
@@ -290,11 +290,11 @@
 
         Example: `node.gathered("desk", (3, 1))`
         """
-        shelf = self.shelf(pool)
+        session_replica = self.session_replica(pool)
         now = self.mach.now()
-        if not shelf.fence(term):
+        if not session_replica.fence(term):
             return message.Gathered(False)
-        sessions, claims = shelf.told(now)
+        sessions, claims = session_replica.told(now)
         held = [g for _, g in sorted(self.grants.items()) if g.pool == pool]
         pins = [
             message.Session(s, w, until - now, until - now, 0, 0)
@@ -305,11 +305,19 @@
         if w is not None and w.duty.term < term:
             del self.wardens[pool]
             w.end()
-            w.leave_to(shelf)
-            sessions, claims = shelf.told(now)
+            w.leave_to(session_replica)
+            sessions, claims = session_replica.told(now)
         firsts, repeats = self.door.tallies[pool].told(now) if pool in self.door.tallies else ({}, [])
         return message.Gathered(
-            True, sessions, claims, held, pins, shelf.held, max(0, shelf.broken_until - now), firsts, repeats
+            True,
+            sessions,
+            claims,
+            held,
+            pins,
+            session_replica.held,
+            max(0, session_replica.broken_until - now),
+            firsts,
+            repeats,
         )
 
     # ---- stopping -------------------------------------------------------------------------
@@ -318,7 +326,7 @@
         """Say not ready, hand the duties over, let streams end, leave; all of it within the grace.
 
         Newcomers are served until the platform has heard that this node is not ready and
-        has had a moment to hand requesters elsewhere, and while exchanges are open up to
+        has had a moment to hand clients elsewhere, and while exchanges are open up to
         half of the grace; a last eighth of it is kept back.
 
         Example: `await node.stop()`
--- a/iriswheel/options.py
+++ b/iriswheel/options.py
@@ -13,18 +13,18 @@
 log = loguru.logger.bind(part="options")
 
 
-class BadOptions(ValueError):
+class OptionsError(ValueError):
     """All mistakes in the options, by name.
 
-    >>> BadOptions(["host: missing"]).defects
+    >>> OptionsError(["host: missing"]).errors
     ['host: missing']
     """
 
     code = "bad_options"
 
-    def __init__(self, defects):
-        super().__init__("; ".join(defects))
-        self.defects = defects
+    def __init__(self, errors):
+        super().__init__("; ".join(errors))
+        self.errors = errors
 
 
 def address(text):
@@ -110,12 +110,12 @@
         return address(self.platform)
 
     def check(self):
-        """Raise BadOptions with every mistake.
+        """Raise OptionsError with every mistake.
 
         >>> Options("node").check()
         Traceback (most recent call last):
         ...
-        iriswheel.options.BadOptions: name: missing; zone: missing; host: '' is no IP number; ...
+        iriswheel.options.OptionsError: name: missing; zone: missing; host: '' is no IP number; ...
         """
         bad = []
         for f in dataclasses.fields(self):
@@ -128,7 +128,7 @@
             elif want is float and not math.isfinite(val):
                 bad.append(f"{f.name}: {val} is no finite number")
         if bad:
-            raise BadOptions(bad)
+            raise OptionsError(bad)
         need = ["name", "zone"] + (["data"] if self.role == "core" else [])
         bad += [f"{n}: missing" for n in need if not getattr(self, n)]
         try:
@@ -162,7 +162,7 @@
         if self.log_level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
             bad.append(f"log_level: {self.log_level!r} is none of DEBUG, INFO, WARNING, ERROR")
         if bad:
-            raise BadOptions(bad)
+            raise OptionsError(bad)
 
     @staticmethod
     def _address(name, text, bad):
@@ -183,9 +183,9 @@
             with open(path, "rb") as f:
                 vals = tomllib.load(f)
         except OSError as e:
-            raise BadOptions([f"options: {path}: {e.strerror}"]) from e
+            raise OptionsError([f"options: {path}: {e.strerror}"]) from e
         except (ValueError, RecursionError) as e:
-            raise BadOptions([f"options: {path}: {e}"]) from e
+            raise OptionsError([f"options: {path}: {e}"]) from e
     known = {f.name for f in dataclasses.fields(Options)} - {"role"}
     unknown = [f"{k}: unknown option" for k in sorted(set(vals) - known)]
     vals = {k: v for k, v in vals.items() if k in known}
@@ -193,10 +193,10 @@
     out = Options(role=role, **vals)
     try:
         out.check()
-    except BadOptions as e:
-        unknown += e.defects
+    except OptionsError as e:
+        unknown += e.errors
     if unknown:
-        raise BadOptions(unknown)
+        raise OptionsError(unknown)
     return out
 
 
@@ -232,7 +232,7 @@
         self.seen = self.stamp()
         try:
             o = self.reread()
-        except BadOptions as e:
+        except OptionsError as e:
             log.warning("The options can't be read again: {}", e)
             return
         self.renew(o)
--- a/iriswheel/placement.py
+++ b/iriswheel/placement.py
@@ -15,7 +15,7 @@
 import iriswheel.session as session
 
 READ_RATE = 50  # tokens that a worker reads in a millisecond, until measured
-BATCH = 64  # exchanges that a worker runs at once, where the blueprint does not say
+BATCH = 64  # exchanges that a worker runs at once, where the configuration does not say
 STEP_US = 6_000  # a step of a worker's batch
 SLOT_US = 60  # what one more running exchange costs a new one, in time to its first event
 TURN_US = 700 * machine.MILLI  # how long an exchange holds its place in a full batch
--- a/iriswheel/process.py
+++ b/iriswheel/process.py
@@ -120,7 +120,7 @@
         disk.open()
         mach = machine.Machine(reactor)
         proc = core.Core(mach, disk, o)
-    except store.DiskDefect as e:
+    except store.DiskError as e:
         fail(NO_START, [str(e)])
     bind(reactor, o, wire.Listener(mach, proc.serve, log), web.Server(mach, door(proc), room=o.connections))
     proc.start()
--- a/iriswheel/replay.py
+++ b/iriswheel/replay.py
@@ -1,6 +1,6 @@
 """Judging an event log: the brief's twelve points, from what the outside saw.
 
-The log holds what requesters, workers, the platform and operators noted, never the
+The log holds what clients, workers, the platform and operators noted, never the
 fleet's own counters. Each checker reads the rows and yields complaints.
 """
 
@@ -30,10 +30,10 @@
 REJOIN_US = 2_000_000  # a node that was frozen, cut or started again comes back within this
 
 
-class Damaged(ValueError):
+class DamagedLogError(ValueError):
     """The log can't be read; the text says where.
 
-    >>> Damaged("line 3").code
+    >>> DamagedLogError("line 3").code
     'damaged_log'
     """
 
@@ -48,7 +48,7 @@
     >>> read(['{"at": 1}', '{"at": 2, "kind": "sent"}'])
     Traceback (most recent call last):
     ...
-    iriswheel.replay.Damaged: line 1 is no event
+    iriswheel.replay.DamagedLogError: line 1 is no event
     """
     rows, cut = [], False
     lines = list(lines)
@@ -63,7 +63,7 @@
             if k == len(lines):
                 cut = True
                 break
-            raise Damaged(f"line {k} is no event") from None
+            raise DamagedLogError(f"line {k} is no event") from None
         rows.append(row)
     rows.sort(key=lambda r: r["at"])
     return rows, cut
@@ -73,7 +73,7 @@
     """A fault: from when to when, and whom it touches.
 
     A row of kind "fault" begins it, a row of kind "mend" for the same target (or for
-    "all") ends it. `role` says what the target is, `addr` where requesters reach it,
+    "all") ends it. `role` says what the target is, `addr` where clients reach it,
     `duty` whether it was a pool's warden or kept its copies, `large` whether the
     brief's twelve seconds hold.
 
@@ -135,7 +135,7 @@
         self.docs = self._docs()
 
     def _docs(self):
-        """The blueprints that may have been in force: (from, until, document), by time."""
+        """The configurations that may have been in force: (from, until, document), by time."""
         first, acked = {}, {}
         for r in self.of("confirm_sent"):
             first.setdefault(r["plan"], r)
@@ -156,10 +156,10 @@
         """
         return self.kinds.get(kind, [])
 
-    def forced(self, a, b):
-        """The blueprints of which a node may go by one between two times.
+    def applied_by_all(self, a, b):
+        """The configurations of which a node may go by one between two times.
 
-        >>> Log([]).forced(0, 5)
+        >>> Log([]).applied_by_all(0, 5)
         []
         """
         return [doc for since, until, doc in self.docs if since <= b and a <= until]
@@ -259,7 +259,7 @@
 
 
 def resolve(doc, path, zone):
-    """The pool to which a blueprint sends a path in a zone, or None.
+    """The pool to which a configuration sends a path in a zone, or None.
 
     >>> resolve({"routes": {"r": {"path": "/v1", "pool": "p", "zones": ["a"]}}}, "/v1/x", "a")
     'p'
@@ -347,7 +347,7 @@
     """5: a change is in force everywhere within 2 s of its acknowledgement, and never slips back.
 
     Each probe's and each exchange's way (the pool, or that no route is known) must be that of a
-    blueprint which could be in force at that node then: one not yet replaced for 2 s.
+    configuration which could be in force at that node then: one not yet replaced for 2 s.
     """
     asked = [
         (r["at"], r["done"], r["node"], r["zone"], r["path"], r["exchange"], 0, r["status"] == 404)
@@ -374,7 +374,7 @@
         if not unknown and run is None:
             continue
         log.looked["in_force"] += 1
-        docs = log.forced(at, done if unknown else run["at"] - WAY_US if run["at"] - WAY_US > at else run["at"])
+        docs = log.applied_by_all(at, done if unknown else run["at"] - WAY_US if run["at"] - WAY_US > at else run["at"])
         want = {resolve(doc, path, zone) for doc in docs}
         got = None if unknown else log.pool.get(run["worker"])
         if got not in want:
@@ -412,7 +412,7 @@
 
 
 def same(one, other):
-    """Whether two blueprints say the same; empty sections don't count.
+    """Whether two configurations say the same; empty sections don't count.
 
     >>> same({"pools": {}}, {})
     True
@@ -426,7 +426,7 @@
         sent = log.asked.get((r["exchange"], r["send"]))
         late = [f for f in log.faults if f.target == r["worker"] and f.during(r["at"] - SECOND, r["at"], SECOND)]
         since = sent["at"] if sent is not None and late else r["at"] - WAY_US  # a worker may wake long after
-        docs = log.forced(since, r["at"])
+        docs = log.applied_by_all(since, r["at"])
         zones = set(log.zones.values()) or {""}
         log.looked["allowed"] += 1
         if log.pool.get(r["worker"]) not in {resolve(doc, r["path"], z) for doc in docs for z in zones}:
@@ -455,7 +455,7 @@
     >>> spans(Log([]), "lifetime_us", 60, 0, 5)
     [60]
     """
-    vals = {t.get(field, default) for doc in log.forced(a, b) for t in doc.get("terms", {}).values()}
+    vals = {t.get(field, default) for doc in log.applied_by_all(a, b) for t in doc.get("terms", {}).values()}
     return sorted(vals) or [default]
 
 
@@ -541,7 +541,7 @@
             fresh = before is None or before["worker"] != r["worker"] or r["at"] - before["at"] > SECOND
             if not fresh:
                 continue
-            docs = log.forced(r["at"] - WAY_US, r["at"])
+            docs = log.applied_by_all(r["at"] - WAY_US, r["at"])
             caps = [doc["pools"][name[0]].get("cap", 10) for doc in docs if name[0] in doc["pools"]]
             if not caps or 0 in caps:
                 continue
@@ -595,7 +595,7 @@
     Example: `refusal(log, row, log.sent[(row["exchange"], row["send"])])`
     """
     a, b, code = sent["at"], r["at"], r["code"]
-    docs = log.forced(a, b)
+    docs = log.applied_by_all(a, b)
     pools = {resolve(doc, sent["path"], log.zones.get(sent.get("node"), "")) for doc in docs}
     if code == "no_route":
         return None  # in_force judges it
@@ -641,7 +641,7 @@
 def served(log):
     """11: proper requests are not turned away by the kit itself; refusals come at once.
 
-    Who is at a fault may suffer: requesters of a dead, frozen or cut node, streams of a lost
+    Who is at a fault may suffer: clients of a dead, frozen or cut node, streams of a lost
     worker. After a large failure, everybody may for 12 s. Where a pool's warden or a copy is
     lost, others may start late for DUTY_US, but are not turned away.
     """
@@ -652,7 +652,7 @@
         log.looked["served"] += 1
         waits = [
             p.get("long_wait_us", 10 * SECOND) if sent["sort"] == "long" else p.get("short_wait_us", 5 * SECOND)
-            for doc in log.forced(sent["at"], r["at"])
+            for doc in log.applied_by_all(sent["at"], r["at"])
             for p in doc["pools"].values()
         ]
         hung = log.at_fault(
@@ -689,7 +689,7 @@
                 sent["at"], first
             ):
                 run = log.runs.get((r["exchange"], r["send"]), {"at": first})
-                docs = log.forced(sent["at"], first)
+                docs = log.applied_by_all(sent["at"], first)
                 pool = log.pool.get(r["worker"])
                 if not log.crowded(pool, sent["at"], run["at"], sent["sort"] == "long", docs):
                     yield (
--- a/iriswheel/roster.py
+++ b/iriswheel/roster.py
@@ -70,12 +70,12 @@
 class Issuer:
     """Makes rosters while this core is the leased tail.
 
-    Example: `issuer = Issuer(mach, council, pools)`, where pools() names the pools.
+    Example: `issuer = Issuer(mach, membership, pools)`, where pools() names the pools.
     """
 
-    def __init__(self, mach, council, pools):
+    def __init__(self, mach, membership, pools):
         self.mach = mach
-        self.council = council
+        self.membership = membership
         self.pools = pools
         self.latest = None  # the newest roster known here, ours or another's
         self.view = 0  # the view in which we issue
@@ -109,7 +109,7 @@
 
         Example: `issuer.take(sessions)`
         """
-        if not self.council.tail() or m.view != self.council.view.number:
+        if not self.membership.tail() or m.view != self.membership.view.number:
             return
         now = self.mach.now()
         if self.view != m.view:
@@ -156,7 +156,7 @@
 
         Example: `issuer.restart()`
         """
-        self.view = self.council.view.number
+        self.view = self.membership.view.number
         self.since = None  # when the lease was first held in this view
         self.heard = {}
         self.seen = {}
@@ -173,7 +173,7 @@
 
         Example: `issuer.issuing()`
         """
-        return self.latest is not None and self.latest.stamp[0] == self.view == self.council.view.number
+        return self.latest is not None and self.latest.stamp[0] == self.view == self.membership.view.number
 
     def issue(self):
         """Issue a roster if there is news; only ever under the lease.
@@ -181,13 +181,13 @@
         Example: `issuer.issue()`
         """
         now = self.mach.now()
-        if not self.council.leased() or self.view != self.council.view.number:
+        if not self.membership.leased() or self.view != self.membership.view.number:
             return
         old = self.latest
         if not self.issuing():
             if self.since is None:
                 self.since = now
-            cores = {link.id for link in self.council.view.chain}
+            cores = {link.id for link in self.membership.view.chain}
             if now - self.since < SETTLE_US and not cores <= set(self.heard):
                 return
             if now - self.since < SETTLE_US // 2:
@@ -211,7 +211,7 @@
         stamp = (self.view, count)
         duties = self.assign(stamp, members, old)
         listing = self.listing or message.Listing([], (0, 0, 0))
-        cores = list(self.council.view.seats)
+        cores = list(self.membership.view.seats)
         new = message.Roster(stamp, members, listing.workers, duties, cores, listing.stamp)
         if self.issuing() and (new.members, new.workers, new.duties, new.cores) == (
             old.members,
--- a/iriswheel/store.py
+++ b/iriswheel/store.py
@@ -18,7 +18,7 @@
 log = loguru.logger.bind(part="disk")
 
 
-class DiskDefect(Exception):
+class DiskError(Exception):
     """The disk would not take a write: full, broken or gone."""
 
     code = "disk"
@@ -79,7 +79,7 @@
         >>> Disk("/proc/none").open()
         Traceback (most recent call last):
         ...
-        iriswheel.store.DiskDefect: The data folder can't be used: ...
+        iriswheel.store.DiskError: The data folder can't be used: ...
         """
         try:
             top = nearest_folder(os.path.abspath(self.folder))
@@ -92,7 +92,7 @@
             self.env = lmdb.open(path, map_size=self.size, sync=True)
             sync_folders(os.path.abspath(path), top)
         except (OSError, lmdb.Error) as e:
-            raise DiskDefect(f"The data folder can't be used: {e}") from e
+            raise DiskError(f"The data folder can't be used: {e}") from e
         if self.reactor is not None:
             self.pool.start()
 
@@ -135,7 +135,7 @@
         except lmdb.MapFullError:
             raise
         except (OSError, lmdb.Error) as e:
-            raise DiskDefect(str(e)) from e
+            raise DiskError(str(e)) from e
 
     def commit(self, puts):
         """Write off the reactor's thread; the Deferred fires once it is synced.
@@ -174,7 +174,7 @@
         self.under_way = []  # when each unfinished write began
 
     async def commit(self, puts):
-        """Write pairs; returns once they are synced, raises DiskDefect where not.
+        """Write pairs; returns once they are synced, raises DiskError where not.
 
         Example: `await guard.commit([(b"key", b"value")])`
         """
@@ -182,7 +182,7 @@
         self.under_way.append(began)
         try:
             await self.disk.commit(puts)
-        except DiskDefect as e:
+        except DiskError as e:
             if self.ok:
                 log.error("The disk refuses a write: {}", e)
             self.ok = False
@@ -207,5 +207,5 @@
                     await self.commit([(b"probe", b"%d" % self.mach.now())])
                     self.ok = True
                     log.info("The disk works again.")
-                except DiskDefect:
+                except DiskError:
                     pass
--- a/iriswheel/verdict.py
+++ b/iriswheel/verdict.py
@@ -1,7 +1,7 @@
-"""The verdict: may an exchange have run? And the defect that carries it.
+"""The verdict: may an exchange have run? And the error that carries it.
 
 One type goes through every layer, from a refused connection up to the answer
-that the requester reads.
+that the client reads.
 """
 
 import enum
@@ -47,10 +47,10 @@
 }
 
 
-class Defect(Exception):
+class ServiceError(Exception):
     """Something that stops an exchange or a change, with its code and verdict.
 
-    >>> d = Defect("busy", "All seats are taken.", retry_us=1_500_000)
+    >>> d = ServiceError("busy", "All seats are taken.", retry_us=1_500_000)
     >>> d.status, d.verdict.value, d.retry_after
     (503, 'not_run', 2)
     """
@@ -66,9 +66,9 @@
         self.retry_after = max(1, -(-retry_us // 1_000_000)) if waits else None
 
     def body(self):
-        r"""The JSON answer of this defect.
+        r"""The JSON answer of this error.
 
-        >>> Defect("no_route", "No route fits.").body()
+        >>> ServiceError("no_route", "No route fits.").body()
         b'{"code": "no_route", "verdict": "not_run", "text": "No route fits."}\n'
         """
         out = {"code": self.code, "verdict": self.verdict.value, "text": self.text}
--- a/iriswheel/view.py
+++ b/iriswheel/view.py
@@ -20,7 +20,7 @@
 LEASE_US = 1_500 * machine.MILLI
 RENEW_US = 300 * machine.MILLI
 DRIFT_US = 150 * machine.MILLI
-PULSE_US = 250 * machine.MILLI
+HEARTBEAT_US = 250 * machine.MILLI
 DEAD_US = 1_300 * machine.MILLI
 RANK_US = 300 * machine.MILLI
 REPLACE_US = 1_500 * machine.MILLI  # a newcomer takes the seat of one that is silent for so long
@@ -30,22 +30,22 @@
 log = loguru.logger.bind(part="view")
 
 
-class Council:
+class Membership:
     """One core machine's part in agreeing on views.
 
-    Example: `council = Council(mach, disk, record, me, seeds, neighbours, on_view)`,
+    Example: `membership = Membership(mach, disk, record, me, seeds, peers, on_view)`,
     where on_view(view) installs a view that was agreed. The seats grow up to `size` as
     further machines appear; `copies` links must keep a change before it stands.
     """
 
-    def __init__(self, mach, disk, record, me, seeds, neighbours, on_view, size=3, copies=2):
+    def __init__(self, mach, disk, record, me, seeds, peers, on_view, size=3, copies=2):
         self.mach = mach
         self.disk = disk  # store.Guard
         self.record = record
         self.me = me  # message.Seat
         self.founders = list(seeds)  # [(host, port)]; the first may found the fleet
         self.seeds = list(seeds)  # and where else core machines are looked for
-        self.neighbours = neighbours
+        self.peers = peers
         self.on_view = on_view
         self.tip = lambda: (0, 0)  # the newest entry here: the view it was made in, its number
         self.lock = defer.DeferredLock()
@@ -53,11 +53,11 @@
         self.grant = (agreement.UNKNOWN_HOLDER, mach.now() + LEASE_US)  # after a restart, an old grant may stand
         self.lease = 0
         self.predecessors = None  # the chain before the newest view's, as (core id, incarnation); None: not known here
-        self.pulses = {}  # id -> (heard, Pulse)
+        self.heartbeats = {}  # id -> (heard, Heartbeat)
         self.size = max(size, len(self.founders))
         self.copies = copies
         self.leaving = False
-        self.pulse_now = machine.Signal()
+        self.heartbeat_now = machine.Signal()
         self.blank = {}  # seed address -> heard, of seeds that know no view
         self.wanted_since = None
         self.seen_ballot = 0
@@ -68,28 +68,28 @@
     def view(self):
         """The newest view known here.
 
-        Example: `council.view.number`
+        Example: `membership.view.number`
         """
         return self.record.view
 
     def sealed(self):
         """Whether a promise here has closed the present view.
 
-        Example: `if council.sealed(): refuse()`
+        Example: `if membership.sealed(): refuse()`
         """
         return agreement.is_sealed(self.record)
 
     def voter(self):
         """Whether this machine votes in the newest view.
 
-        Example: `council.voter()`
+        Example: `membership.voter()`
         """
         return agreement.is_voter(self.record, self.me.id)
 
     def serving(self, number=None):
         """Whether this life of this machine is a link of the (numbered) view, unsealed.
 
-        Example: `council.serving(3)`
+        Example: `membership.serving(3)`
         """
         if number is not None and (self.view is None or number != self.view.number):
             return False
@@ -98,30 +98,30 @@
     def tail(self):
         """Whether this machine is the tail of the newest view.
 
-        Example: `council.tail()`
+        Example: `membership.tail()`
         """
         return agreement.is_tail(self.record, self.me.id, self.mach.boot)
 
     def leased(self):
         """Whether this machine is the tail and holds the lease at this very moment.
 
-        Example: `if council.leased(): answer()`
+        Example: `if membership.leased(): answer()`
         """
         return self.may_lead_reads() and self.mach.now() < self.lease
 
     def may_lead_reads(self):
         """Whether this machine is the synced tail, which may ask for the read lease.
 
-        Example: `if council.may_lead_reads(): ask_for_lease()`
+        Example: `if membership.may_lead_reads(): ask_for_lease()`
         """
         return agreement.may_lead_reads(self.record, self.me.id, self.mach.boot)
 
-    def pulse(self):
+    def heartbeat(self):
         """This core's own sign of life.
 
-        Example: `link.tell(council.pulse())`
+        Example: `link.tell(membership.heartbeat())`
         """
-        return message.Pulse(
+        return message.Heartbeat(
             self.me.id,
             self.mach.boot,
             self.me.zone,
@@ -137,7 +137,7 @@
     def seat(self, ident):
         """Where a core machine is to be reached, or None.
 
-        Example: `council.seat(view.chain[0].id).host`
+        Example: `membership.seat(view.chain[0].id).host`
         """
         for s in self.view.seats if self.view else []:
             if s.id == ident:
@@ -151,20 +151,20 @@
         without them; and links that leave until a majority of the voters is whole and stays, since
         nobody else may be able to bring the others up to date.
 
-        Example: `council.alive()["c0ffee"]`
+        Example: `membership.alive()["c0ffee"]`
         """
         now = self.mach.now()
-        pulses = [p for heard, p in self.pulses.values() if now - heard < DEAD_US and p.disk_ok]
-        pulses += [self.pulse()] if self.disk.ok else []
-        out = {p.id: p.boot for p in pulses if not p.leaving}
+        heartbeats = [p for heard, p in self.heartbeats.values() if now - heard < DEAD_US and p.disk_ok]
+        heartbeats += [self.heartbeat()] if self.disk.ok else []
+        out = {p.id: p.boot for p in heartbeats if not p.leaving}
         if self.view is None:
             return out
-        voters = [p for p in pulses if any(s.id == p.id for s in self.view.seats)]
+        voters = [p for p in heartbeats if any(s.id == p.id for s in self.view.seats)]
         stay = [p for p in voters if not p.leaving]
         whole = [p for p in stay if p.whole == self.view.number]
         enough = agreement.majority(len(self.view.seats))
         for p in voters:
-            link = message.ChainLink(p.id, p.boot) in self.view.chain
+            link = message.ChainReplica(p.id, p.boot) in self.view.chain
             if len(stay) < enough or (link and len(whole) < enough):
                 out[p.id] = p.boot
         return out
@@ -172,10 +172,10 @@
     def departing(self):
         """The cores that live and leave, and whose disk works, with their boots.
 
-        Example: `council.departing()["c0ffee"]`
+        Example: `membership.departing()["c0ffee"]`
         """
         now = self.mach.now()
-        heartbeats = [p for heard, p in self.pulses.values() if now - heard < DEAD_US]
+        heartbeats = [p for heard, p in self.heartbeats.values() if now - heard < DEAD_US]
         out = {p.id: p.boot for p in heartbeats if p.disk_ok and p.leaving}
         if self.disk.ok and self.leaving:
             out[self.me.id] = self.mach.boot
@@ -184,23 +184,23 @@
     def known_synced(self):
         """The cores that are synced in the present view, as far as this one has heard.
 
-        Example: `"c0ffee" in council.known_synced()`
+        Example: `"c0ffee" in membership.known_synced()`
         """
         number = self.view.number
-        out = {ident for ident, (_, p) in self.pulses.items() if p.whole == number}
+        out = {ident for ident, (_, p) in self.heartbeats.items() if p.whole == number}
         return out | {self.me.id} if agreement.is_synced(self.record) else out
 
     # ---- answers to other cores ----------------------------------------------
 
     async def answer(self, msg):
-        """Answer one of the council's messages.
+        """Answer one of the membership's messages.
 
-        Example: `res = await council.answer(message.LeaseAsk(3, "c0ffee"))`
+        Example: `res = await membership.answer(message.LeaseRequest(3, "c0ffee"))`
         """
         match msg:
-            case message.Pulse():
+            case message.Heartbeat():
                 self.hear(msg)
-                return self.pulse()
+                return self.heartbeat()
             case message.Prepare():
                 return await self.promise(msg)
             case message.Accept():
@@ -208,15 +208,15 @@
             case message.Decided(view=view):
                 await self.adopt(view)
                 return message.Accepted(True, None)
-            case message.LeaseAsk():
+            case message.LeaseRequest():
                 return self.give(msg)
 
     def hear(self, p):
         """Take in a sign of life.
 
-        Example: `council.hear(pulse)`
+        Example: `membership.hear(heartbeat)`
         """
-        self.pulses[p.id] = (self.mach.now(), p)
+        self.heartbeats[p.id] = (self.mach.now(), p)
         if p.view is None:
             self.blank[(p.host, p.port)] = self.mach.now()
         elif self.view is None or p.view.number > self.view.number:
@@ -232,7 +232,7 @@
     async def promise(self, m):
         """Answer a Prepare.
 
-        Example: `await council.promise(message.Prepare(4, (1, "a"), "a"))`
+        Example: `await membership.promise(message.Prepare(4, (1, "a"), "a"))`
         """
         await self.lock.acquire()
         try:
@@ -243,7 +243,7 @@
             self.lease = 0
             try:
                 await self._sync()
-            except store.DiskDefect:
+            except store.DiskError:
                 self.record = before
                 return agreement.refuse_promise(before, self._replica(), m.number)
             return answer
@@ -253,7 +253,7 @@
     async def accept(self, m):
         """Answer an Accept.
 
-        Example: `await council.accept(message.Accept((1, "a"), view, "a"))`
+        Example: `await membership.accept(message.Accept((1, "a"), view, "a"))`
         """
         await self.lock.acquire()
         try:
@@ -263,7 +263,7 @@
             before, self.record = self.record, record
             try:
                 await self._sync()
-            except store.DiskDefect:
+            except store.DiskError:
                 self.record = before
                 return message.Accepted(False, None)
             return answer
@@ -273,7 +273,7 @@
     async def adopt(self, view):
         """Take a view that was agreed, unless a newer one is known.
 
-        Example: `await council.adopt(view)`
+        Example: `await membership.adopt(view)`
         """
         await self.lock.acquire()
         try:
@@ -287,7 +287,7 @@
             self.wanted_since = None
             try:
                 await self._sync(adopted.whole)
-            except store.DiskDefect:  # a view that was agreed may be known without the disk; being whole in it may not
+            except store.DiskError:  # a view that was agreed may be known without the disk; being whole in it may not
                 if view.chain[0].id == self.me.id:
                     self.mach.spawn(self.lead_later(view), log)
             self.on_view(view)
@@ -298,13 +298,13 @@
     async def lead_later(self, view):
         """At the head of a view whose disk refused the note that it is whole: try again as long as the view lasts.
 
-        Example: `mach.spawn(council.lead_later(view))`
+        Example: `mach.spawn(membership.lead_later(view))`
         """
         while self.view.number == view.number and self.record.whole < view.number:
             await self.mach.sleep(RENEW_US)
             try:
                 await self.grow_whole(view.number)
-            except store.DiskDefect:
+            except store.DiskError:
                 continue
         if self.view.number == view.number:
             self.on_view(view)
@@ -319,7 +319,7 @@
     async def grow_whole(self, number):
         """Note, synced, that this copy is whole in a view.
 
-        Example: `await council.grow_whole(4)`
+        Example: `await membership.grow_whole(4)`
         """
         await self.lock.acquire()
         try:
@@ -336,9 +336,9 @@
         self.record = msgspec.structs.replace(self.record, whole=record.whole)
 
     def give(self, m):
-        """Answer a LeaseAsk.
+        """Answer a LeaseRequest.
 
-        Example: `council.give(message.LeaseAsk(3, "c0ffee"))`
+        Example: `membership.give(message.LeaseRequest(3, "c0ffee"))`
         """
         answer = agreement.give_lease(self.record, self.me.id, m)
         if answer.ok:
@@ -350,24 +350,24 @@
     async def poll(self, seat_or_addr):
         """Exchange signs of life with one core, over and over.
 
-        Example: `mach.spawn(council.poll(("127.0.0.1", 7001)))`
+        Example: `mach.spawn(membership.poll(("127.0.0.1", 7001)))`
         """
         host, port = seat_or_addr
         while (host, port) in self.addresses():
             try:
-                res = await self.neighbours.call(host, port, self.pulse(), CALL_US)
+                res = await self.peers.call(host, port, self.heartbeat(), CALL_US)
                 self.hear(res)
-            except (wire.Broken, machine.Late):
+            except (wire.ConnectionBrokenError, machine.DeadlineError):
                 pass
-            await self.mach.pause(self.pulse_now, PULSE_US)
+            await self.mach.pause(self.heartbeat_now, HEARTBEAT_US)
 
     def leave(self):
         """Tell the others that this machine leaves: the next chain goes on without it.
 
-        Example: `council.leave()`
+        Example: `membership.leave()`
         """
         self.leaving = True
-        self.pulse_now.wake()
+        self.heartbeat_now.wake()
 
     def needed(self):
         """Whether this machine should stay while it leaves.
@@ -377,13 +377,13 @@
         the voter without whom nothing can be agreed. Where all voters leave, the whole fleet
         stops, and nobody is there to hand over to.
 
-        Example: `while council.needed(): await mach.sleep(50_000)`
+        Example: `while membership.needed(): await mach.sleep(50_000)`
         """
         v = self.view
-        in_chain = v is not None and message.ChainLink(self.me.id, self.mach.boot) in v.chain
+        in_chain = v is not None and message.ChainReplica(self.me.id, self.mach.boot) in v.chain
         if not in_chain and not self.record.whole:
             return False
-        others = [self.pulses[s.id][1] for s in v.seats if s.id != self.me.id and s.id in self.pulses]
+        others = [self.heartbeats[s.id][1] for s in v.seats if s.id != self.me.id and s.id in self.heartbeats]
         if len([p for p in others if p.leaving]) == len([s for s in v.seats if s.id != self.me.id]):
             return False
         links, alive = {link.id for link in v.chain}, self.alive()
@@ -393,7 +393,7 @@
     def holds_only_copy(self):
         """Whether others go on, and none of them is known to hold what this machine's copy holds.
 
-        Example: `while council.holds_only_copy(): await mach.sleep(50_000)`
+        Example: `while membership.holds_only_copy(): await mach.sleep(50_000)`
         """
         if not agreement.is_synced(self.record):
             return False
@@ -404,14 +404,14 @@
     def learn_seeds(self, seeds):
         """Look for core machines at further addresses; nobody founds a fleet by them.
 
-        Example: `council.learn_seeds([("127.0.0.1", 7004)])`
+        Example: `membership.learn_seeds([("127.0.0.1", 7004)])`
         """
         self.seeds += [s for s in seeds if s not in self.seeds]
 
     def addresses(self):
         """All addresses at which core machines are looked for, but this one's.
 
-        Example: `council.addresses()`
+        Example: `membership.addresses()`
         """
         out = set(self.seeds)
         if self.view is not None:
@@ -419,22 +419,22 @@
         out.discard((self.me.host, self.me.port))
         return out
 
-    async def pulse_all(self):
+    async def exchange_heartbeats(self):
         """Keep one polling task for each address.
 
-        Example: `mach.spawn(council.pulse_all())`
+        Example: `mach.spawn(membership.exchange_heartbeats())`
         """
         polls = {}
         while True:
             for key in sorted(self.addresses()):
                 if key not in polls or polls[key].called:
                     polls[key] = self.mach.spawn(self.poll(key), log)
-            await self.mach.sleep(PULSE_US)
+            await self.mach.sleep(HEARTBEAT_US)
 
     async def renew(self):
         """While this machine is the tail, keep its lease.
 
-        Example: `mach.spawn(council.renew())`
+        Example: `mach.spawn(membership.renew())`
         """
         while True:
             if self.may_lead_reads() and self.disk.ok:
@@ -442,7 +442,7 @@
                 number = self.view.number
                 quorum = agreement.majority(len(self.view.seats))
                 res = await self.ask_all(
-                    self.view.seats, message.LeaseAsk(number, self.me.id), 500 * machine.MILLI, enough=quorum
+                    self.view.seats, message.LeaseRequest(number, self.me.id), 500 * machine.MILLI, enough=quorum
                 )
                 given = [a for a in res.values() if a is not None and a.ok]
                 if len(given) >= quorum and self.serving(number) and self.disk.ok:
@@ -455,7 +455,7 @@
         Machines that have been silent for long have SILENT_CALL_US; nobody is waited for any more once `enough`
         answers are positive.
 
-        Example: `res = await council.ask_all(view.seats, msg, us)`
+        Example: `res = await membership.ask_all(view.seats, msg, us)`
         """
         answers = {}
         complete = defer.Deferred()
@@ -477,17 +477,17 @@
     async def ask(self, seat, msg, us):
         """Put a message to one machine, this one or another.
 
-        Example: `answer = await council.ask(view.seats[0], msg, view.CALL_US)`
+        Example: `answer = await membership.ask(view.seats[0], msg, view.CALL_US)`
         """
         if seat.id == self.me.id:
             return await self.answer(msg)
-        call = defer.ensureDeferred(self.neighbours.call(seat.host, seat.port, msg, us))
+        call = defer.ensureDeferred(self.peers.call(seat.host, seat.port, msg, us))
         return await self.mach.within(call, us)
 
     async def mend(self):
         """Watch the chain, and propose a better view where one is due.
 
-        Example: `mach.spawn(council.mend())`
+        Example: `mach.spawn(membership.mend())`
         """
         while True:
             await self.mach.sleep(200 * machine.MILLI + self.mach.rng.randrange(50 * machine.MILLI))
@@ -499,18 +499,18 @@
     async def found(self):
         """Make view 1: the first seed does it, once all seeds are there and blank.
 
-        Example: `await council.found()`
+        Example: `await membership.found()`
         """
         now = self.mach.now()
         fresh = {k for k, heard in self.blank.items() if now - heard < DEAD_US}
         mine = (self.me.host, self.me.port)
         if not self.founders or self.founders[0] != mine or not set(self.founders) <= fresh | {mine}:
             return
-        by_addr = {(p.host, p.port): p for heard, p in self.pulses.values() if now - heard < DEAD_US}
-        by_addr[mine] = self.pulse()
+        by_addr = {(p.host, p.port): p for heard, p in self.heartbeats.values() if now - heard < DEAD_US}
+        by_addr[mine] = self.heartbeat()
         ps = [by_addr[k] for k in self.founders]
         seats = [message.Seat(p.id, p.host, p.port, p.zone) for p in ps]
-        await self.adopt(message.View(1, seats, [message.ChainLink(p.id, p.boot) for p in ps]))
+        await self.adopt(message.View(1, seats, [message.ChainReplica(p.id, p.boot) for p in ps]))
 
     def seats_wanted(self):
         """The seats of the next view.
@@ -518,20 +518,20 @@
         A newcomer takes the place of a machine that is lost, that leaves, or that came
         back blank at the newcomer's address; else a place of its own up to `size`.
 
-        Example: `council.seats_wanted()`
+        Example: `membership.seats_wanted()`
         """
         now = self.mach.now()
         known = {s.id for s in self.view.seats}
         newcomers = [
             message.Seat(p.id, p.host, p.port, p.zone)
-            for _, (heard, p) in sorted(self.pulses.items())
+            for _, (heard, p) in sorted(self.heartbeats.items())
             if now - heard < DEAD_US and p.id not in known and p.disk_ok and not p.leaving
         ]
         states = {ident: self._seat_state(ident) for ident in known}
         return agreement.next_seats(self.view, self.me.id, self.leaving, newcomers, states, self.size)
 
     def _seat_state(self, ident):
-        heard, last = self.pulses.get(ident, (self.began, None))
+        heard, last = self.heartbeats.get(ident, (self.began, None))
         silent_us = self.mach.now() - heard
         return agreement.SeatState(
             replaceable=silent_us > REPLACE_US or (last is not None and last.leaving), silent=silent_us > DEAD_US
@@ -543,16 +543,16 @@
         The voters that keep the tail's lease refuse the sealed machine's own proposals, so that the
         tail has to see this too.
 
-        Example: `council.sealed_link()`
+        Example: `membership.sealed_link()`
         """
         now = self.mach.now()
-        pulses = [p for heard, p in self.pulses.values() if now - heard < DEAD_US] + [self.pulse()]
-        return any(p.sealed and p.view is not None and p.view.number == self.view.number for p in pulses)
+        heartbeats = [p for heard, p in self.heartbeats.values() if now - heard < DEAD_US] + [self.heartbeat()]
+        return any(p.sealed and p.view is not None and p.view.number == self.view.number for p in heartbeats)
 
     def due(self):
         """Whether this machine should propose a view now.
 
-        Example: `if council.due(): await council.propose()`
+        Example: `if membership.due(): await membership.propose()`
         """
         now = self.mach.now()
         alive = self.alive()
@@ -582,7 +582,7 @@
     async def propose(self):
         """Try to get the next view agreed.
 
-        Example: `await council.propose()`
+        Example: `await membership.propose()`
         """
         old = self.view
         number = old.number + 1
--- a/iriswheel/warden.py
+++ b/iriswheel/warden.py
@@ -87,10 +87,10 @@
             self.work -= g.work
 
 
-class Shelf:
+class SessionReplica:
     """The copies that a node keeps of one pool's records, under the newest term it saw.
 
-    >>> s = Shelf()
+    >>> s = SessionReplica()
     >>> s.take(message.Copy("p", (2, 1), "n1", [], [], []), now=0)
     True
     >>> s.take(message.Copy("p", (1, 9), "n0", [], [], []), now=0)
@@ -107,7 +107,7 @@
     def fence(self, term):
         """Let no older term write here; False where a newer one already did.
 
-        >>> s = Shelf(); s.fence((3, 1)), s.fence((2, 7))
+        >>> s = SessionReplica(); s.fence((3, 1)), s.fence((2, 7))
         (True, False)
         """
         if term < self.term:
@@ -118,7 +118,7 @@
     def take(self, m, now):
         """Take a copy; a partial one only counts on top of a whole one.
 
-        >>> Shelf().take(message.Copy("p", (1, 1), "n", [], [], [], whole=True), 0)
+        >>> SessionReplica().take(message.Copy("p", (1, 1), "n", [], [], [], whole=True), 0)
         True
         """
         if not self.fence(m.term):
@@ -140,7 +140,7 @@
     def sweep(self, now):
         """Forget what is long past.
 
-        >>> Shelf().sweep(0)
+        >>> SessionReplica().sweep(0)
         """
         for kept in (self.sessions, self.claims):
             for key in [k for k, (v, at) in kept.items() if now - at > v.left_us + 60 * machine.SECOND]:
@@ -149,7 +149,7 @@
     def told(self, now):
         """All copies as they travel, with the spans that are left now.
 
-        >>> Shelf().told(0)
+        >>> SessionReplica().told(0)
         ([], [])
         """
         out = []
@@ -243,16 +243,16 @@
         self.over = True
         self.freed.wake()
 
-    def leave_to(self, shelf):
-        """Leave the records, if they are whole, to this node's own shelf for the next warden.
+    def leave_to(self, session_replica):
+        """Leave the records, if they are whole, to this node's own session replica for the next warden.
 
-        Example: `warden.leave_to(node.shelf("desk"))`
+        Example: `warden.leave_to(node.session_replica("desk"))`
         """
         if self.gathered:
             now = self.mach.now()
-            shelf.sessions = {r.id: (session.told(r, now), now) for r in self.book.records.values()}
-            shelf.claims = {c.exchange: (c.told(now), now) for c in self.claims.values()}
-            shelf.held, shelf.broken_until = True, self.broken_until
+            session_replica.sessions = {r.id: (session.told(r, now), now) for r in self.book.records.values()}
+            session_replica.claims = {c.exchange: (c.told(now), now) for c in self.claims.values()}
+            session_replica.held, session_replica.broken_until = True, self.broken_until
 
     def broken(self):
         """Whether claims made under earlier wardens may have been lost.
@@ -347,7 +347,7 @@
         """
         msg = message.Gather(self.pool, self.duty.term, self.node.me.id)
         seats = self.node.follower.roster.cores
-        ds = [defer.ensureDeferred(self.node.neighbours.call(s.host, s.port, msg, GATHER_US)) for s in seats]
+        ds = [defer.ensureDeferred(self.node.peers.call(s.host, s.port, msg, GATHER_US)) for s in seats]
         out = {}
         got = [a for ok, a in await defer.DeferredList(ds, consumeErrors=True) if ok and a.ok]
         known = 2 * len(got) <= len(seats) or any(a.copy for a in got)
@@ -571,7 +571,7 @@
     def pick(self, m, pool):
         """The worker for an exchange: its name, or None to wait, or a Denied.
 
-        Example: `warden.pick(elect, blueprint.Pool())`
+        Example: `warden.pick(elect, configuration.Pool())`
         """
         now = self.mach.now()
         ready = [
--- a/iriswheel/web.py
+++ b/iriswheel/web.py
@@ -9,12 +9,12 @@
 import twisted.internet.defer as defer
 import twisted.web.http as http
 
-import iriswheel.blueprint as blueprint
+import iriswheel.configuration as configuration
+import iriswheel.edge_protocol as edge_protocol
 import iriswheel.machine as machine
-import iriswheel.outer as outer
 import iriswheel.verdict as verdict
 
-LAG_US = 2 * machine.SECOND  # beyond what a requester may take: its clock is not ours
+LAG_US = 2 * machine.SECOND  # beyond what a client may take: its clock is not ours
 JSON_DEPTH = 100  # of lists and objects in each other: what reads them later has less of the stack left
 
 log = loguru.logger.bind(part="web")
@@ -76,7 +76,7 @@
 
         Example: `request.refuse_early("too_large", "The body is too large.")`
         """
-        self.refused = verdict.Defect(code, text)
+        self.refused = verdict.ServiceError(code, text)
         body = self.refused.body()
         head = (
             f"HTTP/1.1 {self.refused.status} {status.HTTPStatus(self.refused.status).phrase}\r\n"
@@ -100,18 +100,18 @@
     async def _serve(self, handle):
         try:
             await handle(self)
-        except verdict.Defect as d:
+        except verdict.ServiceError as d:
             self.answer_defect(d)
         except defer.CancelledError:
             raise
         except Exception:
             log.exception("An exchange broke off.")
-            self.answer_defect(verdict.Defect("worker_broke", "A defect of ours.", verdict.Verdict.MAY_HAVE_RUN))
+            self.answer_defect(verdict.ServiceError("worker_broke", "A defect of ours.", verdict.Verdict.MAY_HAVE_RUN))
 
     def answer_defect(self, d):
-        """Give the final answer that a defect asks for; an answer that has begun is broken off.
+        """Give the final answer that an error asks for; an answer that has begun is broken off.
 
-        Example: `request.answer_defect(verdict.Defect("busy", "All seats are taken."))`
+        Example: `request.answer_defect(verdict.ServiceError("busy", "All seats are taken."))`
         """
         if self.gone:
             return
@@ -129,7 +129,7 @@
         self.answer(code, json.dumps(val).encode() + b"\n")
 
     def answer(self, code, body, heads=None):
-        """Give a whole answer at once; a requester that has gone away gets none.
+        """Give a whole answer at once; a client that has gone away gets none.
 
         Example: `request.answer(200, b"{}")`
         """
@@ -159,7 +159,7 @@
         try:
             return parse_json(self.content.read())
         except ValueError:
-            raise verdict.Defect("bad_request", "The body is not JSON.", field="body") from None
+            raise verdict.ServiceError("bad_request", "The body is not JSON.", field="body") from None
 
 
 class Channel(http.HTTPChannel):
@@ -221,7 +221,7 @@
 
     def _respondToBadRequestAndDisconnect(self):
         # twisted's answer has no body; ours names the verdict
-        body = verdict.Defect("bad_request", "The head of the exchange is malformed.", field="head").body()
+        body = verdict.ServiceError("bad_request", "The head of the exchange is malformed.", field="head").body()
         head = (
             f"HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
@@ -239,12 +239,12 @@
     noisy = False
     protocol = Channel
 
-    def __init__(self, mach, handle, room=2048, formats=None, limits=blueprint.Limits):
+    def __init__(self, mach, handle, room=2048, formats=None, limits=configuration.Limits):
         super().__init__(timeout=limits().idle_us / machine.SECOND, reactor=mach.reactor)
         self.mach = mach
         self.handle = handle
-        self.outer = formats or outer.Outer()
-        self.limits = limits  # gives the blueprint.Limits that hold now
+        self.outer = formats or edge_protocol.EdgeProtocol()
+        self.limits = limits  # gives the configuration.Limits that hold now
         self.room = room
         self.open = 0
         self.channels = {}  # those that are open, in the order in which they came
--- a/iriswheel/wire.py
+++ b/iriswheel/wire.py
@@ -36,7 +36,7 @@
 decoder = msgspec.msgpack.Decoder(Parcel)
 
 
-class Broken(Exception):
+class ConnectionBrokenError(Exception):
     """The link broke off.
 
     `sent` says whether the call may have reached the far side, `refused` whether the far
@@ -51,10 +51,10 @@
         self.refused = refused
 
 
-class Link(basic.Int32StringReceiver):
+class Connection(basic.Int32StringReceiver):
     """One connection, seen from one side.
 
-    Example: `link = Link(mach, serve, log)`, where serve(link, msg) gives the answer
+    Example: `link = Connection(mach, serve, log)`, where serve(link, msg) gives the answer
     or a coroutine that gives it, or None.
     """
 
@@ -123,7 +123,7 @@
         Example: `seen = await link.call(message.Look(view=3), 500 * machine.MILLI)`
         """
         if not self.up:
-            return defer.fail(Broken(sent=False))
+            return defer.fail(ConnectionBrokenError(sent=False))
         self.seq += 1
         seq = self.seq
         d = defer.Deferred(lambda _: self.pending.pop(seq, None))
@@ -137,7 +137,7 @@
             parcel = decoder.decode(raw)
         except msgspec.MsgspecError as e:
             if self.version > self.mach.version:
-                return  # a newer neighbour may say what is not known here; a call of it ends by its own time
+                return  # a newer peer may say what is not known here; a call of it ends by its own time
             self.log.warning("A message can't be read: {}", e)
             self.transport.abortConnection()
             return
@@ -191,13 +191,13 @@
         pending, self.pending = self.pending, {}
         for d in pending.values():
             if not d.called:
-                d.errback(Broken(sent=True))
+                d.errback(ConnectionBrokenError(sent=True))
         self.room.wake()
         self.lost.wake()
 
 
 class Listener(protocol.Factory):
-    """Takes links from neighbours on one port.
+    """Takes links from peers on one port.
 
     Example: `reactor.listenTCP(7001, Listener(mach, serve, log))`
     """
@@ -210,7 +210,7 @@
         self.log = log
 
     def buildProtocol(self, addr):
-        return Link(self.mach, self.serve, self.log)
+        return Connection(self.mach, self.serve, self.log)
 
 
 async def connect(mach, host, port, serve, log):
@@ -225,13 +225,13 @@
     except defer.CancelledError:
         raise
     except Exception as e:
-        raise Broken(sent=False, refused=isinstance(e, error.ConnectionRefusedError)) from e
+        raise ConnectionBrokenError(sent=False, refused=isinstance(e, error.ConnectionRefusedError)) from e
 
 
-class Neighbours:
-    """Links to neighbours by address, opened when first needed and kept.
+class Peers:
+    """Links to peers by address, opened when first needed and kept.
 
-    >>> Neighbours(None, None, None).links
+    >>> Peers(None, None, None).links
     {}
     """
 
@@ -245,7 +245,7 @@
     async def reach(self, host, port):
         """The link to an address, opened if need be.
 
-        Example: `link = await neighbours.reach("127.0.0.1", 7001)`
+        Example: `link = await peers.reach("127.0.0.1", 7001)`
         """
         key = (host, port)
         link = self.links.get(key)
@@ -256,7 +256,7 @@
             await sig.wait()
             link = self.links.get(key)
             if link is None or not link.up:
-                raise Broken(sent=False)
+                raise ConnectionBrokenError(sent=False)
             return link
         sig = self.opening[key] = machine.Signal()
         try:
@@ -267,28 +267,28 @@
         return link
 
     async def call(self, host, port, msg, us):
-        """Call a neighbour by address.
+        """Call a peer by address.
 
-        Example: `res = await neighbours.call("127.0.0.1", 7001, msg, us)`
+        Example: `res = await peers.call("127.0.0.1", 7001, msg, us)`
         """
         link = await self.reach(host, port)
         return await link.call(msg, us)
 
     async def tell(self, host, port, msg):
-        """Tell a neighbour something; nobody home is no defect.
+        """Tell a peer something; nobody home is no error.
 
-        Example: `await neighbours.tell("127.0.0.1", 7001, msg)`
+        Example: `await peers.tell("127.0.0.1", 7001, msg)`
         """
         try:
             link = await self.reach(host, port)
-        except Broken:
+        except ConnectionBrokenError:
             return
         link.tell(msg)
 
     def keep(self, addresses):
         """Close the links to all but these addresses.
 
-        >>> Neighbours(None, None, None).keep(set())
+        >>> Peers(None, None, None).keep(set())
         """
         for key in [k for k in self.links if k not in addresses]:
             self.links.pop(key).close()
--- a/tests/node_fixture.py
+++ b/tests/node_fixture.py
@@ -4,13 +4,13 @@
 
 import testtools
 
+import bench.platform_model as platform_model
 import bench.sim as sim
-import bench.site as site
-import bench.town as town
-import iriswheel.blueprint as blueprint
+import bench.simulated_cluster as simulated_cluster
 import iriswheel.budget as budget
-import iriswheel.carry as carry
-import iriswheel.door as door
+import iriswheel.configuration as configuration
+import iriswheel.forwarding as forwarding
+import iriswheel.gateway as gateway
 import iriswheel.machine as machine
 import iriswheel.web as web
 
@@ -23,14 +23,14 @@
     def setUp(self):
         super().setUp()
         self.world = sim.World(5)
-        self.tape = town.Tape()
+        self.tape = simulated_cluster.Tape()
         proc = self.proc = sim.Proc(self.world, "n1", sim.Machine(self.world, "10.0.2.1", "a"))
         self.mach = proc.mach()
         self.fol = types.SimpleNamespace(workers=[], states={}, state=lambda name: "ready")
         self.tally = budget.Budget(slack=9)
         self.node = types.SimpleNamespace(
             mach=self.mach,
-            outer=site.formats.Formats(),
+            outer=platform_model.formats.Formats(),
             follower=self.fol,
             stopping=False,
             left=False,
@@ -38,19 +38,19 @@
             loads=types.SimpleNamespace(soon=machine.Signal(), touch=lambda: None),
             door=types.SimpleNamespace(tally=lambda x: self.tally),
         )
-        self.carrier = carry.Carrier(self.node)
+        self.forwarder = forwarding.Forwarder(self.node)
         proc.reactor.listenTCP(80, web.Server(self.mach, self.handle, formats=self.node.outer))
-        self.mach.spawn(self.carrier.look(), None)
+        self.mach.spawn(self.forwarder.look(), None)
         self.near = sim.Proc(self.world, "near", sim.Machine(self.world, "10.9.0.1", "a"))
         self.workers = []
-        self.route = blueprint.Route("/x/", "desk", repeat="may", resume=True, sends=2, cutoff_us=9 * S)
+        self.route = configuration.Route("/x/", "desk", repeat="may", resume=True, sends=2, cutoff_us=9 * S)
 
     async def handle(self, req):
-        x = door.Exchange(req, "n1/0", self.mach.now())
+        x = gateway.Exchange(req, "n1/0", self.mach.now())
         x.said, x.raw, x.repeatable = self.node.outer.ask(req), req.content.read(), self.route.repeat == "may"
-        x.route, x.pool, x.pool_name = self.route, blueprint.Pool(election="node"), "desk"
-        x.terms, x.until = blueprint.Terms(), x.arrived + x.said.left_us
-        await self.carrier.carry(x)
+        x.route, x.pool, x.pool_name = self.route, configuration.Pool(election="node"), "desk"
+        x.terms, x.until = configuration.Terms(), x.arrived + x.said.left_us
+        await self.forwarder.carry(x)
 
     def go(self, ms):
         """Let simulated milliseconds pass."""
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -21,7 +21,7 @@
 def make_view(number, members):
     """A view in which all members vote, each in its first incarnation."""
     seats = [message.Seat(ident, ident, 1, "zone") for ident in members]
-    return message.View(number, seats, [message.ChainLink(ident, "1") for ident in members])
+    return message.View(number, seats, [message.ChainReplica(ident, "1") for ident in members])
 
 
 class Order(testtools.TestCase):
@@ -59,10 +59,10 @@
     def test_a_snapshot_that_was_held_up_takes_nothing_back(self):
         clock = task.Clock()
         mach = machine.Machine(clock, now=lambda: int(clock.seconds() * SECOND), seed=1)
-        members = [message.ChainLink("a", "1"), message.ChainLink("b", mach.boot)]
+        members = [message.ChainReplica("a", "1"), message.ChainReplica("b", mach.boot)]
         agreed = message.View(4, make_view(4, "ab").seats, members)
         replica = chain.Chain(mach, Disk(), {}, None)
-        replica.council = view.Council(
+        replica.membership = view.Membership(
             mach, Disk(), agreement.Record(agreed), agreed.seats[1], [], None, lambda agreed: None
         )
         snapshot = chain.Ledger().freeze()
@@ -103,25 +103,27 @@
         clock = task.Clock()
         mach = machine.Machine(clock, now=lambda: int(clock.seconds() * SECOND), seed=1)
         agreed = make_view(4, "bca")
-        agreed = message.View(4, agreed.seats, [*agreed.chain[:2], message.ChainLink("a", mach.boot)])
+        agreed = message.View(4, agreed.seats, [*agreed.chain[:2], message.ChainReplica("a", mach.boot)])
         record = agreement.Record(agreed, whole=4)
-        council = view.Council(mach, Disk(), record, agreed.seats[2], [], Peers(answers), lambda agreed: None)
+        membership = view.Membership(mach, Disk(), record, agreed.seats[2], [], Peers(answers), lambda agreed: None)
         for ident in "bc":
-            council.hear(message.Pulse(ident, "1", "zone", ident, 1, agreed, 4, True))
-        return clock, council
+            membership.hear(message.Heartbeat(ident, "1", "zone", ident, 1, agreed, 4, True))
+        return clock, membership
 
     def test_the_tail_holds_its_lease_as_soon_as_a_majority_gave_it(self):
-        _, council = self.make_council({"b": message.LeaseGiven(True, None)})
-        council.mach.spawn(council.renew())
-        self.assertTrue(council.leased())
+        _, membership = self.make_council({"b": message.LeaseGiven(True, None)})
+        membership.mach.spawn(membership.renew())
+        self.assertTrue(membership.leased())
 
     def test_a_proposal_waits_but_shortly_for_machines_that_are_silent(self):
-        clock, council = self.make_council({"b": promised("b", 4)})
+        clock, membership = self.make_council({"b": promised("b", 4)})
         clock.advance(2)  # the grants of before the start have run out, and so have the heartbeats
-        council.hear(message.Pulse("b", "1", "zone", "b", 1, council.view, 4, True))
+        membership.hear(message.Heartbeat("b", "1", "zone", "b", 1, membership.view, 4, True))
         prepare = message.Prepare(5, (1, "a"), "a")
         answers = []
-        defer.ensureDeferred(council.ask_all(council.view.seats, prepare, view.CALL_US)).addCallback(answers.append)
+        defer.ensureDeferred(membership.ask_all(membership.view.seats, prepare, view.CALL_US)).addCallback(
+            answers.append
+        )
         clock.advance(view.SILENT_CALL_US / SECOND)
         self.assertEqual({"a", "b"}, {ident for ident, answer in answers[0].items() if answer is not None})
 
@@ -132,31 +134,31 @@
         self.clock = task.Clock()
         mach = machine.Machine(self.clock, now=lambda: int(self.clock.seconds() * SECOND), seed=1)
         agreed = make_view(4, "abc")
-        agreed = message.View(4, agreed.seats, [message.ChainLink("a", mach.boot), *agreed.chain[1:]])
+        agreed = message.View(4, agreed.seats, [message.ChainReplica("a", mach.boot), *agreed.chain[1:]])
         record = agreement.Record(agreed, whole=4)
-        self.council = view.Council(mach, Disk(), record, agreed.seats[0], [], None, lambda agreed: None)
-        self.council.leave()
+        self.membership = view.Membership(mach, Disk(), record, agreed.seats[0], [], None, lambda agreed: None)
+        self.membership.leave()
 
     def hear(self, whole):
         """Take in a heartbeat of each other member."""
         for ident in "bc":
-            self.council.hear(message.Pulse(ident, "1", "zone", ident, 1, self.council.view, whole, True))
+            self.membership.hear(message.Heartbeat(ident, "1", "zone", ident, 1, self.membership.view, whole, True))
 
     def test_the_only_synced_copy_stays_until_another_is_synced(self):
         self.hear(whole=3)
-        self.assertTrue(self.council.holds_only_copy())
-        self.council.due()
+        self.assertTrue(self.membership.holds_only_copy())
+        self.membership.due()
         self.clock.advance(2)
         self.hear(whole=3)
-        self.assertFalse(self.council.due())
+        self.assertFalse(self.membership.due())
         self.hear(whole=4)
-        self.assertFalse(self.council.holds_only_copy())
-        self.council.due()
+        self.assertFalse(self.membership.holds_only_copy())
+        self.membership.due()
         self.clock.advance(2)
         self.hear(whole=4)
-        self.assertTrue(self.council.due())
+        self.assertTrue(self.membership.due())
 
     def test_the_last_machine_does_not_wait_for_anybody(self):
         self.hear(whole=3)
         self.clock.advance(2)
-        self.assertFalse(self.council.holds_only_copy())
+        self.assertFalse(self.membership.holds_only_copy())
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -4,11 +4,11 @@
 
 import testtools
 
-import iriswheel.blueprint as blueprint
-import iriswheel.door as door
+import iriswheel.configuration as configuration
+import iriswheel.edge_protocol as edge_protocol
+import iriswheel.gateway as gateway
 import iriswheel.machine as machine
 import iriswheel.options as options
-import iriswheel.outer as outer
 
 S = machine.SECOND
 
@@ -24,15 +24,15 @@
         """The door of a node whose process starts now."""
         node = types.SimpleNamespace(
             mach=machine.Machine(None, now=lambda: self.now),
-            outer=outer.Outer(),
+            outer=edge_protocol.EdgeProtocol(),
             options=options.Options("node", **more),
             follower=types.SimpleNamespace(roster=types.SimpleNamespace(members=self.members)),
         )
-        return door.Door(node)
+        return gateway.Gateway(node)
 
     def spent(self, d, firsts=0):
         """How many repeats it grants now, after some first sends."""
-        x = types.SimpleNamespace(pool_name="desk", pool=blueprint.Pool(election="node"))
+        x = types.SimpleNamespace(pool_name="desk", pool=configuration.Pool(election="node"))
         for _ in range(firsts):
             self.asks += 1
             d.tally(x).first(self.now, f"x{self.asks}")
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -74,18 +74,18 @@
         return f
 
     def test_a_worker_list_goes_whole_to_every_node_when_it_changes_only(self):
-        grown = {}
+        appended = {}
         for listed in (9, 90):
             f = self.made(nodes=6, listed=listed)
             quiet = f.by_role(f.metered(4))
             f.platform.put("w1", state="leaving")
             more = f.by_role(f.metered(4))
-            grown[listed] = [
+            appended[listed] = [
                 4 * (more[r][way] - quiet[r][way]) for r, way in (("node", "in_bytes"), ("lister", "out_bytes"))
             ] + [quiet["node"]["in_bytes"]]
-            grown[listed].append(len(wire.encoder.encode(f.nodes["n1"].follower.workers)))
+            appended[listed].append(len(wire.encoder.encode(f.nodes["n1"].follower.workers)))
             self.assertTrue(0 < quiet["node"]["loops"] < quiet["warden"]["loops"])
-        node, lister, quiet, size = (more - few for few, more in zip(grown[9], grown[90], strict=False))
+        node, lister, quiet, size = (more - few for few, more in zip(appended[9], appended[90], strict=False))
         self.assertTrue(
             abs(quiet) < 0.02 * size, quiet
         )  # a second, by 81 workers more: signs of life come as they fall
@@ -112,7 +112,7 @@
         f.go(1)
         busy = f.by_role(f.metered(2))
         self.assertTrue(busy["node"]["out_bytes"] > quiet["node"]["out_bytes"] + 100, (quiet, busy))
-        others = f.nodes["n1"].door.carrier.place("model-0").others
+        others = f.nodes["n1"].door.forwarder.place("model-0").others
         self.assertTrue(others)
         self.assertTrue(set(others) <= set(f.workers), others)
 
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -7,7 +7,7 @@
 import twisted.internet.defer as defer
 
 import bench.sim as sim
-import bench.town as town
+import bench.simulated_cluster as simulated_cluster
 import iriswheel.agreement as agreement
 import iriswheel.chain as chain
 import iriswheel.machine as machine
@@ -16,7 +16,7 @@
 import iriswheel.view as view
 import iriswheel.wire as wire
 
-S = town.S
+S = simulated_cluster.S
 ROUTES = 1_400
 
 
@@ -51,11 +51,11 @@
         await mach.sleep(2 * machine.MILLI)
         if fate == "lose":
             await mach.sleep(us)
-            raise wire.Broken(sent=True)
+            raise wire.ConnectionBrokenError(sent=True)
         answer = await mach.within(defer.ensureDeferred(self.members[host].chain.answer(msg)), us)
         if fate == "lose answer":
             await mach.sleep(us)
-            raise wire.Broken(sent=True)
+            raise wire.ConnectionBrokenError(sent=True)
         return answer
 
 
@@ -80,19 +80,19 @@
         record = view.msgspec.msgpack.decode(raw, type=agreement.Record) if raw else agreement.Record()
         self.chain = chain.Chain(self.mach, guard, state, self.network)
         seat = message.Seat(self.name, self.name, 1, "a")
-        self.council = view.Council(self.mach, guard, record, seat, [], None, lambda v: None, copies=self.copies)
-        self.chain.council = self.council
+        self.membership = view.Membership(self.mach, guard, record, seat, [], None, lambda v: None, copies=self.copies)
+        self.chain.membership = self.membership
         self.network.members[self.name] = self
 
     def install(self, number, order, whole=None):
         """Let a view begin here."""
         members = [self.network.members[i] for i in order]
         seats = [message.Seat(m.name, m.name, 1, "a") for m in members]
-        links = [message.ChainLink(m.name, m.mach.boot) for m in members]
-        before = self.council.record.whole
+        links = [message.ChainReplica(m.name, m.mach.boot) for m in members]
+        before = self.membership.record.whole
         whole = number if order[0] == self.name else whole or before
-        self.council.record = agreement.Record(message.View(number, seats, links), whole=whole)
-        self.chain.install(self.council.view)
+        self.membership.record = agreement.Record(message.View(number, seats, links), whole=whole)
+        self.chain.install(self.membership.view)
 
 
 class Chains(testtools.TestCase):
@@ -316,13 +316,13 @@
         if head is None or not head.chain.whole():
             return None
         change = [(f"routes/s{k % 50}", {"path": f"/s/{k}", "pool": "desk"})]
-        number = head.council.view.number
+        number = head.membership.view.number
         msg = message.Propose(number, "apply", f"s{k}-{t.world.time}", head.chain.tip.stamp, change)
         return head.mach.spawn(head.chain.propose(msg))
 
     def away_for_many_changes(self):
         """A fleet in which one member is down while many routes and changes come."""
-        t = town.Town(3, "small", long_rate=0, short_rate=0, talks=0)
+        t = simulated_cluster.SimulatedCluster(3, "small", long_rate=0, short_rate=0, talks=0)
         t.probing = False
         t.begin()
         t.go(1)
@@ -330,10 +330,10 @@
             n.proc.kill()
         name = t.tail().options.name
         t.cores[name].proc.host.fail()
-        self.assertTrue(t.until(lambda: t.tail() is not None and len(t.tail().council.view.chain) == 2, 10))
+        self.assertTrue(t.until(lambda: t.tail() is not None and len(t.tail().membership.view.chain) == 2, 10))
         head = t.head()
         many = large_change(head.chain.tip.n + 1, pool="desk").changes
-        msg = message.Propose(head.council.view.number, "apply", "many", head.chain.tip.stamp, many)
+        msg = message.Propose(head.membership.view.number, "apply", "many", head.chain.tip.stamp, many)
         done = head.mach.spawn(head.chain.propose(msg))
         self.assertTrue(t.until(lambda: done.called, 10))
         for k in range(self.AWAY_CHANGES):
@@ -354,7 +354,7 @@
             proposed += [d] if d is not None else []
             for _ in range(15):
                 t.go(0.01)
-                self.assertFalse(back.council.leased() and not back.chain.whole())
+                self.assertFalse(back.membership.leased() and not back.chain.whole())
                 if caught_up is None and back.chain.whole():
                     caught_up = t.world.time - began
             done = [d for d in proposed if d.called and d.result.code == ""]
--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -31,7 +31,7 @@
             done.callback(None)
 
 
-class Council:
+class Membership:
     """A view that the test sets; its tail holds the lease. The replica is whole in it, unless said otherwise."""
 
     copies = 2
@@ -41,7 +41,7 @@
         self.agree(number, *ids)
 
     def agree(self, number, *ids, whole=True):
-        self.view = message.View(number, [], [message.ChainLink(i, "1") for i in ids])
+        self.view = message.View(number, [], [message.ChainReplica(i, "1") for i in ids])
         self.record = types.SimpleNamespace(view=self.view, whole=number if whole else number - 1)
 
     def serving(self, number):
@@ -64,51 +64,51 @@
         loguru.logger.remove()
         self.disk = Disk()
 
-    def replica(self, council, entries=()):
+    def replica(self, membership, entries=()):
         state = {b"e%016d" % e.n: chain.pack(e) for e in entries}
         made = chain.Chain(machine.Machine(None, now=lambda: 0), self.disk, state, None)
-        made.council = council
+        made.membership = membership
         return made
 
     def put(self, replica, msg):
         return defer.ensureDeferred(replica.answer(msg))
 
     def test_a_new_tail_answers_no_read_before_what_it_holds_is_committed(self):
-        replica = self.replica(Council(4, "b", "a"), [entry(1, 3, "c0-1-0a")])
+        replica = self.replica(Membership(4, "b", "a"), [entry(1, 3, "c0-1-0a")])
         self.assertFalse(self.put(replica, message.Look(4)).result.ok)
         replica.settle_tail(4)
         seen = self.put(replica, message.Look(4, "c0-1-0a")).result
         self.assertEqual((True, 1, 1), (seen.ok, seen.stamp, seen.taken))
-        replica.council.agree(5, "b", "a")
+        replica.membership.agree(5, "b", "a")
         self.assertFalse(self.put(replica, message.Look(5)).result.ok)
 
     def test_a_read_that_comes_after_the_lease_has_ended_fails(self):
-        replica = self.replica(Council(4, "b", "a"))
+        replica = self.replica(Membership(4, "b", "a"))
         replica.settle_tail(4)
         self.assertTrue(self.put(replica, message.Look(4)).result.ok)
-        replica.council.leased = lambda: False
+        replica.membership.leased = lambda: False
         self.assertFalse(self.put(replica, message.Look(4)).result.ok)
 
     def test_a_tail_that_may_not_commit_alone_answers_no_read_by_less_than_it_holds(self):
-        replica = self.replica(Council(4, "a", "b"))
+        replica = self.replica(Membership(4, "a", "b"))
         self.put(replica, message.Propose(4, "apply", "c0-1-0a", 0, [("marks/operator", {"number": 1})]))
         self.disk.finish()
-        replica.council.agree(5, "a")
+        replica.membership.agree(5, "a")
         replica.settle_tail(5)
         self.assertFalse(self.put(replica, message.Look(5)).result.ok)
-        restarted = self.replica(Council(4, "a"), [entry(1, 3, "c0-1-0a")])
+        restarted = self.replica(Membership(4, "a"), [entry(1, 3, "c0-1-0a")])
         self.assertFalse(self.put(restarted, message.Look(4)).result.ok)
         restarted.settle_tail(4)
         seen = self.put(restarted, message.Look(4, "c0-1-0a")).result
         self.assertEqual((True, 1, 1), (seen.ok, seen.stamp, seen.taken))
-        blank = self.replica(Council(4, "a"))
+        blank = self.replica(Membership(4, "a"))
         blank.settle_tail(4)
         self.assertTrue(self.put(blank, message.Look(4)).result.ok)
 
     def test_a_change_synced_after_its_view_ended_is_not_acknowledged_by_another_entry(self):
-        replica = self.replica(Council(4, "a", "b"))
+        replica = self.replica(Membership(4, "a", "b"))
         proposed = self.put(replica, message.Propose(4, "apply", "c0-1-0a", 0, [("marks/operator", {"number": 1})]))
-        replica.council.agree(5, "b", "a", whole=False)
+        replica.membership.agree(5, "b", "a", whole=False)
         placed = self.put(replica, message.Place(5, "b"))
         self.assertFalse(placed.called)
         self.disk.finish()
@@ -121,11 +121,11 @@
         self.assertEqual({"c0-1-0b": 1}, dict(replica.base.taken))
 
     def test_a_change_taken_again_after_a_refill_by_snapshot_is_told_apart(self):
-        replica = self.replica(Council(4, "a", "b"))
+        replica = self.replica(Membership(4, "a", "b"))
         proposed = self.put(replica, message.Propose(4, "apply", "c0-1-0a", 0, []))
         self.disk.finish()
         self.assertFalse(proposed.called)
-        replica.council.agree(5, "b", "a", whole=False)
+        replica.membership.agree(5, "b", "a", whole=False)
         other = chain.Ledger().apply(entry(1, 5, "c0-1-0b"))
         self.put(replica, message.Refill(5, other.freeze(), []))
         self.disk.finish()
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -3,12 +3,12 @@
 import loguru
 import testtools
 
-import bench.town as town
-import iriswheel.blueprint as blueprint
+import bench.simulated_cluster as simulated_cluster
 import iriswheel.chain as chain
+import iriswheel.configuration as configuration
 import iriswheel.message as message
 
-S = town.S
+S = simulated_cluster.S
 
 
 def route(k):
@@ -22,14 +22,16 @@
         loguru.logger.remove()
 
     def quiet(self, seed=3, **more):
-        t = town.Town(seed, "small", long_rate=0, short_rate=0, talks=0, **more)
+        t = simulated_cluster.SimulatedCluster(seed, "small", long_rate=0, short_rate=0, talks=0, **more)
         t.probing = False
         t.begin()
         t.go(1)
         return t
 
     def start(self, t, number, built_on, what, who="boss"):
-        return t.office_mach.spawn(town.Operator(t, t.office_mach, who).number(number, built_on, what), town.log)
+        return t.office_mach.spawn(
+            simulated_cluster.Operator(t, t.office_mach, who).number(number, built_on, what), simulated_cluster.log
+        )
 
     def wait(self, t, *ds):
         self.assertTrue(t.until(lambda: all(d.called for d in ds), 40))
@@ -48,7 +50,7 @@
             won, lost = (3, 5) if one.result == 200 else (5, 3)
             number += won
             items = self.items(t)
-            self.assertEqual(number, blueprint.number(items))
+            self.assertEqual(number, configuration.number(items))
             self.assertEqual((True, False), tuple(f"routes/r{10 * k + j}" in items for j in (won, lost)))
 
     def test_said_again_it_gives_the_same_answer_when_later_ones_were_taken(self):
@@ -105,7 +107,7 @@
             t.start_core(name, *t.options[name])
         self.assertEqual([200] * 5, self.wait(t, *(self.start(t, *order) for order in again)))
         self.assertEqual([409], self.wait(t, self.start(t, 1, 0, route(9))))
-        self.assertEqual(24, blueprint.number(self.items(t)))
+        self.assertEqual(24, configuration.number(self.items(t)))
 
     def test_a_change_older_than_the_memory_gets_no_clear_answer(self):
         self.patch(chain, "TAKEN", 4)
@@ -115,7 +117,9 @@
         self.assertEqual(
             [0, 200, 409],
             [
-                self.wait(t, t.office_mach.spawn(town.Operator(t, t.office_mach, "boss").number(*order, tries=3)))[0]
+                self.wait(
+                    t, t.office_mach.spawn(simulated_cluster.Operator(t, t.office_mach, "boss").number(*order, tries=3))
+                )[0]
                 for order in (orders[0], orders[-2], (8, 6, route(9)))
             ],
         )
@@ -196,4 +200,4 @@
     def test_a_snapshot_of_format_2_is_read(self):
         few, many = (chain.Ledger.thaw(self.old(self.apply(count))) for count in (20, 600))
         self.assertEqual((20, 0, 7), (len(few.taken), few.forgotten, few.taken["c6-7-0a"]))
-        self.assertEqual((512, 88, 600), (len(many.taken), many.forgotten, blueprint.number(many.items)))
+        self.assertEqual((512, 88, 600), (len(many.taken), many.forgotten, configuration.number(many.items)))
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -176,4 +176,4 @@
     def test_damaged_and_cut_logs(self):
         line = json.dumps(BASE[0])
         self.assertEqual(([BASE[0]], True), replay.read([line, line[:9]]))
-        self.assertRaises(replay.Damaged, replay.read, [line[:9], line])
+        self.assertRaises(replay.DamagedLogError, replay.read, [line[:9], line])
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -6,7 +6,7 @@
 import bench.engine as engine
 import bench.serving as serving
 import bench.sim as sim
-import bench.town as town
+import bench.simulated_cluster as simulated_cluster
 import bench.words as words
 import iriswheel.client as client
 import iriswheel.machine as machine
@@ -43,7 +43,7 @@
     def setUp(self):
         super().setUp()
         self.world = sim.World(3)
-        self.tape = town.Tape()
+        self.tape = simulated_cluster.Tape()
         proc = sim.Proc(self.world, "w1", sim.Machine(self.world, "10.0.3.1", "a"))
         self.worker = serving.Worker(proc.mach(), "w1", "desk", self.tape, engine.Figures(enter_us=0), idle_us=700 * MS)
         self.worker.closes = 0
--- a/tests/test_blueprint.py
+++ b/tests/test_configuration.py
@@ -6,11 +6,11 @@
 import testtools
 import twisted.internet.task as task
 
-import iriswheel.blueprint as blueprint
 import iriswheel.chain as chain
+import iriswheel.configuration as configuration
 import iriswheel.core as core
-import iriswheel.door as door
 import iriswheel.follower as follower
+import iriswheel.gateway as gateway
 import iriswheel.machine as machine
 import iriswheel.options as options
 
@@ -24,27 +24,27 @@
 def longest(routes, host, path):
     """The look-up as it is meant, over all routes."""
     for h in (host, ""):
-        fits = [r for r in routes.values() if r.host == h and door.covers(r.path, path)]
+        fits = [r for r in routes.values() if r.host == h and gateway.covers(r.path, path)]
         if fits:
             return max(fits, key=lambda r: (len(r.path), bool(r.zones)))
     return None
 
 
 class Items(testtools.TestCase):
-    def defects(self, routes, pools=("p", "q"), **more):
+    def errors(self, routes, pools=("p", "q"), **more):
         doc = {"routes": routes, "pools": {p: {} for p in pools}, "terms": {"default": {}}, **more}
         try:
-            blueprint.flatten(doc)
-        except blueprint.BadBlueprint as e:
-            return e.defects
+            configuration.flatten(doc)
+        except configuration.InvalidConfigurationError as e:
+            return e.errors
         return []
 
     def test_what_is_wrong_is_named(self):
         route = {"path": "/a", "pool": "p"}
-        self.assertEqual([], self.defects({"r": route, "s": {**route, "host": "h"}}))
+        self.assertEqual([], self.errors({"r": route, "s": {**route, "host": "h"}}))
         self.assertEqual(
             ["routes/s: same host, path and zone as routes/r"],
-            self.defects({"r": {**route, "host": "h"}, "s": {**route, "host": "H"}}),
+            self.errors({"r": {**route, "host": "h"}, "s": {**route, "host": "H"}}),
         )
         for split, why in (
             ([{"pool": "p", "weight": 0}, {"pool": "q", "weight": 0}], "the weights sum to 0"),
@@ -53,12 +53,12 @@
             ([{"pool": "q", "weight": 1}], "pool is not the split's first"),
             ([{"pool": "p", "weight": 1}, {"pool": "x", "weight": 1}], "no pool 'x'"),
         ):
-            self.assertEqual([f"routes/r: {why}"], self.defects({"r": {**route, "split": split}}))
+            self.assertEqual([f"routes/r: {why}"], self.errors({"r": {**route, "split": split}}))
         self.assertEqual(
-            ["routes/r: repeat is none of asked, may, never"], self.defects({"r": {**route, "repeat": "x"}})
+            ["routes/r: repeat is none of asked, may, never"], self.errors({"r": {**route, "repeat": "x"}})
         )
-        self.assertEqual(["marks/other: bad name"], self.defects({}, marks={"other": {}}))
-        self.assertEqual(["limits/door: idle_us must be above 0"], self.defects({}, limits={"door": {"idle_us": 0}}))
+        self.assertEqual(["marks/other: bad name"], self.errors({}, marks={"other": {}}))
+        self.assertEqual(["limits/door: idle_us must be above 0"], self.errors({}, limits={"door": {"idle_us": 0}}))
 
     def test_a_slice_has_all_that_its_routes_use_and_no_label(self):
         ledger = chain.Ledger().change(
@@ -101,7 +101,7 @@
             items = {k: v for k, v in {**items, **change}.items() if v is not None}
             whole = rng.random() < 0.1 or n == 1
             fol.take_items(n, items if whole else change, whole)
-            self.assertEqual({k[7:]: blueprint.Route.from_dict(v) for k, v in items.items()}, fol.routes)
+            self.assertEqual({k[7:]: configuration.Route.from_dict(v) for k, v in items.items()}, fol.routes)
             for _ in range(20):
                 host, path = rng.choice(["x", "z"]), part()
                 self.assertEqual(longest(fol.routes, host, path), fol.find(host, path), (host, path))
@@ -122,4 +122,4 @@
         self.assertEqual(5, fol.limits.head_us)
         fol.take_items(3, items, True)
         self.assertEqual(["r7"], [k for k in had if fol.routes[k] is not had[k]])
-        self.assertEqual(blueprint.Limits(), fol.limits)
+        self.assertEqual(configuration.Limits(), fol.limits)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -14,11 +14,11 @@
 
 import bench.days as days
 import bench.judge as judge
+import bench.platform_model as platform_model
 import bench.sim as sim
-import bench.site as site
 import iriswheel.budget as budget
-import iriswheel.carry as carry
 import iriswheel.follower as follower
+import iriswheel.forwarding as forwarding
 import iriswheel.machine as machine
 import iriswheel.node as node
 import iriswheel.verdict as verdict
@@ -44,13 +44,13 @@
 ]
 
 
-def _always_repeat(self, exchange, place, init=carry.Passage.__init__):
+def _always_repeat(self, exchange, place, init=forwarding.ForwardedRequest.__init__):
     init(self, exchange, place)
     self.repeatable = True
 
 
 def _promise(self, x, code, text, back_us=0):
-    return verdict.Defect("busy", text, retry_us=150_000)
+    return verdict.ServiceError("busy", text, retry_us=150_000)
 
 
 def _first_list(self, workers, *more, take=follower.Follower.take_workers):
@@ -79,29 +79,37 @@
 _sent_heads = []
 
 
-def _stale_head(self, req, size, *more, head=site.formats.Formats.head):
+def _stale_head(self, req, size, *more, head=platform_model.formats.Formats.head):
     _sent_heads.append(head(self, req, size, *more))
     return _sent_heads[-2] if len(_sent_heads) > 50 else _sent_heads[-1]
 
 
-def _no_target(self, *args, head=site.formats.Formats.head):
+def _no_target(self, *args, head=platform_model.formats.Formats.head):
     return b"\r\n".join(line for line in head(self, *args).split(b"\r\n") if not line.lower().startswith(b"x-target"))
 
 
 # guard -> what is put in its place, the day, its seed, the rule that must be seen broken
 GUARDS = {
-    "own_answers": ([(site.formats.Formats, "mine", lambda self, tag, status, heads: True)], "surplus", 1, "mixed"),
-    "seal": ([(site.formats.Formats, "home", lambda self, heads, worker: [])], "calm", 1, "mixed"),
-    "own_heads": ([(site.formats.Formats, "head", _stale_head)], "calm", 1, "unasked"),
-    "target": ([(site.formats.Formats, "head", _no_target)], "other_service", 1, "route"),
+    "own_answers": (
+        [(platform_model.formats.Formats, "mine", lambda self, tag, status, heads: True)],
+        "surplus",
+        1,
+        "mixed",
+    ),
+    "seal": ([(platform_model.formats.Formats, "home", lambda self, heads, worker: [])], "calm", 1, "mixed"),
+    "own_heads": ([(platform_model.formats.Formats, "head", _stale_head)], "calm", 1, "unasked"),
+    "target": ([(platform_model.formats.Formats, "head", _no_target)], "other_service", 1, "route"),
     "once": (
-        [(carry.Passage, "__init__", _always_repeat), (carry.Carrier, "may_repeat", lambda self, x: x.sends < 3)],
+        [
+            (forwarding.ForwardedRequest, "__init__", _always_repeat),
+            (forwarding.Forwarder, "may_repeat", lambda self, x: x.sends < 3),
+        ],
         "some_fail",
         1,
         "twice",
     ),
-    "promises": ([(carry.Carrier, "give_up", _promise)], "some_fail", 1, "refused"),
-    "whole_events": ([(carry, "whole_events", lambda raw: (raw, b""))], "broken_off", 1, "order"),
+    "promises": ([(forwarding.Forwarder, "give_up", _promise)], "some_fail", 1, "refused"),
+    "whole_events": ([(forwarding, "whole_events", lambda raw: (raw, b""))], "broken_off", 1, "order"),
     "worker_states": ([(follower.Follower, "take_workers", _first_list)], "release", 1, "drain"),
     "drain": ([(node.Node, "stop", _leave_at_once)], "roll", 1, "lost"),
     "last_bytes": ([(node.Node, "stop", _leave_with_the_last_exchange)], "roll", 1, "lost"),
--- a/tests/test_disk_errors.py
+++ b/tests/test_disk_errors.py
@@ -8,17 +8,17 @@
 import twisted.internet.defer as defer
 
 import bench.sim as sim
-import bench.town as town
+import bench.simulated_cluster as simulated_cluster
 import iriswheel.agreement as agreement
 import iriswheel.message as message
 import iriswheel.store as store
 import iriswheel.view as view
 
-S = town.S
-SEATS = [message.Seat(i, f"10.0.1.{k}", town.PEER, "a") for k, i in enumerate("abc", 1)]
+S = simulated_cluster.S
+SEATS = [message.Seat(i, f"10.0.1.{k}", simulated_cluster.PEER, "a") for k, i in enumerate("abc", 1)]
 
 
-class Council(testtools.TestCase):
+class Membership(testtools.TestCase):
     """One machine's part, without the others."""
 
     def setUp(self):
@@ -27,7 +27,7 @@
         self.world = sim.World(1)
         self.host = sim.Machine(self.world, "10.0.1.2", "a")
         self.start()
-        self.wait(self.council.adopt(self.epoch(1)))
+        self.wait(self.membership.adopt(self.epoch(1)))
         self.world.run(self.world.time + 2 * S)  # a restarted voter waits one lease before it promises
 
     def start(self):
@@ -38,11 +38,11 @@
         record = view.msgspec.msgpack.decode(state[b"council"], type=agreement.Record) if state else agreement.Record()
         self.installed = []
         guard = store.Guard(mach, self.disk)
-        self.council = view.Council(mach, guard, record, SEATS[1], [], None, self.installed.append)
+        self.membership = view.Membership(mach, guard, record, SEATS[1], [], None, self.installed.append)
 
     def epoch(self, number, order="abc"):
-        boots = {"b": self.council.mach.boot}
-        return message.View(number, SEATS, [message.ChainLink(i, boots.get(i, "x")) for i in order])
+        boots = {"b": self.membership.mach.boot}
+        return message.View(number, SEATS, [message.ChainReplica(i, boots.get(i, "x")) for i in order])
 
     def wait(self, coro):
         done = defer.ensureDeferred(coro)
@@ -52,48 +52,48 @@
 
     def test_a_promise_that_the_disk_refuses_is_a_refusal_and_seals_nothing(self):
         self.host.disk = "full"
-        answer = self.wait(self.council.answer(message.Prepare(2, (5, "a"), "a")))
+        answer = self.wait(self.membership.answer(message.Prepare(2, (5, "a"), "a")))
         self.assertEqual((False, (0, "")), (answer.ok, answer.ballot))
-        self.assertFalse(self.council.sealed())
+        self.assertFalse(self.membership.sealed())
         self.host.disk = "ok"
-        self.assertTrue(self.wait(self.council.answer(message.Prepare(2, (4, "c"), "c"))).ok)
+        self.assertTrue(self.wait(self.membership.answer(message.Prepare(2, (4, "c"), "c"))).ok)
 
     def test_an_acceptance_that_the_disk_refuses_is_told_to_nobody(self):
-        self.assertTrue(self.wait(self.council.answer(message.Prepare(2, (5, "a"), "a"))).ok)
+        self.assertTrue(self.wait(self.membership.answer(message.Prepare(2, (5, "a"), "a"))).ok)
         self.host.disk = "full"
-        answer = self.wait(self.council.answer(message.Accept((5, "a"), self.epoch(2, "ab"), "a")))
+        answer = self.wait(self.membership.answer(message.Accept((5, "a"), self.epoch(2, "ab"), "a")))
         self.assertFalse(answer.ok)
         self.host.disk = "ok"
-        promise = self.wait(self.council.answer(message.Prepare(2, (6, "c"), "c")))
+        promise = self.wait(self.membership.answer(message.Prepare(2, (6, "c"), "c")))
         self.assertEqual((True, None), (promise.ok, promise.accepted))
 
     def test_a_promise_that_was_given_outlives_a_refused_one_and_a_restart(self):
-        self.assertTrue(self.wait(self.council.answer(message.Prepare(2, (5, "a"), "a"))).ok)
+        self.assertTrue(self.wait(self.membership.answer(message.Prepare(2, (5, "a"), "a"))).ok)
         self.host.disk = "full"
-        self.assertFalse(self.wait(self.council.answer(message.Prepare(2, (9, "c"), "c"))).ok)
+        self.assertFalse(self.wait(self.membership.answer(message.Prepare(2, (9, "c"), "c"))).ok)
         self.host.disk = "ok"
-        self.assertTrue(self.wait(self.council.answer(message.Accept((5, "a"), self.epoch(2, "ab"), "a"))).ok)
+        self.assertTrue(self.wait(self.membership.answer(message.Accept((5, "a"), self.epoch(2, "ab"), "a"))).ok)
         self.start()
         self.world.run(self.world.time + 2 * S)
-        self.assertFalse(self.wait(self.council.answer(message.Prepare(2, (4, "c"), "c"))).ok)
-        promise = self.wait(self.council.answer(message.Prepare(2, (6, "c"), "c")))
+        self.assertFalse(self.wait(self.membership.answer(message.Prepare(2, (4, "c"), "c"))).ok)
+        promise = self.wait(self.membership.answer(message.Prepare(2, (6, "c"), "c")))
         self.assertEqual(((5, "a"), "ab"), (promise.accepted[0], "".join(x.id for x in promise.accepted[1].chain)))
 
     def test_a_copy_counts_as_whole_only_once_that_is_on_the_disk(self):
         self.host.disk = "full"
-        done = defer.ensureDeferred(self.council.grow_whole(1))
-        done.addErrback(lambda f: f.trap(store.DiskDefect))
+        done = defer.ensureDeferred(self.membership.grow_whole(1))
+        done.addErrback(lambda f: f.trap(store.DiskError))
         self.world.run(self.world.time + S)
-        self.assertEqual((True, 0), (done.called, self.council.record.whole))
+        self.assertEqual((True, 0), (done.called, self.membership.record.whole))
 
     def test_a_head_whose_disk_refused_the_view_leads_once_the_disk_works(self):
         self.host.disk = "full"
-        self.wait(self.council.adopt(self.epoch(2, "bac")))
-        self.assertEqual((2, 0), (self.council.view.number, self.council.record.whole))
+        self.wait(self.membership.adopt(self.epoch(2, "bac")))
+        self.assertEqual((2, 0), (self.membership.view.number, self.membership.record.whole))
         self.host.disk = "ok"
         installed = len(self.installed)
         self.world.run(self.world.time + S)
-        self.assertEqual(2, self.council.record.whole)
+        self.assertEqual(2, self.membership.record.whole)
         self.assertEqual(installed + 1, len(self.installed))  # so that the chain starts
 
 
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -21,7 +21,7 @@
 
 def unsynced_order(view, promises, alive):
     """Order the chain by name, whoever is synced."""
-    return [message.ChainLink(ident, alive[ident]) for ident in sorted(alive, reverse=True)]
+    return [message.ChainReplica(ident, alive[ident]) for ident in sorted(alive, reverse=True)]
 
 
 def order_without_tips(view, promises, alive, order=agreement.order):
--- a/tests/test_carry.py
+++ b/tests/test_forwarding.py
@@ -1,9 +1,9 @@
-"""One node's carrier between a requester and stand-in workers: what it makes of each trouble."""
+"""One node's forwarder between a client and stand-in workers: what it makes of each trouble."""
 
+import bench.client_model as client_model
 import bench.engine as engine
 import bench.serving as serving
 import bench.sim as sim
-import bench.users as users
 import bench.words as words
 import iriswheel.machine as machine
 import iriswheel.message as message
@@ -26,9 +26,9 @@
         return w
 
     def ask(self, events=40, read=True):
-        """Send a request for a stream; the requester's connection and what comes of it."""
-        call, got = users.Call(lambda call: None), []
-        users.connect(self.near.mach(), "10.0.2.1", 80, S).addCallback(got.append)
+        """Send a request for a stream; the client's connection and what comes of it."""
+        call, got = client_model.Call(lambda call: None), []
+        client_model.connect(self.near.mach(), "10.0.2.1", 80, S).addCallback(got.append)
         self.go(10)
         head = {
             "Host": "h.example",
@@ -57,7 +57,7 @@
         self.elected().proc.kill()
         self.go(1000)
         self.assertEqual(("whole", list(range(1, 42))), (call.how, [e[0] for e in call.events]))
-        self.assertEqual(1, self.carrier.counts["resumed"])
+        self.assertEqual(1, self.forwarder.counts["resumed"])
 
     def test_a_stream_that_nobody_can_take_up_is_broken_off(self):
         for _ in range(2):
@@ -77,7 +77,7 @@
         self.go(1500)
         w.proc.wake()
         self.go(1000)
-        self.assertEqual((0, "whole", 41), (self.carrier.counts["mute"], call.how, len(call.events)))
+        self.assertEqual((0, "whole", 41), (self.forwarder.counts["mute"], call.how, len(call.events)))
 
     def test_a_requester_that_reads_slowly_speaks_against_no_worker(self):
         for _ in range(2):
@@ -88,5 +88,5 @@
         self.go(2500)
         line.transport.resumeProducing()
         self.go(2000)
-        self.assertEqual((0, 1, "whole"), (self.carrier.counts["mute"], len(self.runs()), call.how))
-        self.assertEqual(0, self.carrier.place("desk").own_ill(self.elected().id, self.world.time))
+        self.assertEqual((0, 1, "whole"), (self.forwarder.counts["mute"], len(self.runs()), call.how))
+        self.assertEqual(0, self.forwarder.place("desk").own_ill(self.elected().id, self.world.time))
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -20,8 +20,8 @@
 
 import bench
 import bench.words as words
-import iriswheel.blueprint as blueprint
 import iriswheel.client as client
+import iriswheel.configuration as configuration
 import iriswheel.core as core
 import iriswheel.machine as machine
 import iriswheel.message as message
@@ -34,7 +34,7 @@
 import contextlib
 import itertools
 
-import configuration
+import configuration_api
 import settings
 
 H = words.HEAD
@@ -96,7 +96,7 @@
     def link(self):
         self.clock, mach = new_machine()
         self.got = []
-        link = wire.Link(mach, lambda link, msg: self.got.append(msg), loguru.logger)
+        link = wire.Connection(mach, lambda link, msg: self.got.append(msg), loguru.logger)
         transport = Transport()
         link.makeConnection(transport)
         return link, transport
@@ -145,7 +145,7 @@
             self.feed(struct.pack("!I", len(raw)) + raw)
 
     @QUICK
-    @hypothesis.given(strategies.integers(wire.Link.MAX_LENGTH + 1, (1 << 32) - 1), strategies.binary(max_size=9))
+    @hypothesis.given(strategies.integers(wire.Connection.MAX_LENGTH + 1, (1 << 32) - 1), strategies.binary(max_size=9))
     def test_lengths_beyond_the_bound_end_the_connection(self, length, raw):
         self.assertTrue(self.feed(struct.pack("!I", length) + raw).aborted)
 
@@ -180,8 +180,8 @@
 
     async def change(self, order):
         new = self.renumber(order, self.items)
-        msgspec.msgpack.decode(msgspec.msgpack.encode([order.ident, blueprint.differ(self.items, new)]))
-        blueprint.carve(new, "a")
+        msgspec.msgpack.decode(msgspec.msgpack.encode([order.ident, configuration.differ(self.items, new)]))
+        configuration.carve(new, "a")
         json.dumps(configuration.show(new))
         return 1
 
@@ -289,7 +289,7 @@
 
     def call(self, method, path, body):
         _, mach = new_machine()
-        server = web.Server(mach, configuration.Configuration(Memory()).handle)
+        server = web.Server(mach, configuration_api.Configuration(Memory()).handle)
         channel = server.buildProtocol(None)
         transport = Transport()
         channel.makeConnection(transport)
@@ -417,7 +417,7 @@
                     self.check(read, role, path)
 
     def check(self, read, role, path):
-        with contextlib.suppress(options.BadOptions):
+        with contextlib.suppress(options.OptionsError):
             self.assertIsInstance(read(role, path), options.Options)
 
     @QUICK
@@ -444,7 +444,7 @@
                 path = os.path.join(folder, "boot.toml")
                 with open(path, "w") as file:
                     file.writelines(f"{key} = {text}\n" for key, text in doc.items())
-                self.assertRaises(options.BadOptions, settings.read, "node", path)
+                self.assertRaises(options.OptionsError, settings.read, "node", path)
 
     @QUICK
     @hypothesis.given(strategies.binary(max_size=60))
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -3,13 +3,13 @@
 import loguru
 import testtools
 
-import bench.town as town
-import iriswheel.blueprint as blueprint
+import bench.simulated_cluster as simulated_cluster
+import iriswheel.configuration as configuration
 import iriswheel.core_session as core_session
 import iriswheel.lease as lease
 import iriswheel.verdict as verdict
 
-S = town.S
+S = simulated_cluster.S
 
 
 class Holders(testtools.TestCase):
@@ -54,7 +54,7 @@
         loguru.logger.remove()
 
     def quiet(self, seed=3, **more):
-        t = town.Town(seed, "small", long_rate=0, short_rate=0, talks=0, **more)
+        t = simulated_cluster.SimulatedCluster(seed, "small", long_rate=0, short_rate=0, talks=0, **more)
         t.probing = False
         t.begin()
         t.go(2)
@@ -66,15 +66,15 @@
 
         async def go():
             seen = await core.look("")
-            doc = {"blueprint": blueprint.unflatten(dict(seen.items))}
+            doc = {"blueprint": configuration.unflatten(dict(seen.items))}
             doc["blueprint"]["routes"]["new"] = {"path": "/new", "pool": next(iter(doc["blueprint"]["pools"]))}
             plan = await core.plan(doc)
             try:
                 got.append(await core.confirm(plan["id"]))
-            except verdict.Defect as d:
+            except verdict.ServiceError as d:
                 got.append(d)
 
-        core.mach.spawn(go(), town.log)
+        core.mach.spawn(go(), simulated_cluster.log)
         return got
 
     def test_a_change_is_acknowledged_when_a_cut_off_nodes_lease_ran_out_and_not_before(self):
@@ -83,7 +83,7 @@
         t.world.cut(t.hosts("cores"), [cut.options.host])
         got = self.confirm(t, t.tail())
         self.assertTrue(t.until(lambda: got, 10))
-        self.assertNotIsInstance(got[0], verdict.Defect)
+        self.assertNotIsInstance(got[0], verdict.ServiceError)
         self.assertFalse(cut.follower.session.lease.valid(cut.mach.now()))
         self.assertTrue(cut.follower.place < got[0].stamp <= t.nodes["n2"].follower.place)
 
--- a/tests/test_linearizability.py
+++ b/tests/test_linearizability.py
@@ -90,9 +90,9 @@
                 *read("before", last, last + 1, newest + step),
                 *change("last", last + 2, last + 3, newest + 2 * step, newest + step),
             ]
-            forced = change("forced", last - 2, last - 1, newest + step, 0, outcome=Outcome.UNKNOWN)
+            applied_by_all = change("forced", last - 2, last - 1, newest + step, 0, outcome=Outcome.UNKNOWN)
             stale = read("stale", last + 4, last + 5, newest + step)
-            self.assertFalse(linearizability.check([*events, *forced, *newer, *stale]).linearizable)
+            self.assertFalse(linearizability.check([*events, *applied_by_all, *newer, *stale]).linearizable)
 
         fails()
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -13,12 +13,12 @@
 
 import bench.sim as sim
 import bench.words as words
-import iriswheel.blueprint as blueprint
 import iriswheel.budget as budget
-import iriswheel.door as door
+import iriswheel.configuration as configuration
+import iriswheel.dispatch as dispatch
+import iriswheel.gateway as gateway
 import iriswheel.machine as machine
 import iriswheel.message as message
-import iriswheel.sender as sender
 import iriswheel.verdict as verdict
 import tests.node_fixture as node_fixture
 
@@ -101,13 +101,13 @@
         self.mutating()
 
     def mutating(self):
-        self.route = blueprint.Route("/x/", "desk", repeat="never", sends=3, cutoff_us=9 * S)
+        self.route = configuration.Route("/x/", "desk", repeat="never", sends=3, cutoff_us=9 * S)
 
     def idempotent(self, sends=2):
-        self.route = blueprint.Route("/x/", "desk", repeat="may", sends=sends, cutoff_us=9 * S)
+        self.route = configuration.Route("/x/", "desk", repeat="may", sends=sends, cutoff_us=9 * S)
 
     def resumable(self):
-        self.route = blueprint.Route("/x/", "desk", repeat="may", resume=True, sends=2, cutoff_us=9 * S)
+        self.route = configuration.Route("/x/", "desk", repeat="may", resume=True, sends=2, cutoff_us=9 * S)
 
     def worker(self, script):
         self.born += 1
@@ -126,7 +126,7 @@
         """Go on as if no worker had been there."""
         self.workers.clear()
         self.fol.workers.clear()
-        self.carrier.places.clear()
+        self.forwarder.places.clear()
 
     def client(self):
         client = Client()
@@ -331,8 +331,8 @@
         self.world.heal()
         self.go(2000)
         self.assertEqual(([], []), (self.seen(), complaints))
-        self.assertEqual((1, 0), (self.carrier.counts["gone"], self.carrier.counts["unreached"]))
-        self.assertEqual({}, self.carrier.lines.open)
+        self.assertEqual((1, 0), (self.forwarder.counts["gone"], self.forwarder.counts["unreached"]))
+        self.assertEqual({}, self.forwarder.lines.open)
 
     def test_a_connection_that_a_slow_client_paused_is_read_again(self):
         size = 4 * sim.WINDOW
@@ -470,11 +470,11 @@
             self.outcomes.append("cancelled")
 
     async def send_to_all(self, req):
-        send, raw = sender.Sender(self.mach).send, req.content.read()
+        send, raw = dispatch.Dispatcher(self.mach).send, req.content.read()
         for worker in self.fol.workers:
-            out = await send(req, raw, worker, True, sender.Send(worker.id, self.mach.now()))
+            out = await send(req, raw, worker, True, dispatch.Send(worker.id, self.mach.now()))
             self.outcomes.append(out.name)
-            if out is sender.Outcome.WHOLE:
+            if out is dispatch.Outcome.WHOLE:
                 return
         req.answer(502, b"no")
 
@@ -513,7 +513,7 @@
 
 class SendsOfARoute(testtools.TestCase):
     def test_an_elected_way_goes_to_no_more_workers_than_its_route_allows(self):
-        for sends, expected in ((0, door.RESENDS + 1), (1, 1), (2, 2), (9, door.RESENDS + 1)):
+        for sends, expected in ((0, gateway.RESENDS + 1), (1, 1), (2, 2), (9, gateway.RESENDS + 1)):
             seen = []
 
             async def elect(x, shun):
@@ -521,7 +521,7 @@
 
             async def send(x, worker, under_way, via, seen=seen):
                 seen.append(worker.id)
-                return sender.Outcome.BROKE
+                return dispatch.Outcome.BROKE
 
             node_door = types.SimpleNamespace(
                 elect=elect,
@@ -532,10 +532,10 @@
                 mach=types.SimpleNamespace(now=lambda: 0),
                 give_back=lambda x, outcome: None,
             )
-            request = door.Exchange(None, "n1-1/0", 0)
-            request.route = blueprint.Route("/x/", "desk", sends=sends)
+            request = gateway.Exchange(None, "n1-1/0", 0)
+            request.route = configuration.Route("/x/", "desk", sends=sends)
             request.repeatable = True
-            done = defer.ensureDeferred(door.Door.run(node_door, request))
+            done = defer.ensureDeferred(gateway.Gateway.run(node_door, request))
             done.addErrback(lambda failure: failure.value.verdict)
             self.assertEqual(verdict.Verdict.MAY_HAVE_RUN, done.result)
             self.assertEqual(expected, len(seen))
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -8,14 +8,14 @@
 import twisted.internet.error as error
 import twisted.web.client as client
 
-import bench.town as town
+import bench.simulated_cluster as simulated_cluster
 import iriswheel.chain as chain
 import iriswheel.command as command
 import iriswheel.core as core
 import iriswheel.history as history
 import iriswheel.machine as machine
 
-S = town.S
+S = simulated_cluster.S
 CUT_SECONDS = 20
 
 
@@ -25,7 +25,7 @@
     def __init__(self, simulated, core):
         self.town = simulated
         self.mach = simulated.office_mach
-        self.place = f"{simulated.options[core][0]}:{town.HTTP}"
+        self.place = f"{simulated.options[core][0]}:{simulated_cluster.HTTP}"
         self.name = f"at-{core}"
         self.slowest = 0
 
@@ -35,7 +35,7 @@
         asked = defer.ensureDeferred(command.ask(self.mach, [self.place], method, path, doc))
         try:
             status, answer = await self.mach.within(asked, 3 * S)
-        except (machine.Late, error.ConnectionDone, error.ConnectionLost, client.ResponseFailed, ValueError):
+        except (machine.DeadlineError, error.ConnectionDone, error.ConnectionLost, client.ResponseFailed, ValueError):
             status, answer = 0, {}
         if status:
             self.slowest = max(self.slowest, self.mach.now() - began)
@@ -79,17 +79,19 @@
 
     def play(self, seed, place, inward, outward, cores=3):
         """A day on which the chain's machine at a place is cut from the others for twenty seconds."""
-        t = town.Town(seed, "small", long_rate=0, short_rate=0, talks=0, cores=cores, seats=cores)
+        t = simulated_cluster.SimulatedCluster(
+            seed, "small", long_rate=0, short_rate=0, talks=0, cores=cores, seats=cores
+        )
         t.probing = False
         t.begin()
         t.newest = 0
         t.go(2)
-        chain = t.head().council.view.chain
-        cut = next(c for c in t.cores.values() if c.council.me.id == chain[place].id)
+        chain = t.head().membership.view.chain
+        cut = next(c for c in t.cores.values() if c.membership.me.id == chain[place].id)
         others = [c.options.host for c in t.cores.values() if c is not cut]
         callers = [Caller(t, name) for name in t.cores]
         until = t.world.time + (CUT_SECONDS + 10) * S
-        work = [t.office_mach.spawn(caller.work(until), town.log) for caller in callers]
+        work = [t.office_mach.spawn(caller.work(until), simulated_cluster.log) for caller in callers]
         t.go(2 + t.rng.random())
         if outward:
             t.world.cut([cut.options.host], others, both=False)
@@ -115,7 +117,7 @@
         lookup = chain.Chain.look
 
         def look(self, msg):
-            with unittest.mock.patch.object(self.council, "leased", lambda: True):
+            with unittest.mock.patch.object(self.membership, "leased", lambda: True):
                 return lookup(self, msg)
 
         self.patch(chain.Chain, "look", look)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,12 +10,12 @@
 import twisted.internet.defer as defer
 
 import bench
-import iriswheel.blueprint as blueprint
+import iriswheel.configuration as configuration
 import iriswheel.verdict as verdict
 
 sys.path.append(os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(bench.__file__))), "platform"))
 
-import configuration  # noqa: E402
+import configuration_api  # noqa: E402
 
 CHANNEL = {
     "name": "r-a",
@@ -59,14 +59,14 @@
     async def change(self, order):
         if order.ident in self.taken:
             return
-        if order.built_on != blueprint.number(self.items):
-            raise verdict.Defect("base_moved", "")
+        if order.built_on != configuration.number(self.items):
+            raise verdict.ServiceError("base_moved", "")
         if order.number <= order.built_on:
-            raise verdict.Defect("bad_blueprint", "")
+            raise verdict.ServiceError("bad_blueprint", "")
         try:
             new = order.make(self.items)
-        except blueprint.BadBlueprint as e:
-            raise verdict.Defect("bad_blueprint", str(e)) from e
+        except configuration.InvalidConfigurationError as e:
+            raise verdict.ServiceError("bad_blueprint", str(e)) from e
         self.items = {**new, "marks/operator": {**new["marks/operator"], "number": order.number}}
         self.taken.add(order.ident)
 
@@ -78,14 +78,14 @@
     def setUp(self):
         super().setUp()
         self.core = Memory()
-        self.door = configuration.Configuration(self.core)
+        self.door = configuration_api.Configuration(self.core)
 
     def call(self, method, doc=None, match=None, raw=None):
         def load():
             try:
                 return json.loads(raw if raw is not None else json.dumps(doc))
             except ValueError:
-                raise verdict.Defect("bad_request", "") from None
+                raise verdict.ServiceError("bad_request", "") from None
 
         out = []
         req = types.SimpleNamespace(
@@ -96,7 +96,7 @@
             answer_json=lambda status, val: out.append((status, val)),
         )
         d = defer.ensureDeferred(self.door.handle(req))
-        d.addErrback(lambda f: f.trap(verdict.Defect) and out.append((f.value.status, f.value.code)))
+        d.addErrback(lambda f: f.trap(verdict.ServiceError) and out.append((f.value.status, f.value.code)))
         return out[0]
 
     def test_what_was_sent_comes_back(self):
@@ -143,7 +143,7 @@
         self.call(b"PUT", WHOLE, "0")
         had = self.core.items
         self.call(b"PATCH", {"version": 8, "remove": {"channels": ["r-a"]}}, "7")
-        self.assertEqual({"routes/r-a", "marks/operator"}, {k for k, _ in blueprint.differ(had, self.core.items)})
+        self.assertEqual({"routes/r-a", "marks/operator"}, {k for k, _ in configuration.differ(had, self.core.items)})
 
     def test_invalid_ones_are_refused(self):
         def spoiled(f):
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -11,7 +11,7 @@
 import testtools
 
 import bench.fleet as fleet
-import bench.trial as trial
+import bench.process_trial as process_trial
 
 
 def program(*args):
@@ -202,7 +202,7 @@
 class Faults(testtools.TestCase):
     def test_a_short_trial_is_clean(self):
         with fleet.Fleet("small") as f:
-            t = trial.Trial(f, 16, ["--short-rate", "15", "--long-rate", "1", "--talks", "3"])
+            t = process_trial.Trial(f, 16, ["--short-rate", "15", "--long-rate", "1", "--talks", "3"])
             t.served(10)
             name = f.warden()
             t.fault("kill", name)
@@ -226,7 +226,7 @@
             t.mend("wake", name)
             t.served(5)
             report, found, _ = t.finish()
-            # how fast a shared machine answers is for bench.trial to say, not for a test
+            # how fast a shared machine answers is for bench.process_trial to say, not for a test
             lines = [line for ls in found.values() for line in ls if " waited " not in line and " paused " not in line]
             self.assertEqual([], lines)
             self.assertTrue(report["ends"]["whole"] > 30)
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -6,8 +6,8 @@
 import testtools
 
 import bench.days as days
-import bench.guards as guards
 import bench.judge as judge
+import bench.mutation_checks as mutation_checks
 import bench.scenes as scenes
 import iriswheel.replay as replay
 
@@ -33,12 +33,12 @@
             self.assertTrue(checkers and outs)
             self.assertEqual(set(), plays - set(scenes.SCENES))
             self.assertEqual(set(), checkers - {c.__name__ for c in replay.CHECKERS})
-            self.assertEqual(set(), outs - set(guards.GUARDS))
+            self.assertEqual(set(), outs - set(mutation_checks.GUARDS))
 
     def test_nothing_is_missing(self):
         named = set().union(*(row[1] for row in self.points)) | self.fails
         self.assertEqual(set(), set(scenes.SCENES) - named)
-        self.assertEqual(set(), set(guards.GUARDS) - set().union(*(row[3] for row in self.points)))
+        self.assertEqual(set(), set(mutation_checks.GUARDS) - set().union(*(row[3] for row in self.points)))
         self.assertEqual(set(), {c.__name__ for c in replay.CHECKERS} - set().union(*(row[2] for row in self.points)))
 
 
--- a/tests/test_scenes.py
+++ b/tests/test_scenes.py
@@ -1,6 +1,6 @@
 """The simulator's scenes with fixed seeds: clean as the code stands, and failing without its guards.
 
-A guard test takes one guard out (bench/guards.py) and wants the matching checker to complain:
+A guard test takes one guard out (bench/mutation_checks.py) and wants the matching checker to complain:
 so each "must never happen" point is seen failing before it is seen to hold.
 """
 
@@ -10,7 +10,7 @@
 import loguru
 import testtools
 
-import bench.guards as guards
+import bench.mutation_checks as mutation_checks
 import bench.scenes as scenes
 import iriswheel.replay as replay
 
@@ -34,7 +34,7 @@
     """Play one scene, perhaps with a guard out: what the checkers say, or the log itself."""
     scene, seed, shape, guard = job
     if guard:
-        return job, guards.play(job)[1], ""
+        return job, mutation_checks.play(job)[1], ""
     loguru.logger.remove()
     t = scenes.play(scene, seed, shape)
     return job, replay.judge(t.tape.rows), t.tape.text() if scene == "calm" else ""
@@ -47,7 +47,7 @@
     def setUpClass(cls):
         super().setUpClass()
         jobs = [(name, seed, "magnolia", "") for name, seed in SEEDS.items()]
-        jobs += [(scene, seed, "magnolia", guard) for guard, (_, scene, seed, _) in guards.GUARDS.items()]
+        jobs += [(scene, seed, "magnolia", guard) for guard, (_, scene, seed, _) in mutation_checks.GUARDS.items()]
         jobs += [(*run, "") for run in FOUND + SWAN]
         with multiprocessing.Pool(max(2, os.cpu_count() // 2), maxtasksperchild=4) as pool:
             twice = pool.apply_async(play, (("calm", 1, "magnolia", ""),))
@@ -69,7 +69,7 @@
 
 def _complains(guard):
     def test(self):
-        _, scene, seed, checker = guards.GUARDS[guard]
+        _, scene, seed, checker = mutation_checks.GUARDS[guard]
         self.assertIn(checker, self.results[(scene, seed, "magnolia", guard)][0])
 
     return test
@@ -79,5 +79,5 @@
     setattr(Scenes, f"test_scene_{_scene}", _clean(_scene, _seed, "magnolia"))
 for _scene, _seed, _shape in FOUND + SWAN:
     setattr(Scenes, f"test_scene_{_scene}_seed_{_seed}_{_shape}", _clean(_scene, _seed, _shape))
-for _guard in guards.GUARDS:
+for _guard in mutation_checks.GUARDS:
     setattr(Scenes, f"test_without_guard_{_guard}", _complains(_guard))
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -9,7 +9,7 @@
 import bench.engine as engine
 import bench.serving as serving
 import bench.sim as sim
-import bench.town as town
+import bench.simulated_cluster as simulated_cluster
 import bench.words as words
 import iriswheel.machine as machine
 
@@ -61,7 +61,7 @@
     def setUp(self):
         super().setUp()
         self.world = sim.World(5)
-        self.tape = town.Tape()
+        self.tape = simulated_cluster.Tape()
         self.proc = sim.Proc(self.world, "w1", sim.Machine(self.world, "10.0.3.1", "a"))
         self.worker = serving.Worker(self.proc.mach(), "w1", "desk", self.tape, engine.Figures(enter_us=0), conns=5)
         self.worker.closes = self.worker.lingers = 0
--- a/tests/test_town.py
+++ b/tests/test_simulated_cluster.py
@@ -8,13 +8,13 @@
 import twisted.web.http_headers as http_headers
 
 import bench.sim as sim
-import bench.town as town
+import bench.simulated_cluster as simulated_cluster
+import iriswheel.dispatch as dispatch
 import iriswheel.load as load
 import iriswheel.message as message
-import iriswheel.sender as sender
 import iriswheel.web as web
 
-S = town.S
+S = simulated_cluster.S
 
 
 class Towns(testtools.TestCase):
@@ -24,7 +24,7 @@
 
     def quiet(self, shape="small", **more):
         """A town without any load of its own."""
-        t = town.Town(3, shape, long_rate=0, short_rate=0, talks=0, **more)
+        t = simulated_cluster.SimulatedCluster(3, shape, long_rate=0, short_rate=0, talks=0, **more)
         t.probing = False
         t.begin()
         t.go(1)
@@ -33,7 +33,7 @@
     def ask(self, t, parts=("system",), node="n1", path="/v1/complete", body=b"hello", send=1, repeat=True, ident="x"):
         """Send one exchange; a box that will hold (status, head of the answer, its Taker)."""
         box = []
-        agent = sender.Sender(t.load.mach).fresh
+        agent = dispatch.Dispatcher(t.load.mach).fresh
         heads = http_headers.Headers(
             {
                 "X-Prompt-Prefix": [", ".join(parts)],
@@ -45,13 +45,13 @@
 
         async def go():
             host, port = t.platform.nodes[node]
-            res = await agent.request(b"POST", f"http://{host}:{port}{path}".encode(), heads, sender.Body(body))
+            res = await agent.request(b"POST", f"http://{host}:{port}{path}".encode(), heads, dispatch.Body(body))
             done = load.defer.Deferred()
             taker = load.Taker(t.load.mach, done)
             res.deliverBody(taker)
             box.append((res.code, res.headers, taker, done))
 
-        box.append(t.load.mach.spawn(go(), town.log))
+        box.append(t.load.mach.spawn(go(), simulated_cluster.log))
         return box
 
     def answer(self, t, **more):
@@ -141,7 +141,7 @@
         for jump in (0, 10**6, -(10**6)):
             real = time.time
             with mock.patch.object(time, "time", lambda: real() + jump * (real() % 1)):
-                t = town.Town(5, "small", seconds=5)
+                t = simulated_cluster.SimulatedCluster(5, "small", seconds=5)
                 t.begin()
                 t.end()
             tapes.append(t.tape.text())
@@ -153,7 +153,7 @@
         self.answer(t, parts=("system", "talk"))
         doc = t.with_probe(1)
         doc["terms"]["default"]["lifetime_us"] = 10 * S
-        done = t.office_mach.spawn(t.boss.change(doc), town.log)
+        done = t.office_mach.spawn(t.boss.change(doc), simulated_cluster.log)
         self.assertTrue(t.until(lambda: done.called, 10))
         self.answer(t, parts=("system", "talk"))
         t.go(17)
@@ -183,7 +183,7 @@
         t = self.quiet()
         for name in ("c2", "c3"):
             t.cores[name].proc.host.disk = "full"
-        done = t.office_mach.spawn(t.boss.change(t.with_probe(1)), town.log)
+        done = t.office_mach.spawn(t.boss.change(t.with_probe(1)), simulated_cluster.log)
         t.go(8)
         self.assertFalse(done.called)
         code, may = self.plan_refused(t)
@@ -196,13 +196,13 @@
     def test_a_machine_that_alone_promised_does_not_break_the_chain_for_good(self):
         t = self.quiet()
         head = t.head()
-        number = head.council.view.number + 1
-        c = head.council
+        number = head.membership.view.number + 1
+        c = head.membership
         c.grant = ("", 0)  # as after a short cut, in which its grant ran out
-        t.office_mach.spawn(c.answer(message.Prepare(number, (1, c.me.id), c.me.id)), town.log)
+        t.office_mach.spawn(c.answer(message.Prepare(number, (1, c.me.id), c.me.id)), simulated_cluster.log)
         t.go(0.1)
         self.assertTrue(c.sealed())
-        done = t.office_mach.spawn(t.boss.change(t.with_probe(1)), town.log)
+        done = t.office_mach.spawn(t.boss.change(t.with_probe(1)), simulated_cluster.log)
         self.assertTrue(t.until(lambda: done.called, 5))
         self.assertTrue(done.result > 0)
 
@@ -214,7 +214,7 @@
             _, doc = await t.boss.ask("POST", "/plans", {"blueprint": t.with_probe(9)})
             got.extend([doc["code"], doc["verdict"]])
 
-        d = t.office_mach.spawn(go(), town.log)
+        d = t.office_mach.spawn(go(), simulated_cluster.log)
         self.assertTrue(t.until(lambda: d.called, 10))
         return got
 
@@ -222,8 +222,8 @@
         t = self.quiet()
         n = t.warden()
         w = n.wardens[t.pool]
-        w.release("late-ask", town.node.verdict.Verdict.NOT_RUN)
-        msg = town.node.message.Elect(
+        w.release("late-ask", simulated_cluster.node.verdict.Verdict.NOT_RUN)
+        msg = simulated_cluster.node.message.Elect(
             t.pool,
             w.duty.term,
             "n1",
@@ -239,7 +239,7 @@
             {"lifetime_us": S, "cost": 1},
             S,
         )
-        d = n.mach.spawn(w.elect(msg), town.log)
+        d = n.mach.spawn(w.elect(msg), simulated_cluster.log)
         t.go(1)
         self.assertEqual("no_warden", d.result.code)
         self.assertEqual({}, w.claims)
@@ -248,8 +248,10 @@
         t = self.quiet()
         n = t.warden()
         w = n.wardens[t.pool]
-        w.claims["e1"] = town.node.warden.Claim("e1", 1, "n1", "old-ask", t.world.time + 600 * S)  # as gathered
-        w.release("old-ask", town.node.verdict.Verdict.NOT_RUN)
+        w.claims["e1"] = simulated_cluster.node.warden.Claim(
+            "e1", 1, "n1", "old-ask", t.world.time + 600 * S
+        )  # as gathered
+        w.release("old-ask", simulated_cluster.node.verdict.Verdict.NOT_RUN)
         self.assertEqual(200, self.answer(t, ident="e1", repeat=False)[0])
         code, _, body = self.answer(t, ident="e1", repeat=False, send=2, node="n2")
         self.assertEqual((409, True), (code, b'"ran"' in body))
@@ -259,8 +261,11 @@
         n = t.warden()
         old = n.wardens[t.pool]
         holder = next(m for m in t.nodes.values() if m.me.id == old.duty.copies[0])
-        holder.shelf(t.pool).fence((old.duty.term[0], old.duty.term[1] + 1))
-        d = n.mach.spawn(old.copy(town.node.message.Copy(t.pool, old.duty.term, n.me.id, [], [], [])), town.log)
+        holder.session_replica(t.pool).fence((old.duty.term[0], old.duty.term[1] + 1))
+        d = n.mach.spawn(
+            old.copy(simulated_cluster.node.message.Copy(t.pool, old.duty.term, n.me.id, [], [], [])),
+            simulated_cluster.log,
+        )
         t.go(1)
         self.assertEqual((False, False), (d.result, old.live()))
 
@@ -271,7 +276,7 @@
             name = duty.holder if who == "holder" else duty.copies[0]
             n = next(m for m in t.nodes.values() if m.me.id == name)
             newer = (duty.term[0], t.tail().issuer.latest.stamp[1] + 1)  # of a roster that nobody kept
-            n.serve(None, town.node.message.Gather(t.pool, newer, "somebody"))
+            n.serve(None, simulated_cluster.node.message.Gather(t.pool, newer, "somebody"))
             self.assertEqual(200, self.answer(t, ident=who, repeat=False, node="n1")[0])
 
     def test_a_thawed_tail_answers_nothing_on_its_old_lease(self):
@@ -280,8 +285,8 @@
         tail.proc.freeze()
         t.go(4)
         tail.proc.frozen = False  # it runs again, before it has heard anything
-        self.assertFalse(tail.council.leased())
-        self.assertFalse(tail.chain.look(town.node.message.Look(1)).ok)
+        self.assertFalse(tail.membership.leased())
+        self.assertFalse(tail.chain.look(simulated_cluster.node.message.Look(1)).ok)
         self.assertFalse(tail.serving())
 
     def test_versions_that_are_two_steps_apart_do_not_talk(self):
@@ -300,7 +305,7 @@
         c = t.cores["c1"]
         c.proc.kill()
         c.proc.host.synced[b"format"] = b"99"
-        self.assertRaises(town.core.store.DiskDefect, t.start_core, "c1", *t.options["c1"])
+        self.assertRaises(simulated_cluster.core.store.DiskError, t.start_core, "c1", *t.options["c1"])
 
     def test_open_plans_are_bounded_by_their_bytes(self):
         t = self.quiet()
@@ -309,9 +314,11 @@
         for k in range(40):
             d = t.head().mach.spawn(
                 chain.propose(
-                    town.node.message.Propose(t.head().council.view.number, "plan", f"2-{k}", chain.tip.stamp, pad)
+                    simulated_cluster.node.message.Propose(
+                        t.head().membership.view.number, "plan", f"2-{k}", chain.tip.stamp, pad
+                    )
                 ),
-                town.log,
+                simulated_cluster.log,
             )
             self.assertTrue(t.until(lambda: d.called, 5))
         t.go(2)
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -11,13 +11,13 @@
 import twisted.internet.task as task
 import twisted.internet.testing as testing
 
-import bench.town as town
+import bench.simulated_cluster as simulated_cluster
 import iriswheel.machine as machine
 import iriswheel.message as message
 import iriswheel.options as options
 import iriswheel.web as web
 
-S = town.S
+S = simulated_cluster.S
 
 
 class Connections(testtools.TestCase):
@@ -78,7 +78,7 @@
         loguru.logger.remove()
 
     def quiet(self, **more):
-        t = town.Town(3, "small", long_rate=0, short_rate=0, talks=0, **more)
+        t = simulated_cluster.SimulatedCluster(3, "small", long_rate=0, short_rate=0, talks=0, **more)
         t.probing = False
         t.begin()
         t.go(1)
@@ -89,7 +89,7 @@
         n = t.nodes["n1"]
         n.door.open += 1  # an exchange that never ends
         began = t.world.time
-        done = n.mach.spawn(n.stop(), town.log)
+        done = n.mach.spawn(n.stop(), simulated_cluster.log)
         self.assertFalse(n.ready()[0])
         t.go(3.9)
         self.assertFalse(n.closing)
@@ -112,17 +112,17 @@
         for at in (t.tail, t.head):
             c = at()
             began = t.world.time
-            done = c.mach.spawn(c.stop(), town.log)
+            done = c.mach.spawn(c.stop(), simulated_cluster.log)
             self.assertTrue(t.until(lambda: done.called, 5))
             self.assertLess(t.world.time - began, S)
             c.proc.kill()
             others = [x for x in t.cores.values() if x is not c]
-            self.assertEqual({2}, {len(x.council.view.chain) for x in others})
+            self.assertEqual({2}, {len(x.membership.view.chain) for x in others})
             t.start_core(c.options.name, *t.options[c.options.name])
-            self.assertTrue(t.until(lambda: t.tail() is not None and len(t.tail().council.view.chain) == 3, 5))
+            self.assertTrue(t.until(lambda: t.tail() is not None and len(t.tail().membership.view.chain) == 3, 5))
 
     def stop(self, t, c):
-        return c.mach.spawn(c.stop(), town.log)
+        return c.mach.spawn(c.stop(), simulated_cluster.log)
 
     def test_a_core_machine_that_holds_the_only_whole_copy_stays_until_another_has_it(self):
         t = self.quiet(grace_us=8 * S)
@@ -154,9 +154,9 @@
             t.start_core(c.options.name, *t.options[c.options.name])
             newcomers.append(t.cores[c.options.name])
             newcomers[-1].chain.answer = functools.partial(answer, real=newcomers[-1].chain.answer)
-            ident = newcomers[-1].council.me.id
-            self.assertTrue(t.until(lambda ident=ident: ident in [x.id for x in head.council.view.chain], 10))
-        self.assertEqual(3, len(head.council.view.chain))
+            ident = newcomers[-1].membership.me.id
+            self.assertTrue(t.until(lambda ident=ident: ident in [x.id for x in head.membership.view.chain], 10))
+        self.assertEqual(3, len(head.membership.view.chain))
         done = self.stop(t, head)
         t.go(5)
         self.assertFalse(done.called)
@@ -177,7 +177,7 @@
         t.start_core(lost.options.name, *t.options[lost.options.name])
         self.assertTrue(t.until(lambda: done.called, 3))
         leaving.proc.kill()
-        self.assertTrue(t.until(lambda: t.tail() is not None and len(t.tail().council.view.chain) == 2, 5))
+        self.assertTrue(t.until(lambda: t.tail() is not None and len(t.tail().membership.view.chain) == 2, 5))
 
     def test_a_fleet_whose_core_machines_all_stop_ends_at_once(self):
         t = self.quiet(grace_us=8 * S)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,4 +1,4 @@
-"""What a requester may send, and how long it may take over it: the blueprint's limits at the door."""
+"""What a client may send, and how long it may take over it: the configuration's limits at the door."""
 
 import loguru
 import testtools
@@ -8,7 +8,7 @@
 import twisted.internet.testing as testing
 import twisted.python.failure as failure
 
-import iriswheel.blueprint as blueprint
+import iriswheel.configuration as configuration
 import iriswheel.machine as machine
 import iriswheel.verdict as verdict
 import iriswheel.web as web
@@ -18,7 +18,7 @@
     def setUp(self):
         super().setUp()
         self.clock = task.Clock()
-        self.limits = blueprint.Limits(head_bytes=300, body_bytes=10, head_us=3_000_000, idle_us=15_000_000)
+        self.limits = configuration.Limits(head_bytes=300, body_bytes=10, head_us=3_000_000, idle_us=15_000_000)
         mach = machine.Machine(self.clock, now=lambda: int(self.clock.seconds() * machine.SECOND))
         self.served = []
 
@@ -44,7 +44,7 @@
         channel, transport = self.connect()
         channel.dataReceived(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n")
         self.assertTrue(transport.value().startswith(b"HTTP/1.1 413"))
-        self.limits = blueprint.Limits(body_bytes=11)
+        self.limits = configuration.Limits(body_bytes=11)
         channel, transport = self.connect()
         channel.dataReceived(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n01234567890")
         self.assertEqual([b"01234567890"], self.served)
@@ -74,7 +74,7 @@
         channel, _ = self.connect()
         channel.dataReceived(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
         channel.connectionLost(failure.Failure(error.ConnectionLost()))
-        answer.errback(verdict.Defect("no_chain", "The tail holds no lease now."))
+        answer.errback(verdict.ServiceError("no_chain", "The tail holds no lease now."))
         self.assertEqual([], lines)
 
     def test_an_idle_connection_may_stay_for_its_time(self):
@@ -88,10 +88,10 @@
         self.assertFalse(transport.connected)
 
     def test_a_longer_idle_time_holds_for_connections_that_are_there(self):
-        self.limits = blueprint.Limits(idle_us=5_000_000)
+        self.limits = configuration.Limits(idle_us=5_000_000)
         channel, transport = self.connect()
         channel.dataReceived(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
-        self.limits = blueprint.Limits(idle_us=15_000_000)
+        self.limits = configuration.Limits(idle_us=15_000_000)
         self.wait(15)
         self.assertTrue(transport.connected)
         self.wait(5)
