A new pool's warden keeps its question to the core machines, and its pool is new to it

Cause: news made a node close all its connections to processes that are not members, so also those over which a new warden asks the core machines whether its pool ever had one. With fewer than a majority of answers the pool counts as one whose claims may be lost, and for ten minutes second sends that may not be repeated are refused. A second question under the same term would have counted the first one as an earlier warden.

Change: connections to core machines of the roster stay; a core machine tells apart an earlier warden and one that asks again under its own term. Each has a test, seen failing.

--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -622,12 +622,12 @@
         """What is kept here of a pool, for a new warden; `copy` says whether it ever had one.
 
         That it has one now is on the disk before the answer, so that no later warden takes
-        the pool for new.
+        the pool for new. A warden that asks again under its own term is not a later one.
 
         Example: `res = await core.gathered(message.Gather("desk", (3, 1), "n1-c0ffee"))`
         """
         session_replica = self.session_replicas.setdefault(m.pool, warden.SessionReplica())
-        had = session_replica.term > (0, 0)
+        had = session_replica.term not in ((0, 0), m.term)
         session_replica.fence(m.term)
         if not had:
             try:
--- a/iriswheel/node.py
+++ b/iriswheel/node.py
@@ -153,7 +153,8 @@
                 self.mach.spawn(w.run(), log)
         for w in list(self.wardens.values()):
             w.check_workers()
-        self.peers.keep({(m.host, m.port) for m in fol.roster.members})
+        # a question to the core machines may be under way, as a new warden puts it to them
+        self.peers.keep({(m.host, m.port) for m in fol.roster.members} | set(fol.core_zones()))
 
     def session_replica(self, pool):
         """The copies kept here of a pool's records.
--- a/tests/test_simulated_cluster.py
+++ b/tests/test_simulated_cluster.py
@@ -269,6 +269,31 @@
         t.go(1)
         self.assertEqual((False, False), (d.result, old.live()))
 
+    def test_a_pool_is_new_to_its_first_warden_however_often_that_one_asks(self):
+        t = self.quiet()
+        core = t.tail()
+
+        def had_a_warden(term):
+            asked = core.mach.spawn(core.gathered(message.Gather("new", term, "n1")), simulated_cluster.log)
+            t.go(0.1)
+            self.assertTrue(asked.result.ok)
+            return asked.result.copy
+
+        self.assertEqual([False, False, True, True], [had_a_warden((9, k)) for k in (1, 1, 2, 3)])
+
+    def test_news_does_not_break_off_a_question_to_the_core_machines(self):
+        t = self.quiet()
+        n, core = t.nodes["n1"], t.tail()
+        asked = n.mach.spawn(
+            n.peers.call(core.options.host, core.options.port, message.Gather("new", (9, 1), "n1"), S),
+            simulated_cluster.log,
+        )
+        n.on_news()
+        t.go(0.5)
+        self.assertTrue(asked.result.ok)
+        n.on_news()
+        self.assertTrue(n.peers.links[(core.options.host, core.options.port)].up)
+
     def test_a_term_that_a_lost_roster_had_passed_is_replaced(self):
         t = self.quiet("magnolia")
         for who in ("copy", "holder"):
