Simulate a second loss at each step of a core machine's repair

Cause: the search of the view agreement covers second losses, but no run of the whole product had one timed at each step of a repair.

Change: bench/second_loss.py watches a repair (disk emptied, gone for good, planned) through its steps and strikes with each kind of loss right after one: the newcomer, another machine where two losses are borne, any machine once the settle time is over, and as a stress any other machine as soon as the newcomer is synced. Two operators send changes meanwhile; all rules of bench/judge.py apply, and the chain is to be complete within 12 s.

Not covered: cuts and freezes as the second loss, more than one strike, a large configuration, traffic of clients.

--- /dev/null
+++ b/bench/second_loss.py
@@ -0,0 +1,522 @@
+"""A second loss at each step of a repair of the core.
+
+    python -m bench.second_loss --cores 3 --seeds 5
+    python -m bench.second_loss --cores 5 --firsts WIPED --steps SEATED --seconds GONE --first-seed 2
+
+A core machine is lost, or is to be replaced. Its repair is watched until it reaches a chosen step, and then a
+second loss strikes, while two operators send a change each 150 ms. The `Target` says who is struck and when: what
+is within the tolerance of the deployment, where a machine counts as lost until the settle time after its return
+is over, or any machine as a stress beyond that.
+"""
+
+import collections
+import enum
+import itertools
+import multiprocessing
+import sys
+import time
+
+import defopt
+import loguru
+import msgspec
+
+import bench.judge as judge
+import bench.platform_model as platform_model
+import bench.sim as sim
+import iriswheel.agreement as agreement
+
+MS, S = platform_model.MS, platform_model.S
+POLL_S = 0.001
+LEAD_S = 3
+OPERATOR_GAP_US = 300 * MS  # of each of the two operators, who send by turns
+REPAIR_S = 12  # within which a repair reaches each step, and the core is complete after the second loss
+RESTART_S = 1
+TERM_DELAY_S = 1  # from the start of a planned successor to the SIGTERM
+GRACE_S = 8
+STRIKE_DELAY_S = 0.005  # at most so long after the step
+CHANGE_PATIENCE_S = 20
+SLOW_SYNC_US = 150 * MS
+AFTERWARDS_S = 2
+TRAFFIC_SHARE = 0.01  # the load of the site's workers does not matter here
+
+
+class Loss(enum.Enum):
+    """How a core machine is lost."""
+
+    WIPED = "wiped"  # its power and its disk; it restarts at its address
+    GONE = "gone"  # for good; an empty machine comes at another address
+    PLANNED = "planned"  # an empty machine comes at another address, then the old one gets SIGTERM
+
+
+class Step(enum.Enum):
+    """A step of the newcomer's repair."""
+
+    SEEN = "seen"  # a voter has heard it
+    SEATED = "seated"  # it has a seat in an agreed view
+    CHAINED = "chained"  # it is in the chain of an agreed view
+    REFILLED = "refilled"  # it has taken the first piece or entries
+    SYNCED = "synced"  # its copy is whole
+    LEASED = "leased"  # the tail of its chain has the read lease
+    ACKNOWLEDGED = "acknowledged"  # a change was acknowledged that was sent after that
+
+
+class Target(enum.Enum):
+    """Who is struck by the second loss."""
+
+    SAME = "same"  # the newcomer, which still counts as lost
+    OTHER = "other"  # one other machine: within the tolerance where two losses are borne
+    SETTLED = "settled"  # as many as are borne, by lot, the settle time after the newcomer's start
+    STRESS = "stress"  # as many others as are borne at once, while the newcomer still counts as lost
+
+
+STEPS_OF_STRESS = (Step.SYNCED, Step.LEASED, Step.ACKNOWLEDGED)
+ZONES = ("osborne", "malaga", "kewdale")
+
+
+class Case(msgspec.Struct, frozen=True):
+    """One run: the deployment, both losses, the step between them, and the seed."""
+
+    cores: int
+    first: Loss
+    step: Step
+    target: Target
+    second: Loss
+    seed: int
+    slow_disk: bool = False  # of the newcomer, so that its refill takes longer
+
+    def options(self):
+        """The options that play this case alone.
+
+        >>> Case(3, Loss.WIPED, Step.SEEN, Target.SAME, Loss.GONE, 1).options()
+        '--cores 3 --firsts WIPED --steps SEEN --seconds GONE --targets SAME --first-seed 1'
+        """
+        slow = " --slow-disk" if self.slow_disk else ""
+        losses = f"--firsts {self.first.name} --steps {self.step.name} --seconds {self.second.name}"
+        return f"--cores {self.cores} {losses} --targets {self.target.name} --first-seed {self.seed}{slow}"
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """What a run showed."""
+
+    case: Case
+    complaints: list[str]
+    acknowledged: int
+    reached_us: int | None  # from the first loss to the step
+    first_change_us: int | None  # from the strike to the first acknowledged change that was sent after it
+    complete_us: int | None  # from the strike to the complete chain with a leased tail
+
+
+class UnreachedError(Exception):
+    """Something was not reached in time."""
+
+
+def shape(cores):
+    """A deployment of so many core machines with a node and a worker.
+
+    >>> shape(5).bear
+    2
+    """
+    zones = [ZONES[k % len(ZONES)] for k in range(cores)]
+    kinds = (platform_model.LONG, platform_model.SHORT)
+    return platform_model.Shape([ZONES[0]], zones, [ZONES[0]], 1.0, kinds, 50, bear=cores // 2)
+
+
+class Run:
+    """One run under way.
+
+    Example: `Run(case).play()`
+    """
+
+    def __init__(self, case):
+        self.case = case
+        self.site = platform_model.Site(case.seed, seconds=0, load=TRAFFIC_SHARE)
+        self.site.shape = shape(case.cores)
+        self.rng = self.site.rng
+        self.newcomer = ""  # the name of the machine that the first loss brings
+        self.leaving = set()  # the names of machines that have a successor, and are about to be stopped
+        self.before = None  # the process that had this name before
+        self.reached_us = None
+        self.leased_at = None
+        self.acknowledged = []  # (sent, answered) of each acknowledged change
+        self.operating = True
+
+    # ---- operators ---------------------------------------------------------------------
+
+    async def operate(self, operator, wait_us, version_gap):
+        """Send changes one after the other until the run ends.
+
+        Example: `await run.operate(site.boss, 0, 0)`
+        """
+        site = self.site
+        await site.office.sleep(wait_us)
+        while self.operating:
+            sent, base = site.world.time, site.version
+            document, *_ = site.altered("idle")
+            document[platform_model.words.BLUEPRINT["version"]] += version_gap
+            status = await operator.put(document, base, seconds=CHANGE_PATIENCE_S)
+            if status == 200:
+                self.acknowledged.append((sent, site.world.time))
+                self.take(document)
+            else:
+                self.take(await operator.read())
+            await site.office.sleep(OPERATOR_GAP_US)
+
+    def take(self, document):
+        """Build the next changes on a configuration, where it is newer.
+
+        Example: `run.take(document)`
+        """
+        version = 0 if document is None else document[platform_model.words.BLUEPRINT["version"]]
+        if version > self.site.version:
+            self.site.doc, self.site.version = document, version
+
+    def first_change_after(self, at):
+        """When the first change was acknowledged that was sent after a time, or None.
+
+        Example: `run.first_change_after(site.world.time)`
+        """
+        return min((answered for sent, answered in self.acknowledged if sent > at), default=None)
+
+    # ---- losses ------------------------------------------------------------------------
+
+    def lose(self, name, loss):
+        """Lose a machine; the name of the one that takes its place.
+
+        Example: `run.lose("c1", Loss.GONE)`
+        """
+        match loss:
+            case Loss.WIPED:
+                self.site.power(name, RESTART_S, wipe=True)
+                return name
+            case Loss.GONE:
+                self.site.replace_core(name)
+                return self.site.moved[-1][1]
+            case Loss.PLANNED:
+                return self.replace_planned(name)
+
+    def replace_planned(self, name):
+        """Start an empty machine at another address, and stop the old one after that: the new one's name.
+
+        Example: `run.replace_planned("c1")`
+        """
+        site = self.site
+        number = 1 + max(int(c[1:]) for c in [*site.cores, *(n for _, n in site.moved)])
+        new = f"c{number}"
+        site.places[new] = (f"10.1.0.{number}", site.places[name][1])
+        site.moved.append((site.world.time, new))
+        site.tape.put(site.world.time, "machine", name=new, host=site.places[new][0], role="core")
+        site.trouble(new, "new")
+        site.start_core(new)
+        site.mend(new)
+        self.leaving.add(name)
+        site.later(TERM_DELAY_S, self.terminate, name)
+        return new
+
+    def terminate(self, name):
+        """Stop a machine in good order, for good.
+
+        Example: `run.terminate("c1")`
+        """
+        site, old = self.site, self.site.cores.pop(name)
+        site.moved.append((site.world.time, name))
+        site.trouble(name, "term")
+        for owner in [*site.nodes, *site.cores]:
+            site.reload(owner)
+
+        def end(_=None):
+            if old.proc.alive:
+                old.proc.kill()
+
+        old.mach.spawn(old.stop(), platform_model.log).addBoth(end)
+        site.later(GRACE_S, end)
+
+    def slow_disk(self, name):
+        """Let a machine's disk be slow, also where the machine is yet to come.
+
+        Example: `run.slow_disk("c4")`
+        """
+        host, zone = self.site.places[name]
+        if host not in self.site.world.machines:
+            sim.Machine(self.site.world, host, zone).power = False
+        disk = self.site.world.machines[host]
+        disk.disk, disk.slow_us = "slow", SLOW_SYNC_US
+
+    # ---- steps -------------------------------------------------------------------------
+
+    def live(self):
+        """The core machines whose processes live.
+
+        Example: `run.live()`
+        """
+        return [core for core in self.site.cores.values() if core.proc.alive]
+
+    def newest_view(self):
+        """The newest view that a live core machine knows.
+
+        Example: `run.newest_view().number`
+        """
+        views = [core.membership.view for core in self.live() if core.membership.view is not None]
+        return max(views, key=lambda view: view.number, default=None)
+
+    def arrived(self):
+        """The newcomer once its process runs, or None.
+
+        Example: `run.arrived()`
+        """
+        core = self.site.cores.get(self.newcomer)
+        return core if core is not None and core.proc is not self.before and core.proc.name == self.newcomer else None
+
+    def reached(self, step):
+        """Whether the newcomer's repair has come to a step.
+
+        Example: `run.reached(Step.SEATED)`
+        """
+        core, view = self.arrived(), self.newest_view()
+        if core is None or view is None:
+            return False
+        ident, boot = core.membership.me.id, core.mach.boot
+        chained = any(member.id == ident and member.boot == boot for member in view.chain)
+        match step:
+            case Step.SEEN:
+                return any(ident in other.membership.heartbeats for other in self.live() if other is not core)
+            case Step.SEATED:
+                return any(seat.id == ident for seat in view.seats)
+            case Step.CHAINED:
+                return chained
+            case Step.REFILLED:
+                return chained and (core.chain.synced > 0 or len(core.chain.incoming.content) > 0)
+            case Step.SYNCED:
+                return chained and agreement.is_synced(core.membership.record)
+            case Step.LEASED:
+                return chained and self.tail_is_leased(view)
+            case Step.ACKNOWLEDGED:
+                if self.leased_at is None and self.reached(Step.LEASED):
+                    self.leased_at = self.site.world.time
+                return self.leased_at is not None and self.first_change_after(self.leased_at) is not None
+
+    def tail_is_leased(self, view):
+        """Whether the tail of a view holds the read lease.
+
+        Example: `run.tail_is_leased(run.newest_view())`
+        """
+        return any(core.membership.view == view and core.membership.leased() for core in self.live())
+
+    def complete(self):
+        """Whether all core machines are in the chain, each synced, with a leased tail.
+
+        Example: `run.complete()`
+        """
+        view, cores = self.newest_view(), self.site.cores.values()
+        members = {(core.membership.me.id, core.mach.boot) for core in cores if core.proc.alive}
+        if view is None or members != {(member.id, member.boot) for member in view.chain}:
+            return False
+        synced = all(core.membership.view == view and agreement.is_synced(core.membership.record) for core in cores)
+        return synced and len(members) == self.case.cores and self.tail_is_leased(view)
+
+    def wait(self, condition, what, seconds=REPAIR_S):
+        """Let time pass until a condition holds.
+
+        Example: `run.wait(run.complete, "the chain is not complete")`
+        """
+        end = self.site.world.time + int(seconds * S)
+        while not condition():
+            if self.site.world.time >= end:
+                raise UnreachedError(f"{what} for {seconds} s")
+            self.site.go(POLL_S)
+
+    # ---- the run -----------------------------------------------------------------------
+
+    def struck(self):
+        """The names of the machines that the second loss strikes.
+
+        Example: `run.struck()`
+        """
+        names, borne = sorted(self.site.cores), self.site.shape.bear
+        others = [name for name in names if name != self.newcomer and name not in self.leaving]
+        match self.case.target:
+            case Target.SAME:
+                return [self.newcomer]
+            case Target.OTHER:
+                return [self.rng.choice(others)]
+            case Target.SETTLED:
+                return self.rng.sample(names, borne)
+            case Target.STRESS:
+                return self.rng.sample(others, borne)
+
+    def repair(self):
+        """Bring the first loss about, and let its repair come to the step of the case.
+
+        Example: `run.repair()`
+        """
+        name = self.rng.choice(sorted(self.site.cores))
+        self.before = self.site.cores[name].proc
+        began, step = self.site.world.time, self.case.step
+        self.newcomer = self.lose(name, self.case.first)
+        if self.case.slow_disk:
+            self.slow_disk(self.newcomer)
+        if self.case.target is Target.SETTLED:
+            self.wait(lambda: self.arrived() is not None, f"the newcomer {self.newcomer} did not start")
+            self.site.go(self.site.settings(self.newcomer, "core")["bounds"]["settle_s"])
+        else:
+            self.wait(lambda: self.reached(step), f"the newcomer {self.newcomer} was not {step.value}")
+        self.reached_us = self.site.world.time - began
+
+    def play(self):
+        """Play the case and judge it.
+
+        Example: `Run(case).play().complaints`
+        """
+        site = self.site
+        site.begin(lead=LEAD_S)
+        site.office.spawn(self.operate(site.boss, 0, 0), platform_model.log)
+        site.office.spawn(self.operate(site.rival, OPERATOR_GAP_US // 2, 10), platform_model.log)
+        site.go(AFTERWARDS_S)
+        complaints, struck_at = [], None
+        first_change_us = complete_us = None
+        try:
+            self.repair()
+            site.go(self.rng.uniform(0, STRIKE_DELAY_S))
+            struck_at = site.world.time
+            for name in self.struck():
+                self.lose(name, self.case.second)
+            self.wait(self.complete, "the chain was not complete after the second loss")
+            complete_us = site.world.time - struck_at
+            self.wait(lambda: self.first_change_after(struck_at) is not None, "no change was acknowledged")
+            first_change_us = self.first_change_after(struck_at) - struck_at
+            if first_change_us > REPAIR_S * S:
+                complaints.append(f"no change was acknowledged for {first_change_us // MS} ms")
+        except UnreachedError as error:
+            complaints.append(str(error))
+        self.finish()
+        complaints += [f"{rule}: {line}" for rule, lines in judge.examine(site.tape.rows).items() for line in lines]
+        return Outcome(self.case, complaints, len(self.acknowledged), self.reached_us, first_change_us, complete_us)
+
+    def finish(self):
+        """Stop the operators, and read the configuration back.
+
+        Example: `run.finish()`
+        """
+        site = self.site
+        site.go(AFTERWARDS_S)
+        self.operating = False
+        site.go(AFTERWARDS_S)
+        done = site.office.spawn(site.boss.read(), platform_model.log)
+        site.until(lambda: done.called, 30)
+        site.tape.put(site.world.time, "ended")
+
+
+def cases(cores, seeds, firsts=tuple(Loss), steps=tuple(Step), seconds=tuple(Loss), targets=tuple(Target), slow=False):
+    """The cases of a deployment; those that strike when all is settled again do not depend on the step.
+
+    >>> len(cases(3, [1])), len(cases(5, [1]))
+    (99, 162)
+    """
+    out = []
+    for seed, first, step, target, second in itertools.product(seeds, firsts, steps, targets, seconds):
+        if target is Target.OTHER and cores // 2 < 2:
+            continue
+        if target is Target.STRESS and step not in STEPS_OF_STRESS:
+            continue
+        if target is Target.SETTLED and step is not Step.ACKNOWLEDGED:
+            continue
+        out.append(Case(cores, first, step, target, second, seed, slow))
+    return out
+
+
+def play(case):
+    """Play one case in this process.
+
+    Example: `play(Case(3, Loss.WIPED, Step.SEEN, Target.SAME, Loss.GONE, 1))`
+    """
+    loguru.logger.remove()
+    return Run(case).play()
+
+
+def report(outcomes):
+    """One line for each target: runs, complaints, and how long the core took.
+
+    >>> report([])
+    []
+    """
+    groups = collections.defaultdict(list)
+    for outcome in outcomes:
+        groups[outcome.case.cores, outcome.case.target].append(outcome)
+    lines = []
+    for (cores, target), group in groups.items():
+        failed = sum(bool(outcome.complaints) for outcome in group)
+        changes = sorted(o.first_change_us for o in group if o.first_change_us is not None)
+        complete = sorted(o.complete_us for o in group if o.complete_us is not None)
+        lines.append(
+            f"{cores} cores, {target.value}: {len(group)} runs, {failed} with complaints; "
+            f"{sum(o.acknowledged for o in group)} changes acknowledged; "
+            f"first change after {spread(changes)}; complete after {spread(complete)}"
+        )
+    return lines
+
+
+def report_steps(outcomes):
+    """One line for each kind of first loss: when its repair came to each step.
+
+    >>> report_steps([])
+    []
+    """
+    lines = []
+    for first in Loss:
+        found = []
+        for step in Step:
+            group = [o for o in outcomes if o.case.first is first and o.case.step is step]
+            times = sorted(
+                o.reached_us for o in group if o.reached_us is not None and o.case.target is not Target.SETTLED
+            )
+            found += [f"{step.value} {spread(times)}"] if times else []
+        lines += [f"{first.value}: " + ", ".join(found)] if found else []
+    return lines
+
+
+def spread(times):
+    """Median and worst of sorted times in milliseconds.
+
+    >>> spread([1_000, 2_000, 9_000])
+    '2 ms (worst 9 ms)'
+    """
+    return f"{times[len(times) // 2] // MS} ms (worst {times[-1] // MS} ms)" if times else "no run"
+
+
+def main(
+    *,
+    cores: int = 3,
+    seeds: int = 1,
+    first_seed: int = 1,
+    firsts: list[Loss] = tuple(Loss),
+    steps: list[Step] = tuple(Step),
+    seconds: list[Loss] = tuple(Loss),
+    targets: list[Target] = tuple(Target),
+    slow_disk: bool = False,
+    procs: int = 2,
+):
+    """Play a second loss at each step of each repair; print what is complained of, with its case.
+
+    :param cores: core machines, 3 or 5
+    :param seeds: how many seeds for each case
+    :param first_seed: the first of them
+    :param firsts: the kinds of the first loss
+    :param steps: the steps of the repair after which the second loss strikes
+    :param seconds: the kinds of the second loss
+    :param targets: who is struck by it
+    :param slow_disk: whether the newcomer's disk is slow
+    :param procs: processes to use
+    """
+    chosen = cases(cores, range(first_seed, first_seed + seeds), firsts, steps, seconds, targets, slow_disk)
+    began, outcomes = time.monotonic(), []
+    with multiprocessing.Pool(procs, maxtasksperchild=16) as pool:
+        for outcome in pool.imap_unordered(play, chosen):
+            outcomes.append(outcome)
+            for line in outcome.complaints[:3]:
+                print(f"FAILED {outcome.case.options()}: {line}", flush=True)
+    print("\n".join(report(outcomes) + report_steps(outcomes)))
+    print(f"{len(outcomes)} runs, {time.monotonic() - began:.0f} s on the clock")
+    sys.exit(1 if any(outcome.complaints for outcome in outcomes) else 0)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
