--- /dev/null
+++ b/bench/change_recovery.py
@@ -0,0 +1,323 @@
+"""How long changes are held up by a fault of one core machine, in the simulator and without load.
+
+    python -m bench.change_recovery --seeds 50 --cores 3 5 --lease-ms 3000
+
+Operators start a numbered change every 100 ms. In each run one core machine has one fault;
+measured is the time from the fault to the first acknowledgement of a change that was first
+sent after it, and to the moment when the last node has applied that change. The cases of one
+seed share the quiet time before the fault: each goes on from it in a process of its own.
+"""
+
+import concurrent.futures
+import dataclasses
+import functools
+import itertools
+import multiprocessing
+import statistics
+
+import defopt
+import loguru
+import twisted.internet.defer as defer
+
+import bench.simulated_cluster as simulated_cluster
+import iriswheel.command as command
+import iriswheel.machine as machine
+
+FAULTS = ("cut", "kill", "kill for good", "freeze", "wipe")
+POSITIONS = ("head", "middle", "tail")
+CUT_S, FREEZE_S, RESTART_S = 20, 8, 1
+ORDER_GAP_US = 100 * machine.MILLI
+MOST_ORDERS = 8  # under way at once
+PATIENCE_US = 1 * machine.SECOND  # an operator's, with one core machine
+RETRY_PAUSE_US = 100 * machine.MILLI
+WARM_UP_S = 3
+STEP_S = 0.005
+LIMIT_S = 30
+LEASE_MS = 3_000
+
+FORK = multiprocessing.get_context("fork")
+
+log = loguru.logger.bind(part="change_recovery")
+
+
+@dataclasses.dataclass(frozen=True)
+class Start:
+    """What the cases of one seed share.
+
+    >>> Start(seed=1, cores=3).lease_ms
+    3000
+    """
+
+    seed: int
+    cores: int
+    lease_ms: int = LEASE_MS
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """Which fault strikes which core machine of the chain.
+
+    >>> Case("kill", "tail").position
+    'tail'
+    """
+
+    fault: str
+    position: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Recovery:
+    """What was measured of one case: µs from the fault, None where it took longer than LIMIT_S."""
+
+    case: Case
+    acknowledged: int | None
+    applied: int | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Acknowledgement:
+    """A change that was acknowledged: when its order was first sent, when it was answered, its version."""
+
+    sent: int
+    answered: int
+    version: int
+
+
+class Operators:
+    """Operators who start a change every 100 ms, each at the next core machine.
+
+    Each order goes on to the next core machine after a second of silence or a 5xx, with the
+    same content. An order that came second on its base is given up, and the current number read.
+
+    Example: `operators = Operators(cluster)`; `cluster.office_mach.spawn(operators.run())`
+    """
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.mach = cluster.office_mach
+        self.places = [f"{cluster.options[name][0]}:{simulated_cluster.HTTP}" for name in sorted(cluster.cores)]
+        self.current = 0  # the number that new orders build on
+        self.under_way = 0
+        self.acknowledged = []
+
+    async def run(self):
+        """Start orders for as long as the simulation runs.
+
+        Example: `mach.spawn(operators.run())`
+        """
+        for number in itertools.count(1):
+            if self.under_way < MOST_ORDERS:
+                self.mach.spawn(self.order(number), log)
+            await self.mach.sleep(ORDER_GAP_US)
+
+    async def order(self, number):
+        """Bring one order to core machines in turn until its outcome is clear.
+
+        Example: `await operators.order(7)`
+        """
+        sent = self.mach.now()
+        route = {"path": f"/p/{number}", "pool": self.cluster.pool}
+        document = {"number": number, "built_on": self.current, "upsert": {"routes": {"probe": route}}}
+        self.under_way += 1
+        for attempt in itertools.count(number):
+            place = self.places[attempt % len(self.places)]
+            status, answer = await self.ask(place, "POST", "/changes", document)
+            if status < 500:
+                break
+            await self.mach.sleep(RETRY_PAUSE_US)
+        self.under_way -= 1
+        if status == 200:
+            self.current = max(self.current, number)
+            self.acknowledged.append(Acknowledgement(sent, self.mach.now(), answer["stamp"]))
+        else:
+            await self.catch_up(place)
+
+    async def catch_up(self, place):
+        """Read the number that is current.
+
+        Example: `await operators.catch_up("10.0.1.1:8001")`
+        """
+        status, answer = await self.ask(place, "GET", "/blueprint")
+        if status == 200:
+            marks = answer["blueprint"].get("marks", {})
+            self.current = max(self.current, marks.get("operator", {}).get("number", 0))
+
+    async def ask(self, place, method, path, document=None):
+        """Send one request; a second of silence or a broken connection counts as 504.
+
+        Example: `status, answer = await operators.ask("10.0.1.1:8001", "GET", "/blueprint")`
+        """
+        try:
+            answer = defer.ensureDeferred(command.ask(self.mach, [place], method, path, document))
+            return await self.mach.within(answer, PATIENCE_US)
+        except Exception:
+            return 504, {}
+
+
+def chain_of(cluster):
+    """The names of the core machines in the order of the newest view's chain.
+
+    Example: `head, *_, tail = chain_of(cluster)`
+    """
+    views = [core.membership.view for core in cluster.cores.values() if core.membership.view is not None]
+    newest = max(views, key=lambda view: view.number)
+    names = {core.membership.me.id: name for name, core in cluster.cores.items()}
+    return [names[link.id] for link in newest.chain]
+
+
+def machine_at(cluster, position):
+    """The name of the core machine at a position of the chain.
+
+    Example: `machine_at(cluster, "middle")`
+    """
+    chain = chain_of(cluster)
+    return chain[{"head": 0, "middle": len(chain) // 2, "tail": -1}[position]]
+
+
+def strike(cluster, fault, name):
+    """Let a fault strike a core machine, and end by itself where it does.
+
+    Example: `strike(cluster, "freeze", "c1")`
+    """
+    core = cluster.cores[name]
+
+    def later(seconds, function, *arguments):
+        at = cluster.world.time + seconds * machine.SECOND
+        cluster.world.push(at, functools.partial(function, *arguments))
+
+    match fault:
+        case "cut":
+            cluster.world.cut([core.options.host], list(cluster.world.machines))
+            later(CUT_S, cluster.world.heal)
+        case "kill":
+            core.proc.kill()
+            later(RESTART_S, cluster.start_core, name, *cluster.options[name])
+        case "kill for good":
+            core.proc.kill()
+        case "freeze":
+            core.proc.freeze()
+            later(FREEZE_S, core.proc.wake)
+        case "wipe":
+            core.proc.kill()
+            core.proc.host.synced.clear()
+            later(RESTART_S, cluster.start_core, name, *cluster.options[name])
+
+
+def quiet_cluster(start):
+    """A cluster without load, all core machines in its chain, at a moment that the seed draws.
+
+    Example: `cluster, operators = quiet_cluster(Start(seed=1, cores=3))`
+    """
+    cluster = simulated_cluster.SimulatedCluster(
+        start.seed,
+        "magnolia",
+        long_rate=0,
+        short_rate=0,
+        talks=0,
+        cores=start.cores,
+        seats=start.cores,
+        lease_us=start.lease_ms * machine.MILLI,
+    )
+    cluster.probing = False
+    cluster.begin()
+    if not cluster.until(lambda: len(chain_of(cluster)) == start.cores, LIMIT_S):
+        raise TimeoutError(f"The chain does not hold all core machines: {start}")
+    operators = Operators(cluster)
+    cluster.office_mach.spawn(operators.run(), log)
+    cluster.go(WARM_UP_S + cluster.rng.random())
+    return cluster, operators
+
+
+def measure(cluster, operators, case):
+    """Let the fault strike, and wait for the next change at all nodes; for all of them, as the faults are the core's.
+
+    Example: `measure(*quiet_cluster(Start(1, 3)), Case("kill", "tail")).acknowledged`
+    """
+    began = cluster.world.time
+    strike(cluster, case.fault, machine_at(cluster, case.position))
+    first = None
+    while cluster.world.time < began + LIMIT_S * machine.SECOND:
+        cluster.go(STEP_S)
+        first = first or next((done for done in operators.acknowledged if done.sent >= began), None)
+        if first is not None and all(node.follower.place >= first.version for node in cluster.nodes.values()):
+            return Recovery(case, first.answered - began, cluster.world.time - began)
+    return Recovery(case, first and first.answered - began, None)
+
+
+def measure_seed(start, cases):
+    """Play all cases of one seed, each in a process that goes on from the same quiet cluster.
+
+    Example: `measure_seed(Start(1, 3), [Case("kill", "tail"), Case("cut", "head")])`
+    """
+    loguru.logger.remove()
+    cluster, operators = quiet_cluster(start)
+    results = FORK.SimpleQueue()
+    recoveries = []
+    for case in cases:
+        child = FORK.Process(target=lambda case=case: results.put(measure(cluster, operators, case)))
+        child.start()
+        child.join()
+        if child.exitcode != 0:
+            raise RuntimeError(f"{start}, {case}: the process ended with {child.exitcode}.")
+        recoveries.append(results.get())
+    return recoveries
+
+
+def seconds(values):
+    """Median and worst of times in µs, in seconds; a None is a time beyond the limit.
+
+    >>> seconds([1_200_000, 900_000, None])
+    '1.20, over 30'
+    """
+    ordered = sorted(value if value is not None else LIMIT_S * machine.SECOND for value in values)
+    worst = f"over {LIMIT_S}" if None in values else f"{ordered[-1] / machine.SECOND:.2f}"
+    return f"{statistics.median(ordered) / machine.SECOND:.2f}, {worst}"
+
+
+def table(cores, cases, recoveries):
+    """The rows of a table: one for each case, over all seeds.
+
+    >>> kill = Case("kill", "tail")
+    >>> print(*table(3, [kill], [Recovery(kill, 900_000, 950_000)]))
+    | 3 | kill | tail | 1 | 0.90, 0.90 | 0.95, 0.95 |
+    """
+    rows = []
+    for case in cases:
+        mine = [recovery for recovery in recoveries if recovery.case == case]
+        acknowledged = seconds([recovery.acknowledged for recovery in mine])
+        applied = seconds([recovery.applied for recovery in mine])
+        rows.append(f"| {cores} | {case.fault} | {case.position} | {len(mine)} | {acknowledged} | {applied} |")
+    return rows
+
+
+def run(
+    *,
+    seeds: int = 50,
+    cores: list[int] = (3, 5),
+    faults: list[str] = FAULTS,
+    positions: list[str] = POSITIONS,
+    lease_ms: int = LEASE_MS,
+    jobs: int = 1,
+):
+    """Print the median and the worst time in seconds over seeds, a table row for each fault and position.
+
+    :param seeds: how many seeds for each row, from 1 on
+    :param cores: numbers of core machines
+    :param faults: cut, kill, kill for good, freeze, wipe
+    :param positions: head, middle, tail
+    :param lease_ms: how long a node's lease is
+    :param jobs: processes
+    """
+    print("| core machines | fault | position | seeds | acknowledged: median, worst | applied: median, worst |")
+    print("|---|---|---|---|---|---|")
+    cases = [Case(fault, position) for fault, position in itertools.product(faults, positions)]
+    play = functools.partial(measure_seed, cases=cases)
+    with concurrent.futures.ProcessPoolExecutor(jobs, mp_context=FORK) as pool:
+        for count in cores:
+            starts = [Start(seed, count, lease_ms) for seed in range(1, seeds + 1)]
+            recoveries = list(itertools.chain.from_iterable(pool.map(play, starts)))
+            print("\n".join(table(count, cases, recoveries)), flush=True)
+
+
+if __name__ == "__main__":
+    defopt.run(run)
