Command bench.lease_cost: what heartbeats, leases and reports cost a quiet cluster

docs/CAPACITY.md has the cores' beats as one figure from before leases. The command counts messages and bytes by type and sender, and processor time by role, at any number of nodes and core machines.

Ruled out: sizes reckoned from single messages, which leave out the whole roster that goes with every fourth heartbeat of the tail, and the pings that heartbeats of nodes have replaced.

--- /dev/null
+++ b/bench/lease_cost.py
@@ -0,0 +1,216 @@
+"""What leases, heartbeats and reports cost when all is quiet, in the simulator.
+
+    python -m bench.lease_cost --sizes 6 73 370 --cores 3 5 7
+
+Real core machines and nodes without traffic share one process; every message between them is
+counted by its type and its sender, and so is each process's own processor time, in loops of
+bench.capacity (3,000 a second are a core; real sockets are not in it).
+"""
+
+import collections
+import contextlib
+import dataclasses
+import statistics
+import unittest.mock
+
+import defopt
+import loguru
+
+import bench.capacity as capacity
+import iriswheel.message as message
+import iriswheel.wire as wire
+
+LISTED, POOLS, ROUTES = 6, 1, 100
+SETTLE_S = 3
+FRAME_BYTES = 4  # the length before each message
+COLUMNS = (
+    "nodes",
+    "core machines",
+    "into a node",
+    "out of a node",
+    "node's own time",
+    "reports of a core machine",
+    "of it, by node listed",
+    "heartbeats of the tail",
+    "tail's own time",
+    "other core machines' own time",
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Rate:
+    """Messages and bytes a second.
+
+    >>> str(Rate(4, 1200))
+    '4.0/s, 1,200 B/s'
+    """
+
+    messages: float
+    size: float
+
+    def __str__(self):
+        """As it stands in a table."""
+        return f"{self.messages:.1f}/s, {self.size:,.0f} B/s"
+
+
+@dataclasses.dataclass(frozen=True)
+class Cost:
+    """What was measured of one cluster; processor time in loops a second."""
+
+    nodes: int
+    cores: int
+    into_node: Rate
+    out_of_node: Rate
+    node_loops: float
+    reports: Rate  # from one core machine to the tail
+    listed_bytes: float  # of a report, by each node that it lists
+    tail_heartbeats: Rate  # to one core machine
+    tail_loops: float
+    core_loops: float
+
+    def line(self):
+        """The row of a table, in the order of COLUMNS.
+
+        Example: `print(cost.line())`
+        """
+        loops = [f"{value:.1f} loops/s" for value in (self.node_loops, self.tail_loops, self.core_loops)]
+        cells = [
+            self.nodes,
+            self.cores,
+            self.into_node,
+            self.out_of_node,
+            loops[0],
+            self.reports,
+            f"{self.listed_bytes:.0f} B",
+            self.tail_heartbeats,
+            *loops[1:],
+        ]
+        return "| " + " | ".join(map(str, cells)) + " |"
+
+
+class Traffic:
+    """Messages and bytes by type and sender while it counts.
+
+    >>> traffic = Traffic(); traffic.count("core to node", message.Ping(), 9); traffic.total("core to node")
+    (1, 9)
+    """
+
+    def __init__(self):
+        self.messages = collections.Counter()
+        self.bytes = collections.Counter()
+        self.listed = 0  # nodes in all reports from one core machine to another
+
+    def count(self, way, msg, size):
+        """Count one message.
+
+        Example: `traffic.count("core to node", message.Ping(), 9)`
+        """
+        self.messages[way, type(msg)] += 1
+        self.bytes[way, type(msg)] += size
+        if way == "core to core" and isinstance(msg, message.Sessions):
+            self.listed += len(msg.members)
+
+    def total(self, way, *types):
+        """How many messages, and how many bytes, went one way: of some types, or of all.
+
+        Example: `traffic.total("core to core", message.Sessions)`
+        """
+        keys = [key for key in self.messages if key[0] == way and (not types or key[1] in types)]
+        return sum(self.messages[key] for key in keys), sum(self.bytes[key] for key in keys)
+
+
+@contextlib.contextmanager
+def counting(cluster):
+    """Count what the processes of a cluster send each other.
+
+    Example: `with counting(cluster) as traffic: cluster.go(5)`
+    """
+    traffic = Traffic()
+    cores = {core.mach for core in cluster.cores.values()}
+    send = wire.Connection._send
+
+    def counted(connection, kind, seq, msg):
+        if connection.post is not None:
+            way = "core to node"
+        elif connection.mach in cores:
+            way = "core to core"
+        elif _with_core(connection, cluster):
+            way = "node to core"
+        else:
+            way = "node to node"
+        traffic.count(way, msg, len(wire.encoder.encode(wire.Parcel(kind, seq, msg))) + FRAME_BYTES)
+        send(connection, kind, seq, msg)
+
+    with unittest.mock.patch.object(wire.Connection, "_send", counted):
+        yield traffic
+
+
+def _with_core(connection, cluster):
+    core_hosts = {cluster.options[name][0] for name in cluster.cores}
+    return connection.transport.getPeer().host in core_hosts
+
+
+def quiet_cluster(nodes, cores, seed):
+    """A settled cluster without load, whose chain holds all core machines.
+
+    Example: `cluster = quiet_cluster(6, 3, 1)`
+    """
+    cluster = capacity.Fleet(seed, nodes, LISTED, POOLS, ROUTES, walking=False, election="node")
+    cluster.core_count = cores
+    cluster.more = {"seats": cores}
+    cluster.begin()
+    views = [core.membership for core in cluster.cores.values()]
+    if not cluster.until(lambda: all(m.view is not None and len(m.view.chain) == cores for m in views), 30):
+        raise TimeoutError("The chain does not hold all core machines.")
+    cluster.go(SETTLE_S)
+    return cluster
+
+
+def measure(nodes, cores, seconds, seed):
+    """Measure one cluster.
+
+    Example: `print(measure(6, 3, 4, 1).line())`
+    """
+    cluster = quiet_cluster(nodes, cores, seed)
+    with counting(cluster) as traffic:
+        cluster.go(seconds)
+    spent = {name: used["loops"] for name, used in cluster.metered(seconds).items()}
+    tail = cluster.tail().options.name
+
+    def rate(total, processes):
+        messages, size = total
+        return Rate(messages / processes / seconds, size / processes / seconds)
+
+    reports = traffic.total("core to core", message.Sessions)
+    return Cost(
+        nodes,
+        cores,
+        into_node=rate(traffic.total("core to node"), nodes),
+        out_of_node=rate(traffic.total("node to core"), nodes),
+        node_loops=statistics.median(spent[name] for name in cluster.nodes),
+        reports=rate(reports, cores - 1),
+        listed_bytes=reports[1] / max(1, traffic.listed),
+        tail_heartbeats=rate(traffic.total("core to core", message.Beat), cores - 1),
+        tail_loops=spent[tail],
+        core_loops=statistics.median(spent[name] for name in cluster.cores if name != tail),
+    )
+
+
+def run(*, sizes: list[int] = (6, 73, 370), cores: list[int] = (3, 5, 7), seconds: int = 4, seed: int = 1):
+    """Print a table row for each size and number of core machines.
+
+    :param sizes: nodes
+    :param cores: numbers of core machines
+    :param seconds: simulated time that is counted
+    :param seed: the run's seed
+    """
+    loguru.logger.remove()
+    print("| " + " | ".join(COLUMNS) + " |")
+    print("|---" * len(COLUMNS) + "|")
+    for nodes in sizes:
+        for count in cores:
+            print(measure(nodes, count, seconds, seed).line(), flush=True)
+
+
+if __name__ == "__main__":
+    defopt.run(run)
