A disk that was full is used again; a tail that stays waits for no unknown lease

LMDB's documentation: after a failed write of the meta page the environment has to be shut down, and every transaction ends with MDB_PANIC. The guard tried the same environment again and again. The panic itself was not seen in a log, as the second refusal is not logged.

--- a/iriswheel/core.py
+++ b/iriswheel/core.py
@@ -389,7 +389,9 @@
         """
         self.counts["views"] += 1
         self.heard_reports = {}
-        self.holders.installed(self.membership.predecessors, replicas(v), self.mach.now())
+        before = self.membership.predecessors
+        was_tail = bool(before) and before[-1] == (self.membership.me.id, self.mach.boot)
+        self.holders.installed(before, replicas(v), self.mach.now(), was_tail)
         self.chain.install(v)
         self.report_now.wake()
         self.beat_now.wake()
--- a/iriswheel/lease.py
+++ b/iriswheel/lease.py
@@ -184,18 +184,19 @@
         self.holders = {}
         self.awaited = set()
 
-    def installed(self, before, chain, now):
+    def installed(self, before, chain, now, was_tail=False):
         """A view was agreed whose chain is `chain`, after one whose chain was `before` (None: not known here).
 
         Both are lists of (core id, incarnation). An empty `before` is the fleet's first view.
         A core machine of the view before that is gone, or lives anew, may have granted leases
-        that nobody can tell of.
+        that nobody can tell of, but for the one that was the tail (`was_tail`): it has answered
+        every report on which a lease was granted.
 
         Example: `holders.installed([("a", "1")], [("a", "1"), ("b", "2")], mach.now())`
         """
         if before == []:
             self.unsure_until = now
-        elif before is None or not set(before) <= set(chain):
+        elif before is None or not (was_tail or set(before) <= set(chain)):
             self.unsure_until = now + self.length + DRIFT_US
         self.awaited = {core for core, _ in chain}
 
--- a/iriswheel/store.py
+++ b/iriswheel/store.py
@@ -86,16 +86,22 @@
             os.makedirs(self.folder, exist_ok=True)
             self.lock = open(os.path.join(self.folder, "lock"), "w")
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            path = os.path.join(self.folder, "state")
+            path = self._path()
             with contextlib.suppress(FileNotFoundError):  # it may have grown in an earlier life
                 self.size = max(self.size, 2 * os.path.getsize(os.path.join(path, "data.mdb")))
-            self.env = lmdb.open(path, map_size=self.size, sync=True)
+            self._open_environment()
             sync_folders(os.path.abspath(path), top)
         except (OSError, lmdb.Error) as e:
             raise DiskError(f"The data folder can't be used: {e}") from e
         if self.reactor is not None:
             self.pool.start()
 
+    def _path(self):
+        return os.path.join(self.folder, "state")
+
+    def _open_environment(self):
+        self.env = lmdb.open(self._path(), map_size=self.size, sync=True)
+
     def read(self):
         """All that is on the disk.
 
@@ -126,6 +132,8 @@
 
     def _write(self, puts):
         try:
+            if self.env is None:
+                self._open_environment()
             with self.env.begin(write=True) as txn:
                 for key, val in puts:
                     if val is None:
@@ -134,6 +142,11 @@
                         txn.put(key, val)
         except lmdb.MapFullError:
             raise
+        except lmdb.PanicError as e:
+            # a commit that failed at its last page leaves the environment unusable until it is opened anew
+            self.env.close()
+            self.env = None
+            raise DiskError(str(e)) from e
         except (OSError, lmdb.Error) as e:
             raise DiskError(str(e)) from e
 
@@ -152,7 +165,8 @@
         """
         if self.pool.started:
             self.pool.stop()
-        self.env.close()
+        if self.env is not None:
+            self.env.close()
         self.lock.close()
 
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -29,6 +29,16 @@
             self.assertEqual(0, holders.applied(5, now=12 * S))
             self.assertEqual(5, holders.applied(5, now=12 * S + lease.DRIFT_US), (chain, sure))
 
+    def test_a_tail_that_stays_waits_only_for_what_it_knows_that_a_lost_core_machine_granted(self):
+        holders = lease.Holders(2 * S, now=0)
+        holders.installed([], [("a", "1"), ("b", "1")], now=0)
+        holders.heard("a", [("n1", 4, 2 * S)], now=9 * S)
+        holders.installed([("a", "1"), ("b", "1")], [("b", "1"), ("c", "1")], now=10 * S, was_tail=True)
+        for core in "bc":
+            holders.heard(core, [], now=10 * S)
+        self.assertEqual(4, holders.applied(5, now=11 * S))
+        self.assertEqual(5, holders.applied(5, now=11 * S + lease.DRIFT_US))
+
     def test_a_new_tail_that_hears_all_of_the_chain_before_it_waits_for_none(self):
         holders = lease.Holders(2 * S, now=0)
         holders.installed([], [("a", "1"), ("b", "1")], now=0)
