--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -182,7 +182,7 @@
         new = self.renumber(order, self.items)
         msgspec.msgpack.decode(msgspec.msgpack.encode([order.ident, configuration.differ(self.items, new)]))
         configuration.carve(new, "a")
-        json.dumps(configuration.show(new))
+        json.dumps(configuration_api.show(new))
         return 1
 
 
