Guard 'one_budget' judges by the budget's own ratio; it named a constant that is gone

It raised AttributeError in each repeat, so that the checker complained of the error and not of budgets kept by each node.

--- a/bench/mutation_checks.py
+++ b/bench/mutation_checks.py
@@ -63,7 +63,7 @@
 
 def _local_budgets(self, now, room=budget.Budget.room):
     self._trim(now)
-    return (len(self.repeats) + 1) * budget.SHARE * 6 <= len(self.firsts)
+    return (len(self.repeats) + 1) * 6 / self.ratio <= len(self.firsts)
 
 
 def _half(self):
