Tenants: a configuration has their keys' digests, and each node asks for a key

Change: kind of item 'tenants' (digests of keys, urgency, rate limit), 'public' of routes, 'require_key' of limits. With 'revocation_us' a node relies on its keys no longer than that after its newest lease: up to a lease's end it has applied each change before its acknowledgement. Ruled out: keys in clear at nodes; a second freshness protocol beside the lease; 401 from a node that is cut off.

--- a/iriswheel/configuration/configuration.py
+++ b/iriswheel/configuration/configuration.py
@@ -26,6 +26,7 @@
     RepeatPolicy,
     Route,
     StrictItem,
+    Tenant,
     Terms,
 )
 from iriswheel.configuration.slices import slice_for_node, without_label
@@ -48,6 +49,7 @@
     "RepeatPolicy",
     "Route",
     "StrictItem",
+    "Tenant",
     "Terms",
     "amend",
     "apply_patch",
--- a/iriswheel/configuration/items.py
+++ b/iriswheel/configuration/items.py
@@ -46,7 +46,7 @@
     """Turn items back into a document.
 
     >>> unflatten({"pools/desk": {"cap": 3}})
-    {'pools': {'desk': {'cap': 3}}, 'routes': {}, 'terms': {}, 'limits': {}, 'marks': {}}
+    {'pools': {'desk': {'cap': 3}}, 'routes': {}, 'terms': {}, 'limits': {}, 'marks': {}, 'tenants': {}}
     """
     document: schema.Document = {kind: {} for kind in schema.KINDS}
     for key in sorted(items):
--- a/iriswheel/configuration/schema.py
+++ b/iriswheel/configuration/schema.py
@@ -15,8 +15,11 @@
 import mashumaro.mixins.dict
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z")
+HEADER_TEXT = re.compile(r"[\x21-\x7e](?:[\x20-\x7e]{0,254}[\x21-\x7e])?\Z")
+KEY_DIGEST = re.compile(r"[0-9a-f]{64}\Z")  # SHA-256 in hexadecimal digits
 INTEGER_BOUND = 1 << 53  # JSON numbers are exact below it
 URGENCY_MAX = 9
+ROUTE_URGENCY = URGENCY_MAX + 1  # a tenant's urgency that leaves the choice to the route
 
 # JSON objects: an item's fields by name; the flat map of items by `kind/name`; items by kind and name.
 Item = dict[str, typing.Any]
@@ -39,6 +42,13 @@
     NEVER = "never"
 
 
+class RateUnit(enum.StrEnum):
+    """What a tenant's rate limit counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
 @dataclasses.dataclass(eq=False)
 class StrictItem(mashumaro.mixins.dict.DataClassDictMixin):
     """An item that refuses unknown fields and does not convert between strings and numbers."""
@@ -165,6 +175,7 @@
         gap_us: The longest pause between events; 0 for no bound.
         urgency: 0 goes first, 9 last.
         label: The operator's own data, which stays on the core machines.
+        public: Whether requests need no tenant's key, where the configuration requires keys.
 
     >>> Route.from_dict({"path": "/v1", "pool": "desk"}).zones
     []
@@ -185,6 +196,7 @@
     gap_us: int = 0
     urgency: int = 5
     label: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    public: bool = False
 
     def pools(self) -> list[str]:
         """The pools that this route's requests may go to.
@@ -205,6 +217,7 @@
         head_us: Time within which the head must be complete.
         idle_us: Time after which an idle connection is closed.
         label: The operator's own data, which stays on the core machines.
+        require_key: Whether each request needs a tenant's key, but for those on public routes.
 
     >>> Limits().head_bytes
     16384
@@ -215,6 +228,55 @@
     head_us: int = 10_000_000
     idle_us: int = 75_000_000
     label: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    require_key: bool = False
+
+
+@dataclasses.dataclass
+class Tenant(StrictItem):
+    """A tenant: the keys of its requests, and the rate limit that holds over all nodes together.
+
+    Attributes:
+        keys: SHA-256 digests of its keys, in hexadecimal digits; the keys themselves are not part of a configuration.
+        urgency: Of its requests, before the route's; `ROUTE_URGENCY` leaves it to the route.
+        rate_unit: What the limit counts, one of `RateUnit`.
+        rate: Units a second; 0 for no limit.
+        burst: Units above the rate that may come at once.
+        unstated_tokens: Tokens that a request counts which does not state its own.
+        told_as: The name that workers are told; "" for the item's own.
+        label: The operator's own data, which stays on the core machines.
+
+    >>> Tenant.from_dict({"rate": 5, "burst": 2.5})
+    Tenant(keys=[], urgency=10, rate_unit='requests', rate=5.0, burst=2.5, unstated_tokens=0, told_as='', label={})
+    """
+
+    keys: list[str] = dataclasses.field(default_factory=list)
+    urgency: int = ROUTE_URGENCY
+    rate_unit: str = "requests"
+    rate: float = 0.0
+    burst: float = 0.0
+    unstated_tokens: int = 0
+    told_as: str = ""
+    label: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+
+    @classmethod
+    def __pre_deserialize__(cls, document: dict[typing.Any, typing.Any]) -> dict[typing.Any, typing.Any]:
+        """Take whole numbers for rate and burst too."""
+        if isinstance(document, dict):
+            document = {
+                name: float(value) if name in ("rate", "burst") and type(value) is int else value
+                for name, value in document.items()
+            }
+        return super().__pre_deserialize__(document)
+
+    def cost(self, tokens: int) -> float:
+        """What a request counts in the limit's unit; `tokens` are those that it states, 0 for none.
+
+        >>> Tenant(unstated_tokens=200).cost(50), Tenant(rate_unit="tokens", unstated_tokens=200).cost(0)
+        (1, 200)
+        """
+        if self.rate_unit == RateUnit.REQUESTS:
+            return 1
+        return tokens or self.unstated_tokens
 
 
 @dataclasses.dataclass
@@ -229,7 +291,14 @@
     label: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
 
 
-KINDS: dict[str, type[StrictItem]] = {"pools": Pool, "routes": Route, "terms": Terms, "limits": Limits, "marks": Marks}
+KINDS: dict[str, type[StrictItem]] = {
+    "pools": Pool,
+    "routes": Route,
+    "terms": Terms,
+    "limits": Limits,
+    "marks": Marks,
+    "tenants": Tenant,
+}
 SINGLETONS = {"limits": "door", "marks": "operator"}  # the kinds that have a single item, and its name
 LIMITS_KEY = "limits/door"
 OPERATOR_KEY = "marks/operator"
--- a/iriswheel/configuration/slices.py
+++ b/iriswheel/configuration/slices.py
@@ -17,7 +17,7 @@
 
 
 def slice_for_node(items: schema.Items, zone: str, pools: collections.abc.Sequence[str] = ()) -> dict[str, schema.Item]:
-    """The items that a node in a zone needs: its routes, their pools and terms, the limits.
+    """The items that a node in a zone needs: its routes, their pools and terms, the limits, all tenants.
 
     Args:
         items: The whole configuration.
@@ -32,6 +32,8 @@
     node_slice: dict[str, schema.Item] = {}
     needed = {f"pools/{pool}" for pool in pools} | {schema.LIMITS_KEY}
     for key, item in items.items():
+        if key.startswith("tenants/"):
+            node_slice[key] = without_label(item)
         if not key.startswith("routes/"):
             continue
         zones = item.get("zones")
--- a/iriswheel/configuration/validation.py
+++ b/iriswheel/configuration/validation.py
@@ -13,6 +13,7 @@
 POSITIVE_LIMITS_FIELDS = ("head_bytes", "head_us", "idle_us")
 
 RouteOwners = dict[tuple[str, str, str], str]  # (host, path, zone) -> the key of the route that has it
+KeyOwners = dict[str, str]  # a tenant's key digest -> the key of the tenant that has it
 
 
 class InvalidConfigurationError(ValueError):
@@ -37,6 +38,7 @@
     """
     errors: list[str] = []
     owners: RouteOwners = {}
+    key_owners: KeyOwners = {}
     for key in sorted(items):
         try:
             item = parse_item(key, items[key])
@@ -52,6 +54,8 @@
                 errors += pool_errors(key, item)
             case schema.Limits():
                 errors += positive_errors(key, item, POSITIVE_LIMITS_FIELDS)
+            case schema.Tenant():
+                errors += tenant_errors(key, item, key_owners)
     return errors
 
 
@@ -156,6 +160,31 @@
         yield f"{key}: long_slots is above slots"
 
 
+def tenant_errors(key: str, tenant: schema.Tenant, owners: KeyOwners) -> collections.abc.Iterator[str]:
+    """What is wrong with a tenant; its key digests are added to `owners`.
+
+    >>> owners = {"0" * 64: "tenants/a"}
+    >>> list(tenant_errors("tenants/b", schema.Tenant(keys=["0" * 64], urgency=11, burst=-1.0), owners))
+    ['tenants/b: has a key of tenants/a', 'tenants/b: urgency is above 10', 'tenants/b: burst is out of range']
+    """
+    for digest in tenant.keys:
+        if not isinstance(digest, str) or not schema.KEY_DIGEST.match(digest):
+            yield f"{key}: keys wants SHA-256 digests in hexadecimal digits"
+            break
+        owner = owners.setdefault(digest, key)
+        if owner != key:
+            yield f"{key}: has a key of {owner}"
+    if tenant.urgency > schema.ROUTE_URGENCY:
+        yield f"{key}: urgency is above {schema.ROUTE_URGENCY}"
+    if tenant.told_as and not schema.HEADER_TEXT.match(tenant.told_as):
+        yield f"{key}: told_as can't stand in a header"
+    if tenant.rate_unit not in tuple(schema.RateUnit):
+        yield f"{key}: rate_unit is none of {', '.join(schema.RateUnit)}"
+    for name in ("rate", "burst"):
+        if not 0 <= getattr(tenant, name) < schema.INTEGER_BOUND:  # also false for what is no number
+            yield f"{key}: {name} is out of range"
+
+
 def positive_errors(
     key: str, item: schema.StrictItem, names: collections.abc.Iterable[str]
 ) -> collections.abc.Iterator[str]:
--- a/iriswheel/dataplane/edge_protocol.py
+++ b/iriswheel/dataplane/edge_protocol.py
@@ -8,6 +8,7 @@
 
 import collections.abc
 import dataclasses
+import hashlib
 import json
 import re
 import typing
@@ -29,6 +30,9 @@
 SEND = "X-Send-Number"
 REPEAT = "X-May-Repeat"
 CLIENT = "X-Requester"
+AUTHORIZATION = "Authorization"
+TENANT = "X-Tenant"
+BEARER = b"bearer"  # the scheme of credentials, in lower case
 PASS = "X-Iriswheel-Pass"  # between nodes only: the one-time token of a request that one node hands to another
 
 PART_PATTERN = re.compile(r"[\x21-\x2b\x2d-\x7e]{1,128}\Z")
@@ -153,6 +157,33 @@
     raise errors.ServiceError("bad_request", f"{REPEAT} is neither yes nor no.", field=REPEAT)
 
 
+def key_digest(headers: http_headers.Headers) -> str:
+    """The SHA-256 digest of the key that a request carries as a bearer token; "" where it carries none.
+
+    >>> import twisted.web.http_headers as hh
+    >>> [key_digest(hh.Headers({AUTHORIZATION: [credentials]}))[:8] for credentials in ("Bearer abc", "Basic abc")]
+    ['ba7816bf', '']
+    """
+    values = headers.getRawHeaders(AUTHORIZATION.encode("ascii"), [])
+    scheme, _, key = values[0].strip().partition(b" ") if len(values) == 1 else (b"", b"", b"")
+    key = key.strip()
+    return hashlib.sha256(key).hexdigest() if scheme.lower() == BEARER and key else ""
+
+
+def replace_credentials(headers: http_headers.Headers, tenant: str) -> None:
+    """Take a request's credentials off, and name its tenant; "" for none.
+
+    >>> import twisted.web.http_headers as hh
+    >>> received = hh.Headers({AUTHORIZATION: ["Bearer abc"], TENANT: ["forged"]})
+    >>> replace_credentials(received, "desk"); list(received.getAllRawHeaders())
+    [(b'X-Tenant', [b'desk'])]
+    """
+    headers.removeHeader(AUTHORIZATION)
+    headers.removeHeader(TENANT)
+    if tenant:
+        headers.setRawHeaders(TENANT, [tenant])
+
+
 def worker_request_headers(headers: http_headers.Headers, worker: str, token: str = "") -> http_headers.Headers:
     """The headers of the request to a worker, or with a token to the node that relays it.
 
@@ -280,6 +311,7 @@
         host: The Host header.
         model: The model asked for.
         after: Id of the last event that the client has, where it resumes a stream.
+        key_digest: SHA-256 digest of the client's key; "" where there is none.
 
     >>> ParsedRequest().left_us is None
     True
@@ -298,6 +330,16 @@
     host: str = ""
     model: str = ""
     after: str = ""
+    key_digest: str = ""
+
+    @property
+    def tokens(self) -> int:
+        """All tokens that the request states; 0 where it states none.
+
+        >>> ParsedRequest(tokens_in=1460, tokens_out=80).tokens
+        1540
+        """
+        return self.tokens_in + self.tokens_out
 
 
 class EdgeProtocol:
@@ -333,6 +375,7 @@
             client=header(headers, CLIENT) or "",
             host=header(headers, "host") or "",
             tag=identifier(headers, REQUEST_ID),
+            key_digest=key_digest(headers),
         )
 
     def head(
@@ -351,7 +394,7 @@
             size: Length of the body in bytes.
             worker: The worker that gets it.
             _left_us: How long the client will wait; None where not told. Other formats send it.
-            _urgency: Of the route; 0 goes first. Other formats send it.
+            _urgency: Of the route, or the tenant; 0 goes first. Other formats send it.
             after: Id of the last event that the client has, where a stream is resumed.
         """
         added = [(b"Host", f"{worker.host}:{worker.port}".encode()), (TARGET.encode(), worker.id.encode())]
--- a/iriswheel/dataplane/forwarded_request.py
+++ b/iriswheel/dataplane/forwarded_request.py
@@ -20,6 +20,7 @@
         self.raw = routed.raw
         self.route, self.pool, self.terms = routed.route, routed.pool, routed.terms
         self.pool_name = routed.pool_name
+        self.urgency = routed.urgency
         self.placement = pool_placement
         self.idempotent = routed.idempotent
         self.resume = routed.route.resume
--- a/iriswheel/dataplane/forwarding.py
+++ b/iriswheel/dataplane/forwarding.py
@@ -343,7 +343,7 @@
             connection.drop()
             return attempt_outcome.AttemptOutcome.UNSENT
         head = self.protocol.head(
-            request.http_request, len(request.raw), worker, left_us, request.route.urgency, request.last_event_id
+            request.http_request, len(request.raw), worker, left_us, request.urgency, request.last_event_id
         )
         request.sends += 1
         self.counts.attempts += 1
--- a/iriswheel/dataplane/interfaces.py
+++ b/iriswheel/dataplane/interfaces.py
@@ -46,6 +46,10 @@
     def terms(self) -> dict[str, configuration.Terms]:
         """The session terms, by name."""
 
+    @property
+    def limits(self) -> configuration.Limits:
+        """What a client may send, and whether it needs a key."""
+
     @property
     def membership(self) -> message.Membership:
         """The newest membership."""
@@ -61,6 +65,12 @@
     def find_route(self, host: str, path: str) -> configuration.Route | None:
         """Return the route for a host and a path, or None."""
 
+    def find_tenant(self, key_digest: str) -> tuple[str, configuration.Tenant] | None:
+        """Return the name and the item of the tenant that has a key, or None."""
+
+    def keys_may_be_revoked(self) -> bool:
+        """Whether a key that this node knows may have been taken away longer ago than is allowed."""
+
     def assignment(self, key: str) -> message.RoleAssignment | None:
         """Return a role's assignment, or None."""
 
@@ -106,6 +116,16 @@
         """Choose a worker for a request, or deny one."""
 
 
+class RateLimiter(typing.Protocol):
+    """Charges requests to the rate limits of their tenants, over all nodes together."""
+
+    async def charge(self, tenant: str, cost: float) -> typing.Any:  # noqa: ANN401 - only given back to `refund`
+        """Charge a request; raises `errors.ServiceError` where the tenant is beyond its limit."""
+
+    def refund(self, charge: typing.Any) -> None:  # noqa: ANN401 - what `charge` returned
+        """Take back the charge of a request that did not run."""
+
+
 class DataPlaneNode(MemberProcess, typing.Protocol):
     """The node process, as far as the path of a request needs it."""
 
@@ -145,6 +165,10 @@
     def peers(self) -> peers.Peers:
         """Connections to other processes."""
 
+    @property
+    def rate_limiter(self) -> RateLimiter:
+        """Charges requests to their tenants."""
+
     @property
     def pool_owners(self) -> collections.abc.Mapping[str, LocalPoolOwner]:
         """The pool owners whose role is here, by pool."""
--- a/iriswheel/dataplane/request_router.py
+++ b/iriswheel/dataplane/request_router.py
@@ -1,4 +1,4 @@
-"""Admission of a request: parsing, route and pool, session terms, and its count in the retry budget."""
+"""Admission of a request: parsing, route and pool, tenant, session terms, and its count in the retry budget."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from iriswheel import errors
 from iriswheel.configuration import schema
-from iriswheel.dataplane import sessions
+from iriswheel.dataplane import authentication, sessions
 
 if typing.TYPE_CHECKING:
     from iriswheel.configuration import configuration
@@ -24,15 +24,17 @@
         self.node = node
         self.runtime = node.runtime
         self.budgets = budgets
+        self.authenticator = authentication.Authenticator(node)
 
     def admit(self, request: routed_request.RoutedRequest) -> None:
         """Parse and route a new request, and count it as a first send.
 
         Raises:
-            errors.ServiceError: The request is malformed, has no route, or this node takes none now.
+            errors.ServiceError: The request is malformed, has no route or no key, or this node takes none now.
         """
         self._parse(request)
         self._route(request)
+        self.authenticator.authenticate(request)
         self._set_terms(request)
         if self.node.refusing_requests:
             raise errors.ServiceError("stopping", "This node is stopping.")
--- a/iriswheel/dataplane/routed_request.py
+++ b/iriswheel/dataplane/routed_request.py
@@ -5,6 +5,7 @@
 import typing
 
 from iriswheel import errors
+from iriswheel.configuration import schema
 
 if typing.TYPE_CHECKING:
     from twisted.internet import defer
@@ -41,6 +42,8 @@
         "request_id",
         "route",
         "session",
+        "tenant",
+        "tenant_name",
         "terms",
         "work_units",
     )
@@ -68,6 +71,15 @@
         self.configuration_index = 0  # the configuration's log index when it was routed
         self.may_have_run = False  # whether an attempt may have reached a worker
         self.grant_requested = False  # whether a pool owner may hold a grant for it
+        self.tenant_name = ""
+        self.tenant: configuration.Tenant | None = None  # whose key it carries, where keys are required
+
+    @property
+    def urgency(self) -> int:
+        """The tenant's urgency, or else the route's; 0 goes first."""
+        if self.tenant is None or self.tenant.urgency == schema.ROUTE_URGENCY:
+            return self.route.urgency
+        return self.tenant.urgency
 
     @property
     def is_retry(self) -> bool:
--- a/iriswheel/errors.py
+++ b/iriswheel/errors.py
@@ -27,6 +27,7 @@
 
 ErrorCode: typing.TypeAlias = typing.Literal[
     "bad_request",
+    "unauthenticated",
     "no_route",
     "not_found",
     "bad_method",
@@ -36,6 +37,7 @@
     "base_moved",
     "already_sent",
     "retry_budget",
+    "rate_limited",
     "sessions_full",
     "busy",
     "no_worker",
@@ -60,6 +62,7 @@
 
 CODES: dict[ErrorCode, CodeMeaning] = {
     "bad_request": CodeMeaning(400, False),
+    "unauthenticated": CodeMeaning(401, False),
     "no_route": CodeMeaning(404, False),
     "not_found": CodeMeaning(404, False),
     "bad_method": CodeMeaning(405, False),
@@ -69,6 +72,7 @@
     "base_moved": CodeMeaning(409, False),
     "already_sent": CodeMeaning(409, False),
     "retry_budget": CodeMeaning(429, True),
+    "rate_limited": CodeMeaning(429, True),
     "sessions_full": CodeMeaning(503, True),
     "busy": CodeMeaning(503, True),
     "no_worker": CodeMeaning(503, True),
@@ -127,6 +131,8 @@
         >>> ServiceError("busy", "All slots are taken.").headers()
         [('Retry-After', '1')]
         """
+        if self.code == "unauthenticated":
+            return [("WWW-Authenticate", "Bearer")]
         return [] if self.retry_after is None else [("Retry-After", str(self.retry_after))]
 
     def body(self) -> bytes:
--- a/iriswheel/node/follower.py
+++ b/iriswheel/node/follower.py
@@ -12,7 +12,7 @@
 import loguru
 
 from iriswheel.configuration import configuration
-from iriswheel.node import core_session, peer_status, platform_listing, route_index, worker_list
+from iriswheel.node import core_session, peer_status, platform_listing, route_index, tenant_index, worker_list
 from iriswheel.runtime import units
 from iriswheel.transport import message
 
@@ -37,6 +37,9 @@
 TICK_US = 400 * units.MILLISECOND_US
 TICK_WITHOUT_CORE_US = 200 * units.MILLISECOND_US
 
+CLOCK_MARGIN_US = 250 * units.MILLISECOND_US
+"""What clocks may differ in while a key is relied on without a lease, and a request's way to a worker."""
+
 NO_CONFIGURATION = -1
 """The applied version of a node before its first configuration."""
 
@@ -66,6 +69,7 @@
         self.route_index = route_index.RouteIndex()
         self.pools: dict[str, configuration.Pool] = {}
         self.terms: dict[str, configuration.Terms] = {}
+        self.tenant_index = tenant_index.TenantIndex()
         self.limits = configuration.Limits()
         self.membership = message.Membership((0, 0), [], [], [], [])
         self.worker_list = worker_list.WorkerList()
@@ -81,6 +85,15 @@
         """The routes of the slice, by name."""
         return self.route_index.routes
 
+    @property
+    def tenants(self) -> dict[str, configuration.Tenant]:
+        """The tenants, by name."""
+        return self.tenant_index.tenants
+
+    def find_tenant(self, key_digest: str) -> tuple[str, configuration.Tenant] | None:
+        """Return the name and the item of the tenant that has a key, or None."""
+        return self.tenant_index.find(key_digest)
+
     @property
     def workers(self) -> list[message.Worker]:
         """The workers as they were last listed."""
@@ -169,6 +182,27 @@
             return False
         return self.peer_has_newer_configuration() if self.options.serve_on else self.is_partitioned()
 
+    def keys_may_be_revoked(self) -> bool:
+        """Whether a key that this node knows may have been taken away longer ago than `revocation_us`.
+
+        Up to the end of its newest lease this node has applied each change before it was acknowledged. So a
+        change that it does not know was acknowledged later than that.
+        """
+        bound_us = self.options.revocation_us
+        if not bound_us:
+            return False
+        known_until_us = self.session.lease.until
+        return not known_until_us or self.runtime.now() >= known_until_us + bound_us - CLOCK_MARGIN_US
+
+    def may_be_replaced(self) -> bool:
+        """Whether the core may have counted this node out while other nodes are in touch with it.
+
+        Where nobody is in touch with the core, no role changes hands.
+        """
+        if self.needs_rejoin():
+            return True
+        return not self.session.lease.valid(self.runtime.now()) and self.peer_status.any_in_touch()
+
     def peer_has_newer_configuration(self) -> bool:
         """Whether a peer that is in touch with the core has a newer configuration than this node."""
         return self.peer_status.any_ahead(self.applied_index)
@@ -241,6 +275,8 @@
                 _put(self.pools, name, item)
             case "terms":
                 _put(self.terms, name, item)
+            case "tenants":
+                self.tenant_index.put(name, item)
             case "limits":
                 self.limits = item or configuration.Limits()
 
--- a/iriswheel/runtime/options.py
+++ b/iriswheel/runtime/options.py
@@ -28,8 +28,17 @@
     "call_rate",
     "retry_window_us",
     "list_us",
+    "rate_window_us",
+)
+NON_NEGATIVE_OPTIONS = (
+    "drain_us",
+    "hold_us",
+    "retry_ratio",
+    "retry_slack",
+    "notice_us",
+    "revocation_us",
+    "rate_overshoot",
 )
-NON_NEGATIVE_OPTIONS = ("drain_us", "hold_us", "retry_ratio", "retry_slack", "notice_us")
 
 log = loguru.logger.bind(part="options")
 
@@ -96,6 +105,10 @@
         retry_window_us: The time over which the retry budget counts.
         retry_slack: Retries that the budget allows beyond its ratio.
         list_us: The time between two requests for the platform's list.
+        revocation_us: The time from the acknowledgement of a configuration without a tenant's key until no node, cut
+            off or not, takes a request with it; 0 for no bound on a node that serves on without the core.
+        rate_window_us: The time over which tenants' rate limits count; the same on all nodes.
+        rate_overshoot: The part of a rate limit by which a tenant may pass it in such a time, all nodes together.
 
     >>> options = Options(role="node", name="n1", host="127.0.0.1", zone="north",
     ...                   seeds=["127.0.0.1:7001"], platform="127.0.0.1:9000")
@@ -130,6 +143,9 @@
     retry_window_us: int = 10_000_000
     retry_slack: int = 0
     list_us: int = 500_000
+    revocation_us: int = 0
+    rate_window_us: int = 10_000_000
+    rate_overshoot: float = 0.1
 
     def front_address(self) -> tuple[str, int]:
         """Where HTTP is served, as a pair.
