--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """The platform's words: settings, and the operator's configuration there and back."""
 
 import copy
+import hashlib
 import json
 import types
 from collections.abc import Callable
@@ -46,6 +47,21 @@
     "constraints": {"header_bytes": 16384, "body_bytes": 4194304, "header_deadline_ms": 3000, "idle_ms": 15000},
 }
 del COMPLETE["channels"][1]["partition"]
+KEY, OTHER_KEY = "banfqasnmgkcuyj8pjbv", "k9m68k7b2ex5wa5xwyhk"
+ACCOUNT = {
+    "name": "huka270",
+    "api_keys": [KEY, OTHER_KEY],
+    "urgency": 1,
+    "measure_unit": "tokens",
+    "uncached_tokens": 200,
+    "rate_per_s": 301261,
+    "burst_size": 301261,
+}
+WITH_ACCOUNTS = {**COMPLETE, "accounts": [ACCOUNT, {"name": "a tenant", "api_keys": ["k3"]}]}
+
+
+def digest(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
 
 
 class InMemoryCore:
@@ -186,3 +202,56 @@
         assert self.call(b"GET")[1] == {**COMPLETE, "version": 6}
         assert self.call(b"PUT", COMPLETE, "5")[0] == 412
         assert self.call(b"PUT", COMPLETE, "6")[0] == 200
+
+    def test_accounts_come_back_as_they_were_sent(self) -> None:
+        assert self.call(b"PUT", WITH_ACCOUNTS, "0") == (200, {"version": 7})
+        assert self.call(b"GET") == (200, WITH_ACCOUNTS)
+        tenant = configuration.Tenant.from_dict(self.core.items["tenants/huka270"])
+        assert (tenant.rate, tenant.burst, tenant.rate_unit, tenant.unstated_tokens, tenant.urgency) == (
+            301261.0,
+            301261.0,
+            "tokens",
+            200,
+            1,
+        )
+        other = next(key for key in self.core.items if key.startswith("tenants/x-"))
+        assert self.core.items[other]["told_as"] == "a tenant"
+
+    def test_nodes_get_no_key(self) -> None:
+        self.call(b"PUT", WITH_ACCOUNTS, "0")
+        sent = json.dumps(configuration.slice_for_node(self.core.items, "north"))
+        assert digest(KEY) in sent
+        assert KEY not in sent
+
+    def test_keys_are_required_where_there_are_accounts_be_it_none(self) -> None:
+        self.call(b"PUT", {**COMPLETE, "accounts": []}, "0")
+        assert self.core.items["limits/door"]["require_key"] is True
+        assert self.call(b"GET")[1] == {**COMPLETE, "accounts": []}
+        self.call(b"PUT", {**COMPLETE, "version": 8}, "7")
+        assert "require_key" not in self.core.items["limits/door"]
+        assert self.call(b"GET")[1] == {**COMPLETE, "version": 8}
+
+    def test_a_patch_takes_a_key_away(self) -> None:
+        self.call(b"PUT", WITH_ACCOUNTS, "0")
+        fewer = {**ACCOUNT, "api_keys": [OTHER_KEY]}
+        assert self.call(b"PATCH", {"version": 9, "upsert": {"accounts": [fewer]}}, "7")[0] == 200
+        assert self.core.items["tenants/huka270"]["keys"] == [digest(OTHER_KEY)]
+        assert self.call(b"PATCH", {"version": 10, "remove": {"accounts": ["huka270"]}}, "9")[0] == 200
+        assert "tenants/huka270" not in self.core.items
+
+    def test_mistakes_are_refused(self) -> None:
+        refused: tuple[Any, ...] = (
+            [ACCOUNT, {**ACCOUNT, "name": "b"}],  # a key of two
+            [{**ACCOUNT, "api_keys": "k"}],
+            [{**ACCOUNT, "api_keys": [7]}],
+            [{**ACCOUNT, "rate_per_s": "many"}],
+            [{**ACCOUNT, "rate_per_s": -1}],
+            [{"api_keys": []}],
+            7,
+        )
+        for accounts in refused:
+            assert self.call(b"PUT", {**WITH_ACCOUNTS, "accounts": accounts}, "0")[0] == 400, accounts
+
+    def test_public_routes(self) -> None:
+        self.call(b"PUT", {**WITH_ACCOUNTS, "channels": [{**CHANNEL, "public": True}]}, "0")
+        assert configuration.Route.from_dict(self.core.items["routes/r-a"]).public
