One node in 16 keeps rate limits' buckets; documents without tenants stay as they were

Change: one candidate in 16 members, three at least; a document has a section 'tenants' only where there are some, /state 'rate_limits' only where the node has a part in them. Keep-alives every 0.7 s instead of 0.3 s were tried and not kept: the mutation check 'stale' and the scenario disk_unhealthy failed.

--- a/iriswheel/configuration/items.py
+++ b/iriswheel/configuration/items.py
@@ -42,16 +42,22 @@
     return items
 
 
-def unflatten(items: schema.Items) -> schema.Document:
+def unflatten(items: schema.Items, *, with_all_kinds: bool = False) -> schema.Document:
     """Turn items back into a document.
 
+    Args:
+        items: All items.
+        with_all_kinds: Whether the document has a section also for a kind of `schema.LATER_KINDS` without items.
+
     >>> unflatten({"pools/desk": {"cap": 3}})
-    {'pools': {'desk': {'cap': 3}}, 'routes': {}, 'terms': {}, 'limits': {}, 'marks': {}, 'tenants': {}}
+    {'pools': {'desk': {'cap': 3}}, 'routes': {}, 'terms': {}, 'limits': {}, 'marks': {}}
+    >>> list(unflatten({}, with_all_kinds=True))[-1], list(unflatten({"tenants/desk": {}}))[-1]
+    ('tenants', 'tenants')
     """
-    document: schema.Document = {kind: {} for kind in schema.KINDS}
+    document: schema.Document = {kind: {} for kind in schema.KINDS if with_all_kinds or kind not in schema.LATER_KINDS}
     for key in sorted(items):
         kind, name = key.split("/", 1)
-        document[kind][name] = items[key]
+        document.setdefault(kind, {})[name] = items[key]
     return document
 
 
--- a/iriswheel/configuration/schema.py
+++ b/iriswheel/configuration/schema.py
@@ -299,6 +299,7 @@
     "marks": Marks,
     "tenants": Tenant,
 }
+LATER_KINDS = {"tenants"}  # a document without such items has no section for them, as before there were any
 SINGLETONS = {"limits": "door", "marks": "operator"}  # the kinds that have a single item, and its name
 LIMITS_KEY = "limits/door"
 OPERATOR_KEY = "marks/operator"
--- a/iriswheel/control/operator_api.py
+++ b/iriswheel/control/operator_api.py
@@ -94,7 +94,9 @@
     try:
         planned: typing.Any = document.get("blueprint")
         if "patch" in document:
-            planned = configuration.apply_patch(configuration.unflatten(current), document["patch"])
+            planned = configuration.apply_patch(
+                configuration.unflatten(current, with_all_kinds=True), document["patch"]
+            )
         return configuration.flatten(planned)
     except configuration.InvalidConfigurationError as error:
         text = "; ".join(error.errors[: submitted_changes.PROBLEMS_SHOWN])
--- a/iriswheel/node/node.py
+++ b/iriswheel/node/node.py
@@ -131,7 +131,7 @@
             "open": self.gateway.open_requests,
             "counts": self.gateway.counts.state(),
             "refused": self.gateway.refused,
-            "rate_limits": self.rate_limiter.state(),
+            **self.rate_limiter.state(),
         }
 
     # ---- controllers -----------------------------------------------------------------
--- a/iriswheel/rate_limits/owner_ranking.py
+++ b/iriswheel/rate_limits/owner_ranking.py
@@ -9,8 +9,8 @@
 if typing.TYPE_CHECKING:
     from iriswheel.transport import message
 
-CANDIDATES = 16
-"""Members that keep buckets: each node has a connection to each of them, so they are few in a large fleet."""
+MEMBERS_PER_CANDIDATE = 16
+"""One in so many members keeps buckets: each node has a connection to each of these, which costs keep-alives."""
 
 RANKS = 3
 """Members that are asked for one tenant: its owner, and those that stand in while that does not answer."""
@@ -49,7 +49,8 @@
         self._members = members
         if same:
             return
-        candidates = assignments.rank_members(CANDIDATES_KEY, members)[:CANDIDATES]
+        count = max(RANKS, len(members) // MEMBERS_PER_CANDIDATE)
+        candidates = assignments.rank_members(CANDIDATES_KEY, members)[:count]
         if candidates != self._candidates:
             self._candidates = candidates
             self._owners.clear()
--- a/iriswheel/rate_limits/rate_limiter.py
+++ b/iriswheel/rate_limits/rate_limiter.py
@@ -83,8 +83,10 @@
         self.owner.sweep()
 
     def state(self) -> dict[str, typing.Any]:
-        """Return what the node shows of its part in the rate limits."""
-        return {"balances": self.owner.state(), "unanswered": self.unanswered}
+        """Return what the node shows of its part in the rate limits; nothing where it has none."""
+        if not self.owner.buckets and not self.unanswered:
+            return {}
+        return {"rate_limits": {"balances": self.owner.state(), "unanswered": self.unanswered}}
 
     async def _ask(self, member: message.Member, request: message.ChargeRequest) -> message.ChargeResponse | None:
         """Ask one member; None where it does not answer, and it is passed over for a while then."""
