--- a/iriswheel/node/peer_status.py
+++ b/iriswheel/node/peer_status.py
@@ -42,29 +42,29 @@
         """Forget all answers: the node hears the core itself, or was frozen."""
         self.responses = {}
 
+    def _valid(self) -> dict[str, message.CoreStatusResponse]:
+        """The answers that still count, by member."""
+        now = self.runtime.now()
+        return {
+            member: response
+            for member, (received_at, response) in self.responses.items()
+            if now - received_at < STATUS_VALIDITY_US
+        }
+
     def any_ahead(self, applied_index: int) -> bool:
         """Whether a peer that is in touch with the core has a newer configuration than `applied_index`."""
-        now = self.runtime.now()
-        return any(
-            now - received_at < STATUS_VALIDITY_US and response.core and response.applied_index > applied_index
-            for received_at, response in self.responses.values()
-        )
+        return any(response.core and response.applied_index > applied_index for response in self._valid().values())
 
     def any_in_touch(self) -> bool:
         """Whether a peer is in touch with the core."""
-        now = self.runtime.now()
-        return any(
-            now - received_at < STATUS_VALIDITY_US and response.core
-            for received_at, response in self.responses.values()
-        )
+        return any(response.core for response in self._valid().values())
 
     def without_core(self, applied_index: int) -> set[str]:
         """Return the peers that have lost the core too, and have no newer configuration than `applied_index`."""
-        now = self.runtime.now()
         return {
             member
-            for member, (received_at, response) in self.responses.items()
-            if now - received_at < STATUS_VALIDITY_US and not response.core and response.applied_index <= applied_index
+            for member, response in self._valid().items()
+            if not response.core and response.applied_index <= applied_index
         }
 
     def query(self) -> None:
