A restarted voter's grant is void once the tail has restarted too; first leases at once

Cause: after a loss of all processes a restarted voter promised nothing for 1.5 s, as a grant of the read lease from before might stand; the tail asked for its lease every 0.3 s only; a node's first lease waited for two heartbeats of 0.25 s; the view was looked at every 0.2 s. Ruled out: writing grants to the disk (a sync each); serving keys by a disk's unconfirmed configuration (a key may be gone). Change: a grant from before a restart is void once the tail that could have it is seen in another incarnation (decisions.is_grant_void; without the condition the state search finds two tails, with it none). The tail asks for its lease as its copy becomes synced, a node without a lease gets its first one at once, a new incarnation wakes the look at the view.

--- a/iriswheel/consensus/acceptor.py
+++ b/iriswheel/consensus/acceptor.py
@@ -63,7 +63,10 @@
         self.record = record
         self.own_voter = own_voter
         self.on_seal: collections.abc.Callable[[], None] = lambda: None  # the view was closed or replaced here
+        self.on_synced: collections.abc.Callable[[], None] = lambda: None  # this copy may be synced in the view now
         self.on_adopt: collections.abc.Callable[[], None] = lambda: None  # a newer view is about to be written
+        # the incarnation in which a machine was seen since the start, by id; None where it was not
+        self.seen_incarnation: collections.abc.Callable[[str], str | None] = lambda _identifier: None
         self.previous_chain: list[decisions.ReplicaIncarnation] | None = None
         """The chain of the view before the newest one; empty before view 1, None where it is not known here."""
         self._on_view = on_view
@@ -162,6 +165,7 @@
                 if view.chain[0].id == self.own_voter.id:
                     self.runtime.spawn(self._lead_once_synced(view), log)
             self._on_view(view)
+            self.on_synced()
         chain = " ".join(replica.id for replica in view.chain)
         log.info("View {view} is adopted, with chain {chain}.", view=view.number, chain=chain)
 
@@ -175,6 +179,7 @@
             synced = decisions.become_synced(self.record, number)
             if synced is not self.record:
                 await self._sync(synced.synced_view)
+                self.on_synced()
 
     def grant_lease(self, request: message.LeaseRequest) -> message.LeaseResponse:
         """Answer a LeaseRequest; a grant holds promises to others back until it expires."""
@@ -187,7 +192,15 @@
         return decisions.Replica(self.own_voter.id, self.runtime.incarnation, self.disk.ok, self._last_entry())
 
     def _lease_holder(self) -> str | None:
-        return self.lease_grant.holder if self.runtime.now() < self.lease_grant.expires_at_us else None
+        holder, view = self.lease_grant.holder, self.record.view
+        if self.runtime.now() >= self.lease_grant.expires_at_us:
+            return None
+        if view is not None and decisions.is_grant_void(self.record, holder, self._seen_incarnation(view.chain[-1].id)):
+            return None
+        return holder
+
+    def _seen_incarnation(self, identifier: str) -> str | None:
+        return self.runtime.incarnation if identifier == self.own_voter.id else self.seen_incarnation(identifier)
 
     def _chain_before(self, view: message.View) -> list[decisions.ReplicaIncarnation] | None:
         if view.number == 1:
--- a/iriswheel/consensus/decisions.py
+++ b/iriswheel/consensus/decisions.py
@@ -229,6 +229,28 @@
     return holder is not None and holder != sender
 
 
+def is_grant_void(record: Record, holder: str, tail_incarnation: str | None) -> bool:
+    """Whether a grant that may stand from before a restart binds this acceptor no longer.
+
+    Only the tail of the record's view can have got it: a promise to a later view's tail follows the end of all
+    leases before. So it is void once that machine is seen in another incarnation, in which it holds nothing.
+
+    Args:
+        record: The acceptor's record.
+        holder: Who has the grant.
+        tail_incarnation: In which incarnation the tail was seen since the restart; None where it was not.
+
+    >>> record = Record(message.View(2, [], [message.ChainReplica("a", "1")]))
+    >>> [is_grant_void(record, UNKNOWN_HOLDER, incarnation) for incarnation in (None, "1", "2")]
+    [False, False, True]
+    >>> is_grant_void(record, "a", "2")
+    False
+    """
+    if holder != UNKNOWN_HOLDER or record.view is None or tail_incarnation is None:
+        return False
+    return tail_incarnation != record.view.chain[-1].incarnation
+
+
 def accept(record: Record, identifier: str, request: message.Accept) -> tuple[Record, message.Accepted]:
     """Answer an Accept: taken unless a higher ballot was promised.
 
--- a/iriswheel/consensus/peer_heartbeats.py
+++ b/iriswheel/consensus/peer_heartbeats.py
@@ -54,6 +54,7 @@
         self.received: dict[str, ReceivedHeartbeat] = {}  # by machine
         self.leaving = False
         self.send_now = scheduler.Signal()
+        self.incarnation_seen = scheduler.Signal()  # woken for a machine that was not seen before in its incarnation
         self._seeds = list(seeds)
         self._blank_seen_at_us: dict[Address, int] = {}  # of machines that know no view
 
@@ -74,12 +75,20 @@
 
     def receive(self, heartbeat: message.Heartbeat) -> None:
         """Keep a heartbeat, and adopt a newer view that it tells."""
+        is_new = self.seen_incarnation(heartbeat.id) != heartbeat.incarnation
         self.received[heartbeat.id] = ReceivedHeartbeat(self.runtime.now(), heartbeat)
         view = self.acceptor.view
         if heartbeat.view is None:
             self._blank_seen_at_us[(heartbeat.host, heartbeat.port)] = self.runtime.now()
         elif view is None or heartbeat.view.number > view.number:
             self.runtime.spawn(self.acceptor.adopt(heartbeat.view), log)
+        if is_new:
+            self.incarnation_seen.wake()
+
+    def seen_incarnation(self, identifier: str) -> str | None:
+        """The incarnation of a machine's newest heartbeat; None where none has come since the start."""
+        last = self.received.get(identifier)
+        return None if last is None else last.heartbeat.incarnation
 
     # ---- what heartbeats tell ------------------------------------------------
 
--- a/iriswheel/consensus/tail_lease.py
+++ b/iriswheel/consensus/tail_lease.py
@@ -9,11 +9,13 @@
 import typing
 
 from iriswheel.consensus import decisions, timing
+from iriswheel.runtime import scheduler
 from iriswheel.transport import message
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from iriswheel.consensus import acceptor, voter_calls
-    from iriswheel.runtime import scheduler
 
 
 class TailLease:
@@ -25,6 +27,9 @@
         self.runtime = runtime
         self.acceptor = view_acceptor
         self.calls = calls
+        # called when the lease is got anew
+        self.on_obtained: collections.abc.Callable[[], object] = lambda: None
+        self.renew_now = scheduler.Signal()  # woken where this machine may have become the synced tail
         self._expires_at_us = 0
 
     def is_held(self) -> bool:
@@ -41,7 +46,7 @@
             view = self.acceptor.view
             if view is not None and self.acceptor.may_lead_reads() and self.acceptor.disk.ok:
                 await self._renew(view)
-            await self.runtime.sleep(timing.LEASE_RENEWAL_INTERVAL_US)
+            await self.runtime.pause(self.renew_now, timing.LEASE_RENEWAL_INTERVAL_US)
 
     async def _renew(self, view: message.View) -> None:
         asked_at_us = self.runtime.now()  # grants began later than this
@@ -56,4 +61,7 @@
         newest = self.acceptor.view
         is_current = newest is not None and newest.number == view.number and self.acceptor.is_serving()
         if len(granted) >= quorum and is_current and self.acceptor.disk.ok:
+            was_held = self.is_held()
             self._expires_at_us = max(self._expires_at_us, asked_at_us + timing.LEASE_US - timing.CLOCK_DRIFT_US)
+            if not was_held:
+                self.on_obtained()
--- a/iriswheel/consensus/view_change.py
+++ b/iriswheel/consensus/view_change.py
@@ -59,7 +59,7 @@
         """Look at the chain over and over, and propose a better view where one is due."""
         while True:
             jitter_us = self.runtime.rng.randrange(timing.VIEW_CHECK_JITTER_US)
-            await self.runtime.sleep(timing.VIEW_CHECK_INTERVAL_US + jitter_us)
+            await self.runtime.pause(self.heartbeats.incarnation_seen, timing.VIEW_CHECK_INTERVAL_US + jitter_us)
             view = self.acceptor.view
             if view is None:
                 await self._bootstrap()
--- a/iriswheel/consensus/view_consensus.py
+++ b/iriswheel/consensus/view_consensus.py
@@ -70,6 +70,8 @@
         self.view_change = view_change.ViewChange(
             runtime, self.acceptor, self.peer_heartbeats, self.calls, initial_addresses=seeds, voter_count=voter_count
         )
+        self.acceptor.seen_incarnation = self.peer_heartbeats.seen_incarnation
+        self.acceptor.on_synced = self.tail_lease.renew_now.wake
         self.acceptor.on_seal = self.tail_lease.revoke
         self.acceptor.on_adopt = self.view_change.reset
 
--- a/iriswheel/control/node_session.py
+++ b/iriswheel/control/node_session.py
@@ -56,6 +56,7 @@
         )
         self.sent_membership = join.membership.version if join.membership is not None else NO_MEMBERSHIP
         self.heartbeat_sent_at = 0
+        self.has_lease = False  # whether the last heartbeat brought the node a lease
         self.node_time = join.sent_at  # the newest time that the node put on a heartbeat, on its clock
         self.sliced_from: SliceSource | None = None
         self.changed = scheduler.Signal()
@@ -120,11 +121,16 @@
             self.sent_membership = latest.version
 
     def _send_heartbeat(self) -> None:
+        """Send a heartbeat where one is due, or at once where the node has no lease and may have one now."""
         parts = self.parts
-        if parts.runtime.now() - self.heartbeat_sent_at < HEARTBEAT_INTERVAL_US:
+        now = parts.runtime.now()
+        is_due = now - self.heartbeat_sent_at >= HEARTBEAT_INTERVAL_US
+        if not is_due and self.has_lease:
             return
-        self.heartbeat_sent_at = parts.runtime.now()
-        lease_left = parts.lease.grant(self.member.id, self.heartbeat_sent_at)
+        lease_left = parts.lease.grant(self.member.id, now)
+        if not is_due and not lease_left:
+            return
+        self.heartbeat_sent_at, self.has_lease = now, lease_left > 0
         unchanged = parts.node_reports.listing_unchanged
         self.connection.tell(
             message.SessionHeartbeat(self.sent_index, self.sent_membership, unchanged, self.node_time, lease_left)
--- a/iriswheel/control/tail_service.py
+++ b/iriswheel/control/tail_service.py
@@ -64,8 +64,14 @@
         self.holders.on_view(previous_chain, chain, self.parts.runtime.now(), was_tail)
 
     def apply_report(self, report: message.NodeSessionsReport) -> None:
-        """Record a core machine's report; the membership and the lease holders follow from it."""
+        """Record a core machine's report; the membership and the lease holders follow from it.
+
+        A first report, and one that lists nodes without a lease yet, is answered at once.
+        """
         before = self.applied()
+        lists_new_nodes = report.core not in self.received_reports or any(
+            node not in self.holders.holders for node, _, _ in report.leases
+        )
         self.parts.node_reports.record_listing_unchanged(report.listing_unchanged)
         self.parts.membership.apply_report(report)
         self._announce_membership()
@@ -73,7 +79,7 @@
         if self.parts.consensus.is_tail() and view is not None and report.view == view.number:
             self.received_reports[report.core] = max(report.sent_at, self.received_reports.get(report.core, 0))
             self.holders.record_heartbeat(report.core, report.leases, self.parts.runtime.now())
-        if self.applied() != before:
+        if self.applied() != before or lists_new_nodes:
             self.heartbeat_now.wake()
 
     def applied(self) -> int:
--- a/simulation/state_search/cluster_steps.py
+++ b/simulation/state_search/cluster_steps.py
@@ -217,6 +217,14 @@
             yield f"the lease of {core.identifier} runs out", cluster_model.put(world, replace(core, supporters=()))
         if core.holder is not None and core.identifier not in counted:
             yield f"the grant of {core.identifier} runs out", cluster_model.put(world, replace(core, holder=None))
+        elif core.holder is not None and core.reachable and core.record.view is not None:
+            holder = cluster_model.by_identifier(world, core.view.chain[-1].id)
+            seen = holder.incarnation if holder is not None and holder.reachable else None
+            if decisions.is_grant_void(core.record, core.holder, seen):
+                yield (
+                    f"{core.identifier} sees {core.view.chain[-1].id} anew, and its grant is void",
+                    cluster_model.put(world, replace(core, holder=None)),
+                )
 
 
 def writing(world: cluster_model.World, setting: cluster_model.Setting) -> Transitions:
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -130,6 +130,22 @@
         consensus.runtime.spawn(consensus.renew_lease())
         assert consensus.holds_lease()
 
+    def test_a_restarted_voter_promises_once_it_sees_that_the_tail_has_restarted(self) -> None:
+        _, consensus = self.make_consensus({})
+        agreed = make_view(4, "bca")  # its tail is this machine in a former incarnation
+        consensus.acceptor.record = decisions.Record(agreed, synced_view=4)
+        prepare = message.Prepare(5, (1, "b"), "b")
+        answer = deferreds.result_of(defer.ensureDeferred(consensus.acceptor.promise(prepare)))
+        assert answer.ok
+        other_tail = message.View(4, agreed.voters, [*agreed.chain[1:], agreed.chain[0]])
+        consensus.acceptor.record = decisions.Record(other_tail, synced_view=4)  # "b" lives on: its lease may stand
+        prepare = message.Prepare(5, (1, "c"), "c")
+        answer = deferreds.result_of(defer.ensureDeferred(consensus.acceptor.promise(prepare)))
+        assert not answer.ok
+        consensus.receive_heartbeat(message.Heartbeat("b", "2", "zone", "b", 1, other_tail, 4, True))
+        answer = deferreds.result_of(defer.ensureDeferred(consensus.acceptor.promise(prepare)))
+        assert answer.ok
+
     def test_a_proposal_waits_but_shortly_for_machines_that_are_silent(self) -> None:
         clock, consensus = self.make_consensus({"b": promised("b", 4)})
         clock.advance(2)  # the grants of before the start have run out, and so have the heartbeats
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -133,6 +133,19 @@
         limits = cluster_model.Limits(proposals=1, changes=0, leases=4)
         self.breaks(("is_lease_of_another", lambda _holder, _sender: False), limits, "two tails", recovery=False)
 
+    def test_a_grant_from_before_a_restart_is_void_only_once_its_tail_has_restarted_too(self) -> None:
+        limits = cluster_model.Limits(proposals=1, changes=0, crashes=1, leases=2)
+        a, b, tail = cluster_model.start(3, limits).cores
+        cores = (
+            a,
+            msgspec.structs.replace(b, holder="c"),
+            msgspec.structs.replace(tail, supporters=("b", "c"), holder="c"),
+        )
+        first = msgspec.structs.replace(cluster_model.start(3, limits), cores=cores)
+        assert self.search(limits, first=first, recovery=False).violation == ""
+        guard = ("is_grant_void", lambda _record, holder, _incarnation: holder == decisions.UNKNOWN_HOLDER)
+        self.breaks(guard, limits, "two tails", first=first, recovery=False)
+
     def test_without_the_seal_a_sealed_view_acknowledges(self) -> None:
         limits = cluster_model.Limits(proposals=1, changes=1)
         self.breaks(("is_sealed", lambda _record: False), limits, "in the sealed view")
