A node is ready once it has all that it serves by, and holds what comes before

A new tail waited 0.5 s for nodes that may tell of roles although all that came had restarted, and counted that wait from a look that came up to 0.1 s late. Ruled out: an allowance of its own for each node that knows no member: 70 nodes pass the bound with one request each. Change: node/startup.py waits for configuration, workers, lease, members and active owners; requests that come meanwhile are held for a tenth of their time, 0.5 s at most. The first membership comes 0.1 s after the lease where a node has come and none knows of an earlier one; the lease wakes the tail's issue.

--- a/iriswheel/control/core.py
+++ b/iriswheel/control/core.py
@@ -67,7 +67,7 @@
         self.tail_service = tail_service.TailService(
             parts, options, self.tail_contact, self.node_sessions, self._announce
         )
-        self.consensus.tail_lease.on_obtained = self.tail_service.heartbeat_now.wake
+        self.consensus.tail_lease.on_obtained = self.tail_service.on_lease
         self.reporter = reports.SessionReporter(parts, self.node_sessions, self.tail_service.apply_report)
         self.session_replicas = replica_store.SessionReplicaStore(parts, self.disk, state)
         self.loads = load_exchange.LoadAggregator(parts, self.node_sessions.by_node)
--- a/iriswheel/control/tail_service.py
+++ b/iriswheel/control/tail_service.py
@@ -51,6 +51,7 @@
         self.holders = lease.LeaseHolders(options.lease_us, parts.runtime.now())
         self.received_reports: dict[str, int] = {}  # core -> `sent_at` of its newest report in this view
         self.heartbeat_now = scheduler.Signal()
+        self.issue_now = scheduler.Signal()
         self._announced_version: message.MembershipVersion | None = None  # of the membership that was last announced
         self._sent_memberships: dict[message.ChainReplica, SentMembership] = {}
 
@@ -63,6 +64,11 @@
         chain = decisions.chain_incarnations(view)
         self.holders.on_view(previous_chain, chain, self.parts.runtime.now(), was_tail)
 
+    def on_lease(self) -> None:
+        """This machine has got the tail's lease: others learn it at once, and the wait for the nodes begins."""
+        self.heartbeat_now.wake()
+        self.issue_now.wake()
+
     def apply_report(self, report: message.NodeSessionsReport) -> None:
         """Record a core machine's report; the membership and the lease holders follow from it.
 
@@ -99,9 +105,9 @@
                 await self.parts.peers.tell(tail.host, tail.port, leaving)
 
     async def issue_periodically(self) -> None:
-        """Issue the membership where a member's time has run out; one task."""
+        """Issue the membership where a member's time has run out, or this machine may issue now; one task."""
         while True:
-            await self.parts.runtime.sleep(ISSUE_INTERVAL_US)
+            await self.parts.runtime.pause(self.issue_now, ISSUE_INTERVAL_US)
             if self.parts.consensus.is_tail():
                 self.parts.membership.issue_if_changed()
                 self._announce_membership()
--- a/iriswheel/dataplane/gateway.py
+++ b/iriswheel/dataplane/gateway.py
@@ -93,10 +93,16 @@
     async def serve(self, http_request: http_server.Request) -> None:
         """Admit a request, charge it to its tenant's rate limit, and forward it.
 
-        Only requests that wait for a pool owner are queued: a node that selects by itself sends or refuses at once.
+        Only requests that wait for a pool owner are queued: a node that selects by itself sends or refuses at once,
+        but for the moment after its start.
         """
         attempt_id = f"{self._next_id()}/0"
         request = routed_request.RoutedRequest(http_request, attempt_id, self.runtime.now())
+        self.router.parse(request)
+        await self.node.startup.hold(request.parsed.left_us)
+        if http_request.gone:
+            self.counts.disconnected += 1
+            return
         self.router.admit(request)
         if request.tenant is None or not request.tenant.rate:
             await self.serve_admitted(request)
--- a/iriswheel/dataplane/interfaces.py
+++ b/iriswheel/dataplane/interfaces.py
@@ -126,6 +126,13 @@
         """Take back the charge of a request that did not run."""
 
 
+class Startup(typing.Protocol):
+    """The first seconds of a node's process."""
+
+    async def hold(self, left_us: int | None) -> None:
+        """Hold a request until the node serves, within a part of the time that the request has left."""
+
+
 class DataPlaneNode(MemberProcess, typing.Protocol):
     """The node process, as far as the path of a request needs it."""
 
@@ -169,6 +176,10 @@
     def rate_limiter(self) -> RateLimiter:
         """Charges requests to their tenants."""
 
+    @property
+    def startup(self) -> Startup:
+        """Whether the node has had all that it serves by since its process started."""
+
     @property
     def pool_owners(self) -> collections.abc.Mapping[str, LocalPoolOwner]:
         """The pool owners whose role is here, by pool."""
--- a/iriswheel/dataplane/request_router.py
+++ b/iriswheel/dataplane/request_router.py
@@ -26,13 +26,33 @@
         self.budgets = budgets
         self.authenticator = authentication.Authenticator(node)
 
+    def parse(self, request: routed_request.RoutedRequest) -> None:
+        """Check method and length, and parse the request's id, attempt number, idempotence and body.
+
+        Raises:
+            errors.ServiceError: The request is malformed.
+        """
+        http_request, headers = request.http_request, request.http_request.requestHeaders
+        if http_request.method != b"POST" and not self.node.edge_protocol.any_method:
+            raise errors.ServiceError("bad_method", "Exchanges are sent with POST.")
+        if (
+            http_request.method == b"POST"
+            and not headers.hasHeader("content-length")
+            and not headers.hasHeader("transfer-encoding")
+        ):
+            raise errors.ServiceError("length_required", "The body's length is not said.", field="Content-Length")
+        parsed = request.parsed = self.node.edge_protocol.parse_request(http_request)
+        request.parts, request.request_id, request.attempt_number = parsed.parts, parsed.request_id, parsed.send
+        request.idempotent = parsed.idempotent
+        assert http_request.content is not None, "the body is read before the request is handled"
+        request.raw = http_request.content.read()
+
     def admit(self, request: routed_request.RoutedRequest) -> None:
-        """Parse and route a new request, and count it as a first send.
+        """Route a new request that was parsed, and count it as a first send.
 
         Raises:
-            errors.ServiceError: The request is malformed, has no route or no key, or this node takes none now.
+            errors.ServiceError: The request has no route or no key, or this node takes none now.
         """
-        self._parse(request)
         self._route(request)
         self.authenticator.authenticate(request)
         self._set_terms(request)
@@ -49,23 +69,6 @@
             self._route(request)
             self._set_terms(request)
 
-    def _parse(self, request: routed_request.RoutedRequest) -> None:
-        """Check method and length, and parse the request's id, attempt number, idempotence and body."""
-        http_request, headers = request.http_request, request.http_request.requestHeaders
-        if http_request.method != b"POST" and not self.node.edge_protocol.any_method:
-            raise errors.ServiceError("bad_method", "Exchanges are sent with POST.")
-        if (
-            http_request.method == b"POST"
-            and not headers.hasHeader("content-length")
-            and not headers.hasHeader("transfer-encoding")
-        ):
-            raise errors.ServiceError("length_required", "The body's length is not said.", field="Content-Length")
-        parsed = request.parsed = self.node.edge_protocol.parse_request(http_request)
-        request.parts, request.request_id, request.attempt_number = parsed.parts, parsed.request_id, parsed.send
-        request.idempotent = parsed.idempotent
-        assert http_request.content is not None, "the body is read before the request is handled"
-        request.raw = http_request.content.read()
-
     def _route(self, request: routed_request.RoutedRequest) -> None:
         """Find the route by host and longest matching path, then its pool.
 
--- a/iriswheel/membership/membership_manager.py
+++ b/iriswheel/membership/membership_manager.py
@@ -16,6 +16,8 @@
 from iriswheel.transport import message
 
 TAKEOVER_WAIT_US = 1 * units.SECOND_US  # a new tail collects reports for so long before it issues
+# likewise, where no node that has come has a membership: all have restarted, and no role is anybody's
+FIRST_MEMBERSHIP_WAIT_US = 100 * units.MILLISECOND_US
 REPORT_VALIDITY_US = 1 * units.SECOND_US  # a core machine without a newer report has lost its nodes
 ENDED_SESSION_GRACE_US = 500 * units.MILLISECOND_US  # a node whose session ended stays a member for so long
 LOST_SESSION_GRACE_US = 3_500 * units.MILLISECOND_US  # likewise, one whose core machine is silent
@@ -195,9 +197,10 @@
         cores = {replica.id for replica in view.chain} if view is not None else set()
         if waited < TAKEOVER_WAIT_US and not cores <= set(self.reports):
             return False
-        if waited < TAKEOVER_WAIT_US // 2:
-            return False  # nodes need a moment to come back
         old = self.latest
+        all_restarted = old is None and bool(self.seen)
+        if waited < (FIRST_MEMBERSHIP_WAIT_US if all_restarted else TAKEOVER_WAIT_US // 2):
+            return False  # nodes need a moment to come back
         if old is not None:
             for member in old.members:
                 self.seen.setdefault(member.id, SeenMember(now, member, NO_CORE))
--- a/iriswheel/node/core_session.py
+++ b/iriswheel/node/core_session.py
@@ -158,6 +158,7 @@
         if connection is not self.connection:
             self._move_to(connection)
         self.leased_at = self.runtime.now()
+        self.follower.node.startup.update()
 
     def _move_to(self, connection: wire.Connection) -> None:
         old = self.connection
--- a/iriswheel/node/node.py
+++ b/iriswheel/node/node.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from iriswheel.dataplane import dispatch, edge_protocol, gateway, health
-from iriswheel.node import follower, load_reporter, peer_requests, pool_roles, shutdown
+from iriswheel.node import follower, load_reporter, peer_requests, pool_roles, shutdown, startup
 from iriswheel.rate_limits import rate_limiter
 from iriswheel.runtime import scheduler, units
 from iriswheel.transport import message, peers, wire
@@ -40,6 +40,7 @@
         self.reachability: health.Reachability = health.Reachability(self)
         self.dispatcher = dispatch.Dispatcher(runtime, self.reachability.note_contact)
         self.follower: follower.Follower = follower.Follower(self, options)
+        self.startup: startup.Startup = startup.Startup(self.follower)
         self.gateway: gateway.Gateway = gateway.Gateway(self)
         self.loads = load_reporter.LoadReporter(self)
         self.rate_limiter: rate_limiter.RateLimiter = rate_limiter.RateLimiter(self)
@@ -98,8 +99,8 @@
         follower = self.follower
         if self.draining:
             return False, "stopping"
-        if follower.items is None:
-            return False, "no blueprint yet"
+        if not self.startup.is_complete:
+            return False, self.startup.missing()
         if follower.needs_rejoin():
             return False, "rejoining"
         if follower.is_partitioned():
@@ -141,6 +142,7 @@
         if self.member_record is None:
             return
         self.pool_roles.update(self.member_record.id)
+        self.startup.update()
         # a question to the core machines may be under way, as a new pool owner puts it to them
         members = {(member.host, member.port) for member in self.follower.membership.members}
         self.peers.keep(members | set(self.follower.core_zones()))
