While a disk stalls, a view that heartbeats tell is adopted once

Cause: each heartbeat with a newer view began an adoption of its own; these queued at the acceptor's lock, and when it came free each found nothing to do and freed it for the next within one stack: "maximum recursion depth exceeded" after some 15 s of a stall, and the machine took part in nothing any more. Change: one adoption at a time of a view that heartbeats tell. The test fails without it with the same error, and one more holds that a copy counts as synced, and may lead reads, only once that is on its disk.

--- a/iriswheel/consensus/peer_heartbeats.py
+++ b/iriswheel/consensus/peer_heartbeats.py
@@ -57,6 +57,7 @@
         self.incarnation_seen = scheduler.Signal()  # woken for a machine that was not seen before in its incarnation
         self._seeds = list(seeds)
         self._blank_seen_at_us: dict[Address, int] = {}  # of machines that know no view
+        self._adopting = 0  # number of the newest view whose adoption is under way
 
     def own_heartbeat(self) -> message.Heartbeat:
         """This machine's own heartbeat."""
@@ -80,11 +81,23 @@
         view = self.acceptor.view
         if heartbeat.view is None:
             self._blank_seen_at_us[(heartbeat.host, heartbeat.port)] = self.runtime.now()
-        elif view is None or heartbeat.view.number > view.number:
-            self.runtime.spawn(self.acceptor.adopt(heartbeat.view), log)
+        elif (view is None or heartbeat.view.number > view.number) and heartbeat.view.number > self._adopting:
+            self.runtime.spawn(self._adopt(heartbeat.view), log)
         if is_new:
             self.incarnation_seen.wake()
 
+    async def _adopt(self, view: message.View) -> None:
+        """Adopt a view that a heartbeat told.
+
+        While the disk stalls each further heartbeat tells it again; only the first one waits for the disk.
+        """
+        self._adopting = view.number
+        try:
+            await self.acceptor.adopt(view)
+        finally:
+            if self._adopting == view.number:
+                self._adopting = 0
+
     def seen_incarnation(self, identifier: str) -> str | None:
         """The incarnation of a machine's newest heartbeat; None where none has come since the start."""
         last = self.received.get(identifier)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -1,6 +1,7 @@
 """The decisions of the view agreement, one by one."""
 
 from collections.abc import Sequence
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -146,6 +147,43 @@
         answer = deferreds.result_of(defer.ensureDeferred(consensus.acceptor.promise(prepare)))
         assert answer.ok
 
+    def test_a_copy_counts_as_synced_and_may_lead_reads_only_once_that_is_on_the_disk(self) -> None:
+        _, consensus = self.make_consensus({"b": message.LeaseResponse(True, None)})
+        written: defer.Deferred[None] = defer.Deferred()
+
+        async def commit(_puts: list[tuple[bytes, bytes]]) -> None:
+            await written
+
+        disk: Any = SimpleNamespace(ok=True, commit=commit)
+        consensus.acceptor.disk = disk
+        consensus.acceptor.record = decisions.Record(consensus.view, synced_view=3)
+        consensus.runtime.spawn(consensus.renew_lease())
+        defer.ensureDeferred(consensus.mark_synced(4))
+        assert (consensus.acceptor.is_synced(), consensus.holds_lease()) == (False, False)
+        written.callback(None)
+        assert (consensus.acceptor.is_synced(), consensus.holds_lease()) == (True, True)
+
+    def test_a_view_that_is_told_while_the_disk_stalls_is_adopted_once(self) -> None:
+        _, consensus = self.make_consensus({})
+        stalled: defer.Deferred[None] = defer.Deferred()
+        writes: list[object] = []
+
+        async def commit(puts: list[tuple[bytes, bytes]]) -> None:
+            writes.append(puts)
+            if len(writes) == 1:
+                await stalled
+
+        disk: Any = SimpleNamespace(ok=True, commit=commit)
+        consensus.acceptor.disk = disk
+        consensus.acceptor.record = decisions.Record(consensus.view, synced_view=3)
+        defer.ensureDeferred(consensus.mark_synced(4))  # holds the lock until the disk goes on
+        newer = make_view(5, "abc")
+        for _ in range(2_000):  # each heartbeat of a stall of some minutes tells the view
+            consensus.receive_heartbeat(message.Heartbeat("b", "1", "zone", "b", 1, newer, 5, True))
+        stalled.callback(None)
+        assert consensus.view == newer
+        assert len(writes) == 2
+
     def test_a_proposal_waits_but_shortly_for_machines_that_are_silent(self) -> None:
         clock, consensus = self.make_consensus({"b": promised("b", 4)})
         clock.advance(2)  # the grants of before the start have run out, and so have the heartbeats
