A core machine that knows itself cut off refuses operators' calls at once

Cause: it used its whole 0.9 s before it said 503, and the operator's next try came as much later. Change: one that heard no majority of the voters for PEER_TIMEOUT_US (1.3 s; not within the first 1.3 s of a process) refuses reads and changes before anything is sent on. What may have run before keeps its unclear answer. Test: seen failing before (504, an unclear answer, in place of 503). test_without_the_lease_old_reads_are_found takes out this look too, as it stands before the lease, which that test is about.

--- a/iriswheel/consensus/peer_heartbeats.py
+++ b/iriswheel/consensus/peer_heartbeats.py
@@ -147,6 +147,11 @@
                 alive[heartbeat.id] = heartbeat.incarnation
         return alive
 
+    def hears_majority(self, view: message.View) -> bool:
+        """Whether this machine heard, itself included, a majority of a view's voters within PEER_TIMEOUT_US."""
+        heard = {heartbeat.id for heartbeat in self.recent()} | {self.own_voter.id}
+        return len([voter for voter in view.voters if voter.id in heard]) >= decisions.majority(len(view.voters))
+
     def departing(self) -> decisions.Incarnations:
         """The machines that live and leave, and whose disk works, with their incarnations."""
         departing = {
--- a/iriswheel/consensus/view_consensus.py
+++ b/iriswheel/consensus/view_consensus.py
@@ -13,7 +13,16 @@
 import collections.abc
 import typing
 
-from iriswheel.consensus import acceptor, decisions, departure, peer_heartbeats, tail_lease, view_change, voter_calls
+from iriswheel.consensus import (
+    acceptor,
+    decisions,
+    departure,
+    peer_heartbeats,
+    tail_lease,
+    timing,
+    view_change,
+    voter_calls,
+)
 from iriswheel.transport import message
 
 if typing.TYPE_CHECKING:
@@ -121,6 +130,15 @@
         """Whether this machine is the synced tail and holds the read lease at this very moment."""
         return self.tail_lease.is_held()
 
+    def is_cut_off(self) -> bool:
+        """Whether this machine knows that it can reach no majority, so that it can neither change nor read anything.
+
+        A machine that has just started has heard nobody yet, and may still.
+        """
+        view = self.view
+        has_listened = self.runtime.now() - self.started_at >= timing.PEER_TIMEOUT_US
+        return view is not None and has_listened and not self.peer_heartbeats.hears_majority(view)
+
     def voter(self, identifier: str) -> message.Voter | None:
         """The address of a voter of the newest view, or None where it is none."""
         voters = self.view.voters if self.view is not None else []
--- a/iriswheel/control/chain_client.py
+++ b/iriswheel/control/chain_client.py
@@ -74,8 +74,21 @@
             raise errors.ServiceError("no_chain", "The tail holds no lease now.")
         return read
 
+    def refuse_if_cut_off(self) -> None:
+        """Refuse a call that can't succeed here, so that its operator goes on to another machine.
+
+        Raises:
+            errors.ServiceError: `no_chain`, where this machine knows that it reaches no majority.
+        """
+        if self.parts.consensus.is_cut_off():
+            raise errors.ServiceError("no_chain", "This machine is cut off from the others.")
+
     async def read_state(self) -> message.ReadResponse:
-        """Read the committed state at the tail; tried again for READ_RETRY_US where that fails."""
+        """Read the committed state at the tail; tried again for READ_RETRY_US where that fails.
+
+        Raises:
+            errors.ServiceError: `no_chain`; at once where this machine knows itself cut off.
+        """
         until = self.parts.runtime.now() + READ_RETRY_US
         while True:
             try:
@@ -83,6 +96,7 @@
             except errors.ServiceError:
                 if self.parts.runtime.now() >= until:
                     raise
+                self.refuse_if_cut_off()
             await self.parts.runtime.sleep(RETRY_DELAY_US)
 
     async def propose(
@@ -118,6 +132,7 @@
         view = self.parts.consensus.view
         if view is None:
             raise errors.ServiceError("no_chain", "No view is agreed yet.")
+        self.refuse_if_cut_off()
         voter = self.parts.voter_of(view.chain[position])
         request = make(view.number)
         try:
--- a/iriswheel/control/submitted_changes.py
+++ b/iriswheel/control/submitted_changes.py
@@ -159,7 +159,8 @@
             The version under which the change is committed.
 
         Raises:
-            errors.ServiceError: The change is refused, or after TIMEOUT_US it is not known to be applied by all nodes.
+            errors.ServiceError: The change is refused, or after TIMEOUT_US it is not known to be applied by all nodes;
+                at once where this machine knows itself cut off.
         """
         until = self.parts.runtime.now() + TIMEOUT_US
         self.counters.changes += 1
@@ -173,6 +174,8 @@
             except errors.ServiceError as error:
                 may_have_run = may_have_run or error.execution is errors.ExecutionOutcome.MAY_HAVE_RUN
                 known, last_error = None, error
+                if self.parts.consensus.is_cut_off():
+                    break
                 await self.parts.runtime.sleep(RETRY_DELAY_US)
                 continue
             if isinstance(outcome, Committed):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -8,12 +8,14 @@
 from twisted.web import client
 
 from iriswheel.cli import command
+from iriswheel.consensus import timing, view_consensus
 from iriswheel.control import submitted_changes
 from iriswheel.replication import tail
 from iriswheel.runtime import scheduler, units
 from iriswheel.transport import message
 from iriswheel.verification import history
 from simulation import addresses, simulated_cluster
+from tests import deferreds
 
 SECOND = units.SECOND_US
 CUT_SECONDS = 20
@@ -126,6 +128,27 @@
         assert any(r["kind"] == "read" for r in during), case
         assert max(caller.slowest for caller in callers) < SECOND, case
 
+    def test_a_core_machine_that_knows_itself_cut_off_says_so_at_once(self) -> None:
+        cluster = ClusterWithNewest(3, "small", long_rate=0, short_rate=0, conversations=0)
+        cluster.probing = False
+        cluster.begin()
+        cluster.advance(2)
+        core = next(iter(cluster.cores))
+        others = [other.options.host for name, other in cluster.cores.items() if name != core]
+        cluster.world.cut([cluster.places[core].host], others)
+        cluster.advance(timing.PEER_TIMEOUT_US / SECOND + 0.1)
+        caller = Caller(cluster, core)
+        for call in (caller.read(), caller.order(1, 0, "/x")):
+            answered = cluster.operator_runtime.spawn(call, simulated_cluster.log)
+            cluster.advance_until_called(answered, 3)
+            assert deferreds.result_of(answered) == 503
+        assert caller.slowest < SECOND // 20
+        cluster.world.heal()
+        cluster.advance(3)
+        answered = cluster.operator_runtime.spawn(caller.read(), simulated_cluster.log)
+        cluster.advance_until_called(answered, 3)
+        assert deferreds.result_of(answered) == 200
+
     def test_without_the_lease_old_reads_are_found(self, monkeypatch: pytest.MonkeyPatch) -> None:
         lookup = tail.Tail.answer_read
 
@@ -134,6 +157,8 @@
                 return lookup(self, msg)
 
         monkeypatch.setattr(tail.Tail, "answer_read", look)
+        # a machine that knows itself cut off refuses before it looks for the lease; this test is about the lease
+        monkeypatch.setattr(view_consensus.ViewConsensus, "is_cut_off", lambda _self: False)
         cluster, _, _ = self.play(40, 2, True, True)
         assert "read number" in "".join(history.complaints(cluster.event_log.rows))
 
