--- a/iriswheel/control/submitted_changes.py
+++ b/iriswheel/control/submitted_changes.py
@@ -94,8 +94,9 @@
 def decide(known: KnownState, change: SubmittedChange) -> Decision:
     """Decide from a state whether a change is committed, can be proposed, or must be refused.
 
-    A change is committed where it is among those taken, or where a complete one would make just the state that
-    is there. Numbers rise, so a change on a number that was passed can't be taken any more.
+    A change is committed where it is among those taken. A complete one that would make just the state that is there
+    is proposed without any change of an item, on whichever base it was sent: so it is remembered as taken, and found
+    so after later changes. Numbers rise, so a change on a number that was passed can't be taken any more.
 
     >>> change = SubmittedChange("c0-3-x", 3, 0, lambda items: {"pools/p": {}})
     >>> decide(KnownState(0, {}, 0, 0, True), change)
@@ -117,9 +118,8 @@
     except errors.ServiceError as error:
         return Refused(error if is_base else _base_passed(known, change, current))
     changes = configuration.difference(known.items, made)
-    if may_stand and not changes and known.version:
-        return Committed(known.version)
-    return Applicable(changes) if is_base else Refused(_base_passed(known, change, current))
+    already_stands = may_stand and not changes and bool(known.version)
+    return Applicable(changes) if is_base or already_stands else Refused(_base_passed(known, change, current))
 
 
 def _base_passed(known: KnownState, change: SubmittedChange, current: int) -> errors.ServiceError:
--- a/tests/test_submitted_changes.py
+++ b/tests/test_submitted_changes.py
@@ -1,5 +1,7 @@
 """What operators are told of a change that is too old for a decision."""
 
+from typing import Any
+
 from iriswheel import errors
 from iriswheel.control import submitted_changes
 
@@ -12,3 +14,10 @@
     assert isinstance(decision, submitted_changes.Refused)
     assert decision.error.execution is errors.ExecutionOutcome.MAY_HAVE_RUN
     assert decision.error.text == "Changes of that age are no longer remembered."
+
+
+def test_a_configuration_that_stands_already_is_proposed_so_that_it_is_remembered() -> None:
+    items: dict[str, Any] = {"pools/p": {}, "marks/operator": {"number": 4}}
+    known = submitted_changes.KnownState(version=9, items=items, taken_as=0, forgotten=0, read_at_tail=True)
+    change = submitted_changes.SubmittedChange("c3-4-0a", 4, 3, lambda _items: {"pools/p": {}}, complete=True)
+    assert submitted_changes.decide(known, change) == submitted_changes.Applicable([])
