A selection that another pool has not cleared in time chooses no worker

Cause: where the other pools could not say yet what became of an earlier send, and the time ran out meanwhile, the loop went on to choose a worker: a request that may not be repeated could run twice. Change: a worker is chosen only once the request is cleared; out of time it is denied, as one that may have run.

--- a/iriswheel/pools/pool_owner.py
+++ b/iriswheel/pools/pool_owner.py
@@ -277,17 +277,20 @@
             if response is not None:
                 return response
             if pool is not None and self.is_active():
-                if not cleared:
+                if cleared:
+                    response = await self._choose(request, pool)
+                else:
                     cleared, response = await self._clear_with_other_pools(request)
                     if response is None and deadline_us > self.runtime.now():
                         continue  # all may have changed meanwhile
-                if response is None:
-                    response = await self._choose(request, pool)
                 if response is not None:
                     return response
             left_us = deadline_us - self.runtime.now()
+            if left_us <= 0 and not self.is_active():
+                return self.deny("no_warden", "No seat came free in time.")
             if left_us <= 0:
-                return self.deny("busy" if self.is_active() else "no_warden", "No seat came free in time.")
+                outcome = errors.ExecutionOutcome.NOT_RUN if cleared else errors.ExecutionOutcome.MAY_HAVE_RUN
+                return self.deny("busy", "No seat came free in time.", outcome)
             await self.runtime.pause(self.slot_freed, left_us)
 
     def _response_without_choice(
