--- a/iriswheel/node/platform_listing.py
+++ b/iriswheel/node/platform_listing.py
@@ -72,8 +72,8 @@
         chance, as long as all members together need at half of the platform's rate, and the
         first one that has the list tells it to the others.
         """
-        address = self.options.platform_address()
         while not self.node.stopped:
+            address = self.options.platform_address()  # options that are read again may name another
             assignment = self._own_assignment()
             if assignment is None and self.follower.lacks_worker_updates() and self.follower.membership.members:
                 await self._wait_by_chance()
