A configured route goes before the node's own state and readiness paths

Cause: GET /state and the readiness path were answered by the node on the front address whatever the routes said. Change: where clients' requests come by any method, a routed path goes the way of clients' requests.

--- a/iriswheel/dataplane/gateway.py
+++ b/iriswheel/dataplane/gateway.py
@@ -68,12 +68,12 @@
             errors.ServiceError: The request is refused; the HTTP server answers with this error.
         """
         match (request.method, request.path.decode("latin-1")):
-            case (b"GET", edge_protocol.READY_PATH):
+            case (b"GET", edge_protocol.READY_PATH) if not self._is_routed(request):
                 if self.node.draining:
                     self.node.drain_noticed_at_us = self.node.drain_noticed_at_us or self.runtime.now()
                 request.answer_json(*self.node.edge_protocol.ready(*self.node.ready()))
                 return
-            case (b"GET", "/state"):
+            case (b"GET", "/state") if not self._is_routed(request):
                 request.answer_json(200, self.node.state())
                 return
         if request.requestHeaders.hasHeader(edge_protocol.PASS):
@@ -237,6 +237,13 @@
                 self.attempts.end(attempt_id)
         self.relays.answer(request, outcome)
 
+    def _is_routed(self, request: http_server.Request) -> bool:
+        """Whether the configuration routes a path at which the node itself answers otherwise."""
+        if not self.node.edge_protocol.any_method:
+            return False  # no request of a client comes by GET
+        host = self.node.edge_protocol.parse_request(request).host
+        return self.node.follower.find_route(host, request.path.decode("latin-1")) is not None
+
     def _next_id(self) -> str:
         self.received_requests += 1
         return f"{local_member.member_id(self.node)}-{self.received_requests}"
