A node closes connections to peers that carried nothing for ten seconds

Cause: a node that told all others of workers once kept a connection to each, with keep-alives every 0.3 s on both sides. Change: the side that opened a connection closes it once it was idle for 10 s.

--- a/iriswheel/node/node.py
+++ b/iriswheel/node/node.py
@@ -159,6 +159,7 @@
             self.pool_roles.sweep(now)
             self.gateway.selector.forget_expired_sessions(now)
             self.rate_limiter.sweep()
+            self.peers.close_idle()
 
     def _forget_expired_attempts(self) -> None:
         now = self.runtime.now()
--- a/iriswheel/transport/peers.py
+++ b/iriswheel/transport/peers.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from iriswheel.runtime import scheduler
+from iriswheel.runtime import scheduler, units
 from iriswheel.transport import wire
 
 if typing.TYPE_CHECKING:
@@ -14,6 +14,8 @@
 
     from iriswheel.transport import message
 
+IDLE_US = 10 * units.SECOND_US
+
 Address: typing.TypeAlias = tuple[str, int]  # host, port
 
 
@@ -78,6 +80,15 @@
             return
         connection.tell(content)
 
+    def close_idle(self) -> None:
+        """Close the connections that carried nothing for IDLE_US: each costs both sides its keep-alives.
+
+        >>> import loguru
+        >>> Peers(scheduler.Runtime(None, now=lambda: 0), lambda connection, content: None, loguru.logger).close_idle()
+        """
+        for address in [known for known, connection in self.connections.items() if connection.is_idle(IDLE_US)]:
+            self.connections.pop(address).close()
+
     def keep(self, addresses: collections.abc.Set[Address]) -> None:
         """Close the connections to all but these addresses.
 
--- a/iriswheel/transport/wire.py
+++ b/iriswheel/transport/wire.py
@@ -96,7 +96,7 @@
         self.pending: dict[int, defer.Deferred[typing.Any]] = {}  # sequence -> the answer to come
         self.lost = scheduler.Signal()
         self.up = False
-        self.last_received = self.last_sent = runtime.now()
+        self.last_received = self.last_sent = self.last_used = runtime.now()
         self.sent_bytes = 0
         self.full = False  # whether the transport's buffer is full
         self.writable = scheduler.Signal()
@@ -145,6 +145,7 @@
     def tell(self, content: message.Message) -> None:
         """Send a message that wants no answer; it is dropped where the connection is broken."""
         if self.up:
+            self.last_used = self.runtime.now()
             self._send(FrameKind.TELL, 0, content)
 
     # Any: each caller knows the type of the answer to its message.
@@ -155,6 +156,7 @@
         """
         if not self.up:
             return defer.fail(ConnectionBrokenError(sent=False))
+        self.last_used = self.runtime.now()
         self.sequence += 1
         sequence = self.sequence
 
@@ -221,6 +223,10 @@
         self.log.warning("A peer's message of {length} bytes is too long; the connection ends.", length=length)
         self.transport.abortConnection()
 
+    def is_idle(self, duration_us: int) -> bool:
+        """Whether this side sent no message, and waited for no answer, for so long (µs); keep-alives don't count."""
+        return not self.pending and self.runtime.now() - self.last_used >= duration_us
+
     def close(self) -> None:
         """Break the connection off at once."""
         if self.up:
--- /dev/null
+++ b/tests/test_idle_connections.py
@@ -0,0 +1,61 @@
+"""Connections between processes that carry nothing are closed; what is used stays open."""
+
+from typing import Any
+
+import loguru
+import pytest
+from twisted.internet import task
+from twisted.internet.testing import StringTransport
+
+from iriswheel.runtime import scheduler, units
+from iriswheel.transport import message, peers, wire
+
+ADDRESS = ("10.0.2.2", 7001)
+
+
+class Transport(StringTransport):
+    """A transport that notes how its connection ended."""
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        """Take the option of a TCP transport."""
+
+
+class TestIdleConnections:
+    @pytest.fixture(autouse=True)
+    def connect(self) -> None:
+        self.clock = task.Clock()
+        runtime = scheduler.Runtime(self.clock, now=lambda: round(self.clock.seconds() * units.SECOND_US))
+        self.transport = Transport()
+        self.connection = wire.Connection(runtime, lambda _connection, _content: None, loguru.logger)
+        transport: Any = self.transport
+        self.connection.makeConnection(transport)
+        self.peers = peers.Peers(runtime, lambda _connection, _content: None, loguru.logger)
+        self.peers.connections[ADDRESS] = self.connection
+
+    def idle(self, seconds: float) -> None:
+        """Let time pass in which the other side sends keep-alives alone."""
+        for _ in range(round(seconds * 4)):
+            self.clock.advance(0.25)
+            self.connection.last_received = self.connection.runtime.now()
+
+    def is_closed(self) -> bool:
+        """Whether the connection is closed now, after a look for idle ones."""
+        self.peers.close_idle()
+        return self.transport.disconnected and ADDRESS not in self.peers.connections
+
+    def test_keep_alives_alone_hold_no_connection_open(self) -> None:
+        self.idle(9.75)
+        assert not self.is_closed()
+        self.idle(0.5)
+        assert self.is_closed()
+
+    def test_a_message_begins_the_time_anew(self) -> None:
+        self.idle(8)
+        self.connection.tell(message.MemberLeaving("n1"))
+        self.idle(8)
+        assert not self.is_closed()
+
+    def test_a_call_that_waits_for_its_answer_keeps_its_connection(self) -> None:
+        self.connection.call(message.ChargeRequest("t", 1.0), 60 * units.SECOND_US).addErrback(lambda _: None)
+        self.idle(20)
+        assert not self.is_closed()
