--- a/iriswheel/configuration/schema.py
+++ b/iriswheel/configuration/schema.py
@@ -57,6 +57,7 @@
         """Refuses unknown keys."""
 
         forbid_extra_keys = True
+        lazy_compilation = True  # each process compiles the few that it reads, not all of them at its start
 
     @classmethod
     def __pre_deserialize__(cls, document: dict[typing.Any, typing.Any]) -> dict[typing.Any, typing.Any]:
