test_catching_up is under mypy

28 errors: heads, tails and views that may be None, proposals without a type, a method that a test replaced.

--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -1,5 +1,6 @@
 """Copies that are behind, divergent or restarted: how they catch up, and that none leads before."""
 
+import functools
 import hashlib
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -12,11 +13,16 @@
 from iriswheel.replication import chain, replicated_log, replicated_state, snapshot_format
 from iriswheel.runtime import storage, units
 from iriswheel.transport import message, wire
-from simulation import disk_model, host_model, process_model, simulated_cluster, world
+from simulation import disk_model, host_model, process_model, server_model, simulated_cluster, world
+from tests import deferreds
 
+ChainMessage = Any  # a request of the chain or its answer: each caller knows which
+Proposal = defer.Deferred[Any]  # of the head's answer
 SECOND = units.SECOND_US
 SLOW_SYNC_US = 150_000
 ROUTES = 1_400
+NO_PEERS: Any = None  # nothing is sent
+NO_DISK: Any = None  # nothing is written
 
 
 def entry(
@@ -26,6 +32,17 @@
     return message.LogEntry(index, view, "apply", f"{index}-{view}", index - 1 if base is None else base, list(changes))
 
 
+def has_result(proposal: Proposal) -> bool:
+    """Whether a proposal was answered."""
+    return proposal.called
+
+
+def code_of(proposal: Proposal) -> str:
+    """The code of the head's answer to a proposal; empty where the change was taken."""
+    answer: message.ProposeChangeResponse = deferreds.result_of(proposal)
+    return answer.code
+
+
 def large_change(index: int, view: int = 1, pool: str = "p") -> message.LogEntry:
     """A change of many routes, of which no part can be packed much smaller."""
     text = [hashlib.sha256(b"%d" % k).hexdigest() * 8 for k in range(ROUTES)]
@@ -45,7 +62,7 @@
         self.sent: list[message.Message] = []  # what was sent, in order
         self.fate_of = lambda _message: "pass"
 
-    async def call(self, host: str, _port: int, msg: message.Message, us: int) -> message.Message:
+    async def call(self, host: str, _port: int, msg: ChainMessage, us: int) -> ChainMessage:
         self.sent.append(msg)
         fate = self.fate_of(msg)
         runtime = self.members["head"].runtime
@@ -82,7 +99,7 @@
         self.chain = chain.Chain(self.runtime, guard, state, self.network)
         voter = message.Voter(self.name, self.name, 1, "a")
         self.consensus = view_consensus.ViewConsensus(
-            self.runtime, guard, record, voter, seeds=[], peers=None, on_view=lambda _v: None, copies=self.copies
+            self.runtime, guard, record, voter, seeds=[], peers=NO_PEERS, on_view=lambda _v: None, copies=self.copies
         )
         self.chain.consensus = self.consensus
         self.network.members[self.name] = self
@@ -94,10 +111,9 @@
         connections = [message.ChainReplica(member.name, member.runtime.incarnation) for member in members]
         before = self.consensus.record.synced_view
         synced_view = number if order[0] == self.name else synced_view or before
-        self.consensus.acceptor.record = decisions.Record(
-            message.View(number, voters, connections), synced_view=synced_view
-        )
-        self.chain.install(self.consensus.view)
+        view = message.View(number, voters, connections)
+        self.consensus.acceptor.record = decisions.Record(view, synced_view=synced_view)
+        self.chain.install(view)
 
 
 class TestChainOfTwo:
@@ -132,7 +148,7 @@
         )
         assert other.chain.latest_state.items == one.chain.latest_state.items
         state = disk_model.Disk(other.process).read()
-        reread = chain.Chain(other.runtime, None, state, None)
+        reread = chain.Chain(other.runtime, NO_DISK, state, NO_PEERS)
         assert (reread.latest_state.index, reread.latest_state.items) == (
             one.chain.latest_state.index,
             one.chain.latest_state.items,
@@ -170,7 +186,7 @@
             )
         )
         self.until(lambda: proposed.called, 10)
-        assert proposed.result.code == ""
+        assert code_of(proposed) == ""
         self.assert_same(head, tail)
         assert "routes/new" in tail.chain.committed_state.items
 
@@ -211,7 +227,7 @@
         head.chain.log.entries.clear()  # as after a snapshot
         return head, tail
 
-    def size(self, msg: message.Message) -> int:
+    def size(self, msg: ChainMessage) -> int:
         return len(wire.encoder.encode(wire.Envelope(wire.FrameKind.CALL, 1, msg)))
 
     def test_no_message_to_catch_up_is_large(self) -> None:
@@ -260,8 +276,8 @@
         for k in range(5):
             msg = message.ProposeChange(3, "apply", f"x{k}", head.chain.latest_state.version, self.route(f"x{k}"))
             done = head.runtime.spawn(head.chain.answer(msg))
-            self.until(lambda done=done: done.called, 5)
-            assert done.result.code == ""
+            self.until(functools.partial(has_result, done), 5)
+            assert code_of(done) == ""
         del self.network.sent[:]
         self.install(4, head, tail)
         self.until(tail.chain.is_synced, 10)
@@ -305,11 +321,13 @@
         self.until(tail.chain.is_synced, 10)
         self.assert_same(head, tail)
 
-    def test_a_member_whose_program_takes_no_chunks_gets_a_single_message(self) -> None:
+    def test_a_member_whose_program_takes_no_chunks_gets_a_single_message(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
         head, tail = self.large_pair()
         answer = tail.chain.answer
 
-        async def older(msg: message.Message) -> message.Message:
+        async def older(msg: ChainMessage) -> ChainMessage:
             got = await answer(msg)
             return (
                 message.PositionResponse(got.ok, got.index, got.view)
@@ -317,7 +335,7 @@
                 else got
             )
 
-        tail.chain.answer = older
+        monkeypatch.setattr(tail.chain, "answer", older)
         self.install(2, head, tail)
         self.until(tail.chain.is_synced, 10)
         self.assert_same(head, tail)
@@ -328,14 +346,30 @@
 
     AWAY_CHANGES = 1_000
 
-    def propose(self, cluster: simulated_cluster.SimulatedCluster, k: int) -> defer.Deferred[Any] | None:
+    def head(self, cluster: simulated_cluster.SimulatedCluster) -> server_model.SimulatedCore:
+        """The head of the chain; there is one."""
+        head = cluster.head()
+        assert head is not None
+        return head
+
+    def view(self, core: server_model.SimulatedCore) -> message.View:
+        """The newest view that a core machine knows."""
+        view = core.consensus.view
+        assert view is not None
+        return view
+
+    def has_chain_of(self, cluster: simulated_cluster.SimulatedCluster, length: int) -> bool:
+        """Whether a tail with its lease knows a chain of so many."""
+        tail = cluster.tail()
+        return tail is not None and len(self.view(tail).chain) == length
+
+    def propose(self, cluster: simulated_cluster.SimulatedCluster, k: int) -> Proposal | None:
         head = cluster.head()
         if head is None or not head.chain.is_synced():
             return None
         change = [(f"routes/s{k % 50}", {"path": f"/s/{k}", "pool": "desk"})]
-        number = head.consensus.view.number
         msg = message.ProposeChange(
-            number, "apply", f"s{k}-{cluster.world.time}", head.chain.latest_state.version, change
+            self.view(head).number, "apply", f"s{k}-{cluster.world.time}", head.chain.latest_state.version, change
         )
         return head.runtime.spawn(head.chain.answer(msg))
 
@@ -347,28 +381,31 @@
         cluster.advance(1)
         for node in cluster.nodes.values():  # they only cost time here
             node.process.kill()
-        name = cluster.tail().options.name
+        tail = cluster.tail()
+        assert tail is not None
+        name = tail.options.name
         cluster.cores[name].process.host.fail()
-        assert cluster.advance_until(
-            lambda: cluster.tail() is not None and len(cluster.tail().consensus.view.chain) == 2, 10
-        )
-        head = cluster.head()
+        assert cluster.advance_until(lambda: self.has_chain_of(cluster, 2), 10)
+        head = self.head(cluster)
         many = large_change(head.chain.latest_state.index + 1, pool="desk").changes
-        msg = message.ProposeChange(head.consensus.view.number, "apply", "many", head.chain.latest_state.version, many)
+        msg = message.ProposeChange(self.view(head).number, "apply", "many", head.chain.latest_state.version, many)
         done = head.runtime.spawn(head.chain.answer(msg))
         assert cluster.advance_until(lambda: done.called, 10)
         for k in range(self.AWAY_CHANGES):
-            done = self.propose(cluster, k)
-            while not done.called:
+            proposal = self.propose(cluster, k)
+            assert proposal is not None
+            while not has_result(proposal):
                 cluster.advance(0.005)
-            assert done.result.code == ""
+            assert code_of(proposal) == ""
         return cluster, name
 
     def catch_up(self, cluster: simulated_cluster.SimulatedCluster, name: str) -> tuple[float, float]:
         """Seconds until the member is synced again, and the longest time in which no change was taken meanwhile."""
         cluster.start_core(name, *cluster.places[name])
         back, started_at = cluster.cores[name], cluster.world.time
-        proposed, taken, last, longest, caught_up = [], 0, started_at, 0, None
+        proposed: list[Proposal] = []
+        taken, last, longest = 0, started_at, 0
+        caught_up: int | None = None
         while cluster.world.time - started_at < 4 * SECOND or caught_up is None:
             assert cluster.world.time - started_at < 40 * SECOND
             proposal = self.propose(cluster, len(proposed))
@@ -378,13 +415,13 @@
                 assert not (back.consensus.holds_lease() and not back.chain.is_synced())
                 if caught_up is None and back.chain.is_synced():
                     caught_up = cluster.world.time - started_at
-            done = [proposal for proposal in proposed if proposal.called and proposal.result.code == ""]
+            done = [proposal for proposal in proposed if has_result(proposal) and code_of(proposal) == ""]
             if len(done) > taken:
                 taken, last = len(done), cluster.world.time
             longest = max(longest, cluster.world.time - last)
         # how many changes are under way depends on the phase of the last ones; so all must be there, in the time that
         # four of them take at the slow disk
-        newest = cluster.head().chain.latest_state.index
+        newest = self.head(cluster).chain.latest_state.index
         assert cluster.advance_until(lambda: back.chain.committed_state.index >= newest, 4 * SLOW_SYNC_US / SECOND)
         return caught_up / SECOND, longest / SECOND
 
