--- /dev/null
+++ b/benchmarks/total_loss.py
@@ -0,0 +1,186 @@
+"""How long a fleet takes after the loss of all its processes, in the simulator and without load.
+
+    python -m benchmarks.total_loss --seeds 50 --cores 3 5
+
+All core machines and nodes are lost at the same moment, and start again about a second later, each at a moment of
+its own. Measured from the moment when a majority of the core machines runs: when the tail has its lease, when the
+first node has one, when the first node counts as ready, when the first client's request and the first operator's
+change that were sent after the loss are answered.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import concurrent.futures
+import dataclasses
+import functools
+import typing
+
+import defopt
+import loguru
+from twisted.internet import error as internet_error
+from twisted.web import client as web_client
+from twisted.web import http_headers
+
+from benchmarks import change_recovery
+from iriswheel.dataplane import dispatch
+from iriswheel.runtime import scheduler, units
+from simulation import addresses, simulated_cluster
+
+FAULTS = ("kill", "power")
+DOWN_S = 1.0
+START_SPREAD_S = 0.3
+"""The processes start at moments that are spread over so long."""
+
+OK = 200
+REQUEST_GAP_US = 20 * units.MILLISECOND_US
+
+log = loguru.logger.bind(part="total_loss")
+
+
+@dataclasses.dataclass(frozen=True)
+class Recovery:
+    """What was measured of one loss: µs from the start of a majority of the cores, None beyond the limit."""
+
+    fault: str
+    tail_lease: int | None = None
+    node_lease: int | None = None
+    ready: int | None = None
+    served: int | None = None
+    acknowledged: int | None = None
+
+
+MEASURES = tuple(field.name for field in dataclasses.fields(Recovery) if field.name != "fault")
+
+
+class Clients:
+    """Clients that send a request to the next node every 20 ms, and note when the first one is answered."""
+
+    def __init__(self, cluster: simulated_cluster.SimulatedCluster) -> None:
+        self.runtime = cluster.operator_runtime
+        self.agent = dispatch.Dispatcher(self.runtime).unpooled_agent
+        self.nodes = [f"{cluster.places[name].host}:{addresses.HTTP_PORT}" for name in sorted(cluster.nodes)]
+        self.first_served_at: int | None = None
+
+    async def run(self) -> None:
+        """Send requests until one is served."""
+        number = 0
+        while self.first_served_at is None:
+            self.runtime.spawn(self.send(self.nodes[number % len(self.nodes)]), log)
+            number += 1
+            await self.runtime.sleep(REQUEST_GAP_US)
+
+    async def send(self, node: str) -> None:
+        """Send one request; what does not come to an answer is no matter."""
+        call = self.agent.request(
+            b"POST", f"http://{node}/v1/complete".encode(), http_headers.Headers({}), dispatch.Body(b"hello")
+        )
+        try:
+            answer = await self.runtime.within(call, change_recovery.PATIENCE_US)
+        except (scheduler.DeadlineError, internet_error.ConnectError, web_client.ResponseFailed):
+            return
+        if answer.code == OK and self.first_served_at is None:
+            self.first_served_at = self.runtime.now()
+
+
+def lose_all(cluster: simulated_cluster.SimulatedCluster, fault: str) -> int:
+    """Let all processes be lost and start again; returns when a majority of the core machines runs (µs)."""
+    names = sorted(cluster.servers())
+    for name in names:
+        process = cluster.servers()[name].process
+        if fault == "power":
+            process.host.fail()
+        else:
+            process.kill()
+    starts: dict[str, int] = {}
+    for name in names:
+        delay_s = DOWN_S + cluster.rng.random() * START_SPREAD_S
+        starts[name] = cluster.world.time + int(delay_s * units.SECOND_US)
+        start = cluster.start_core if name in cluster.cores else cluster.start_node
+        cluster.world.push(starts[name], functools.partial(start, name, *cluster.places[name]))
+    return sorted(starts[name] for name in cluster.cores)[len(cluster.cores) // 2]
+
+
+def measure(cluster: simulated_cluster.SimulatedCluster, operators: change_recovery.Operators, fault: str) -> Recovery:
+    """Let all be lost, and wait until all that is measured has happened."""
+    lost_at = cluster.world.time
+    begins_at = lose_all(cluster, fault)
+    clients = Clients(cluster)
+    cluster.operator_runtime.spawn(clients.run(), log)
+    cluster.advance((begins_at - lost_at) / units.SECOND_US)
+    found: dict[str, int | None] = dict.fromkeys(MEASURES)
+    while None in found.values() and cluster.world.time < begins_at + change_recovery.LIMIT_S * units.SECOND_US:
+        cluster.advance(change_recovery.STEP_S)
+        now = cluster.world.time
+        for name, has_happened in _look(cluster, operators, clients, lost_at).items():
+            if found[name] is None and has_happened:
+                found[name] = now - begins_at
+    return Recovery(fault, **found)
+
+
+def _look(
+    cluster: simulated_cluster.SimulatedCluster,
+    operators: change_recovery.Operators,
+    clients: Clients,
+    lost_at: int,
+) -> dict[str, bool]:
+    nodes = [node for node in cluster.nodes.values() if node.process.alive]
+    return {
+        "tail_lease": cluster.tail() is not None,
+        "node_lease": any(node.follower.session.lease.valid(node.runtime.now()) for node in nodes),
+        "ready": any(node.ready()[0] for node in nodes),
+        "served": clients.first_served_at is not None,
+        "acknowledged": any(done.sent >= lost_at for done in operators.acknowledged),
+    }
+
+
+def measure_seed(start: change_recovery.Start, faults: collections.abc.Sequence[str]) -> list[Recovery]:
+    """Play all losses of one seed, each from the same quiet cluster."""
+    loguru.logger.remove()
+    recoveries = []
+    for fault in faults:
+        cluster, operators = change_recovery.quiet_cluster(start)
+        recoveries.append(measure(cluster, operators, fault))
+    return recoveries
+
+
+def row(cores: int, fault: str, recoveries: list[Recovery]) -> str:
+    """A row of the table: each time's median and worst over all seeds, in seconds.
+
+    >>> row(3, "kill", [Recovery("kill", 100_000, 150_000, 200_000, 250_000, 400_000)])
+    '| 3 | kill | 1 | 0.10, 0.10 | 0.15, 0.15 | 0.20, 0.20 | 0.25, 0.25 | 0.40, 0.40 |'
+    """
+    mine = [recovery for recovery in recoveries if recovery.fault == fault]
+    cells = [change_recovery.seconds([getattr(recovery, name) for recovery in mine]) for name in MEASURES]
+    return " | ".join([f"| {cores}", fault, str(len(mine)), *cells]) + " |"
+
+
+def run(
+    *,
+    seeds: int = 50,
+    cores: collections.abc.Sequence[int] = (3, 5),
+    faults: collections.abc.Sequence[str] = FAULTS,
+    lease_ms: int = change_recovery.LEASE_MS,
+    jobs: int = 1,
+) -> None:
+    """Print the median and the worst time in seconds over seeds, a table row for each kind of loss.
+
+    :param seeds: how many seeds for each row, from 1 on
+    :param cores: numbers of core machines
+    :param faults: kill, power
+    :param lease_ms: how long a node's lease is
+    :param jobs: processes
+    """
+    titles = [f"{name.replace('_', ' ')}: median, worst" for name in MEASURES]
+    print(f"| core machines | all lost by | seeds | {' | '.join(titles)} |")
+    print("|---" * (3 + len(MEASURES)) + "|")
+    play: typing.Any = functools.partial(measure_seed, faults=faults)
+    with concurrent.futures.ProcessPoolExecutor(jobs, mp_context=change_recovery.FORK) as pool:
+        for count in cores:
+            starts = [change_recovery.Start(seed, count, lease_ms) for seed in range(1, seeds + 1)]
+            recoveries = [recovery for found in pool.map(play, starts) for recovery in found]
+            print("\n".join(row(count, fault, recoveries) for fault in faults), flush=True)
+
+
+if __name__ == "__main__":
+    defopt.run(run)
