--- a/iriswheel/consensus/decisions.py
+++ b/iriswheel/consensus/decisions.py
@@ -232,8 +232,9 @@
 def is_grant_void(record: Record, holder: str, tail_incarnation: str | None) -> bool:
     """Whether a grant that may stand from before a restart binds this acceptor no longer.
 
-    Only the tail of the record's view can have got it: a promise to a later view's tail follows the end of all
-    leases before. So it is void once that machine is seen in another incarnation, in which it holds nothing.
+    It went to the tail of the view that the record had then. Where that is still the record's view, it is void once
+    its tail is seen in another incarnation, in which that machine holds nothing. Where a newer view's write was lost,
+    the record allows promises for that view alone, which is agreed already (docs/notes/recovery.md).
 
     Args:
         record: The acceptor's record.
