Workers carry their zone and whether they are cold; pools the rate that a cold one bears

Cause of this part: the platform lists a worker's zone and how long it stays cold, and plants how many requests a second a cold one bears, and both were dropped when they were read. Change: `ZonedWorker`, a `Worker` with `zone` and `cold`, which the lists hold where either is told; `Pool.cold_rate`. It is a message of its own since a further field in `Worker` would change every recorded frame that holds one: array-like messages are always encoded whole. A process of an earlier version does not read a list with such workers: all processes of a fleet whose platform names zones are updated together. Ruled out: the seconds left in place of a flag, as the list would differ, and be sent in full, each second.

--- a/iriswheel/configuration/schema.py
+++ b/iriswheel/configuration/schema.py
@@ -90,6 +90,17 @@
     return list(typing.cast("dict[str, type[object]]", types).items())  # annotations are not strings in this module
 
 
+def with_floats(document: object, names: tuple[str, ...]) -> typing.Any:  # noqa: ANN401 - whatever the operator sent
+    """The document with whole numbers of some fields as floats.
+
+    >>> with_floats({"rate": 5, "keys": 5}, ("rate",))
+    {'rate': 5.0, 'keys': 5}
+    """
+    if not isinstance(document, dict):
+        return document
+    return {name: float(value) if name in names and type(value) is int else value for name, value in document.items()}
+
+
 @dataclasses.dataclass
 class Pool(StrictItem):
     """A pool: the workers that the platform lists under its name, and their capacity.
@@ -108,6 +119,7 @@
         batch: Requests that a worker runs at once; 0 if unknown.
         memory_tokens: Tokens that a worker's memory holds; 0 if unknown.
         event_tokens: Tokens in one event of a stream.
+        cold_rate: Requests a second that a cold worker bears; 0 if unknown.
         label: The operator's own data, which stays on the core machines.
 
     >>> Pool.from_dict({"cap": 4}).cap
@@ -128,6 +140,12 @@
     memory_tokens: int = 0
     event_tokens: int = 1
     label: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    cold_rate: float = 0.0
+
+    @classmethod
+    def __pre_deserialize__(cls, document: dict[typing.Any, typing.Any]) -> dict[typing.Any, typing.Any]:
+        """Take a whole number for the rate too."""
+        return super().__pre_deserialize__(with_floats(document, ("cold_rate",)))
 
 
 @dataclasses.dataclass
@@ -262,12 +280,7 @@
     @classmethod
     def __pre_deserialize__(cls, document: dict[typing.Any, typing.Any]) -> dict[typing.Any, typing.Any]:
         """Take whole numbers for rate and burst too."""
-        if isinstance(document, dict):
-            document = {
-                name: float(value) if name in ("rate", "burst") and type(value) is int else value
-                for name, value in document.items()
-            }
-        return super().__pre_deserialize__(document)
+        return super().__pre_deserialize__(with_floats(document, ("rate", "burst")))
 
     def cost(self, tokens: int) -> float:
         """What a request counts in the limit's unit; `tokens` are those that it states, 0 for none.
--- a/iriswheel/dataplane/edge_protocol.py
+++ b/iriswheel/dataplane/edge_protocol.py
@@ -265,7 +265,24 @@
     listed_states = (message.WorkerState.READY, message.WorkerState.LEAVING)
     state = entry["state"] if entry["state"] in listed_states else message.WorkerState.GONE.value
     drain_us = int(entry.get("drain_deadline_ms", 0)) * MILLISECOND_US
-    return message.Worker(str(entry["id"]), str(entry["host"]), int(entry["port"]), str(entry["pool"]), state, drain_us)
+    worker = message.Worker(
+        str(entry["id"]), str(entry["host"]), int(entry["port"]), str(entry["pool"]), state, drain_us
+    )
+    return with_conditions(worker, str(entry.get("zone", "")), bool(entry.get("cold", False)))
+
+
+def with_conditions(worker: message.Worker, zone: str, cold: bool) -> message.Worker:
+    """The worker with its zone and whether it is cold, where either is told.
+
+    >>> worker = message.Worker("w1", "127.0.0.1", 9, "desk", "ready")
+    >>> with_conditions(worker, "", False) is worker, with_conditions(worker, "attic", True).cold
+    (True, True)
+    """
+    if not zone and not cold:
+        return worker
+    return message.ZonedWorker(
+        worker.id, worker.host, worker.port, worker.pool, worker.state, worker.drain_us, zone, cold
+    )
 
 
 def load(raw: bytes) -> tuple[int, int]:
--- a/iriswheel/transport/message.py
+++ b/iriswheel/transport/message.py
@@ -42,6 +42,7 @@
 from iriswheel.transport.messages.membership import Worker as Worker
 from iriswheel.transport.messages.membership import WorkerListing as WorkerListing
 from iriswheel.transport.messages.membership import WorkerState as WorkerState
+from iriswheel.transport.messages.membership import ZonedWorker as ZonedWorker
 from iriswheel.transport.messages.node_peers import CoreStatusQuery as CoreStatusQuery
 from iriswheel.transport.messages.node_peers import CoreStatusResponse as CoreStatusResponse
 from iriswheel.transport.messages.node_peers import ForwardedListing as ForwardedListing
--- a/iriswheel/transport/messages/membership.py
+++ b/iriswheel/transport/messages/membership.py
@@ -1,6 +1,7 @@
 """Messages of the membership: nodes, workers, role assignments, the tail's lease, and what cores report to the tail."""
 
 import enum
+import typing
 
 import msgspec
 
@@ -37,6 +38,30 @@
     state: str  # a `WorkerState`
     drain_us: int = 0  # how long its requests may go on once it leaves
 
+    @property
+    def zone(self) -> str:
+        """The worker's zone; "" where the platform names none."""
+        return ""
+
+    @property
+    def cold(self) -> bool:
+        """Whether the worker bears only a small rate of requests, as after its start."""
+        return False
+
+
+class ZonedWorker(Worker, tag="ZonedWorker", frozen=True):
+    """A worker of which the platform says more than a `Worker` has.
+
+    It is a message of its own since a further field of `Worker` would change every frame that holds one. `cold` is a
+    flag and not the time left: a list that changes with each second would be sent in full each second.
+    """
+
+    zone: str = ""
+    cold: bool = False
+
+
+ListedWorker: typing.TypeAlias = Worker | ZonedWorker
+
 
 class RoleAssignment(message_base.Message, tag="Duty", frozen=True, rename={"active": "seated"}):
     """A role that one live node has under a term.
@@ -63,7 +88,7 @@
 
     version: message_base.MembershipVersion
     members: list[Member]
-    workers: list[Worker]
+    workers: list[ListedWorker]
     assignments: list[RoleAssignment]
     cores: list[consensus_messages.Voter]
     listing_version: message_base.ListingVersion = (0, 0, 0)  # of `workers`
@@ -72,7 +97,7 @@
 class WorkerListing(message_base.Message, tag="Listing", frozen=True):
     """The platform's worker list, from the node whose role it is to ask."""
 
-    workers: list[Worker]
+    workers: list[ListedWorker]
     version: message_base.ListingVersion
 
 
--- a/iriswheel/transport/messages/node_peers.py
+++ b/iriswheel/transport/messages/node_peers.py
@@ -32,4 +32,4 @@
 class PolledWorkers(message_base.Message, tag="Heard", frozen=True):
     """The worker list as one node had to ask for it, for others that have no newer one."""
 
-    workers: list[membership_messages.Worker]
+    workers: list[membership_messages.ListedWorker]
