--- a/iriswheel/configuration/configuration.py
+++ b/iriswheel/configuration/configuration.py
@@ -10,6 +10,12 @@
     difference,
     plan_id,
 )
+from iriswheel.configuration.evacuations import (
+    evacuated_zones,
+    evacuation_key,
+    is_evacuation,
+    without_evacuations,
+)
 from iriswheel.configuration.items import flatten, operator_number, unflatten
 from iriswheel.configuration.schema import (
     KINDS,
@@ -57,11 +63,15 @@
     "change_number",
     "describe",
     "difference",
+    "evacuated_zones",
+    "evacuation_key",
     "find_errors",
     "flatten",
+    "is_evacuation",
     "operator_number",
     "plan_id",
     "slice_for_node",
     "unflatten",
+    "without_evacuations",
     "without_label",
 ]
--- a/iriswheel/configuration/items.py
+++ b/iriswheel/configuration/items.py
@@ -7,7 +7,7 @@
 
 import typing
 
-from iriswheel.configuration import schema, validation
+from iriswheel.configuration import evacuations, schema, validation
 
 
 def flatten(document: object) -> dict[str, schema.Item]:
@@ -43,7 +43,7 @@
 
 
 def unflatten(items: schema.Items, *, with_all_kinds: bool = False) -> schema.Document:
-    """Turn items back into a document.
+    """Turn items back into a document; evacuations are not part of it.
 
     Args:
         items: All items.
@@ -55,7 +55,7 @@
     ('tenants', 'tenants')
     """
     document: schema.Document = {kind: {} for kind in schema.KINDS if with_all_kinds or kind not in schema.LATER_KINDS}
-    for key in sorted(items):
+    for key in sorted(evacuations.without_evacuations(items)):
         kind, name = key.split("/", 1)
         document.setdefault(kind, {})[name] = items[key]
     return document
--- a/iriswheel/configuration/slices.py
+++ b/iriswheel/configuration/slices.py
@@ -4,7 +4,7 @@
 
 import collections.abc
 
-from iriswheel.configuration import schema
+from iriswheel.configuration import evacuations, schema
 
 
 def without_label(item: schema.Item) -> schema.Item:
@@ -17,7 +17,7 @@
 
 
 def slice_for_node(items: schema.Items, zone: str, pools: collections.abc.Sequence[str] = ()) -> dict[str, schema.Item]:
-    """The items that a node in a zone needs: its routes, their pools and terms, the limits, all tenants.
+    """The items that a node needs: its zone's routes, their pools and terms, the limits, all tenants, evacuated zones.
 
     Args:
         items: The whole configuration.
@@ -28,11 +28,13 @@
     {}
     >>> slice_for_node({"pools/p": {"label": {"a": 1}}, "limits/door": {}, "marks/operator": {}}, "south", ["p"])
     {'limits/door': {}, 'pools/p': {}}
+    >>> slice_for_node({"evacuations/north": {}}, "south")
+    {'evacuations/north': {}}
     """
     node_slice: dict[str, schema.Item] = {}
     needed = {f"pools/{pool}" for pool in pools} | {schema.LIMITS_KEY}
     for key, item in items.items():
-        if key.startswith("tenants/"):
+        if key.startswith("tenants/") or evacuations.is_evacuation(key):
             node_slice[key] = without_label(item)
         if not key.startswith("routes/"):
             continue
--- a/iriswheel/control/core.py
+++ b/iriswheel/control/core.py
@@ -29,6 +29,7 @@
 from iriswheel.transport import message, peers, wire
 
 if typing.TYPE_CHECKING:
+    from iriswheel.control import zone_evacuation
     from iriswheel.runtime import options
     from iriswheel.transport import http_server
 
@@ -151,6 +152,10 @@
         """Bring a numbered change into force; returns its version."""
         return await self.change_applier.apply_change(change)
 
+    async def order_zone(self, order: zone_evacuation.ZoneOrder) -> int:
+        """Evacuate or readmit a zone; returns the version that has it."""
+        return await self.change_applier.apply(order)
+
     def serve(self, connection: wire.Connection | None, received: message.Message) -> Answer | None:
         """Answer one message from another process."""
         match received:
--- a/iriswheel/control/operator_api.py
+++ b/iriswheel/control/operator_api.py
@@ -1,15 +1,16 @@
-"""The HTTP API of a core machine for operators: read the configuration, plan and confirm, numbered changes, state."""
+"""The HTTP API of a core machine for operators: the configuration, changes of it, evacuations, state."""
 
 from __future__ import annotations
 
 import collections.abc
 import typing
+import urllib.parse
 
 import msgspec
 
 from iriswheel import errors
 from iriswheel.configuration import configuration
-from iriswheel.control import submitted_changes
+from iriswheel.control import submitted_changes, zone_evacuation
 from iriswheel.runtime import units
 from iriswheel.transport import message
 
@@ -141,6 +142,8 @@
                 change = read_change(request.json())
                 version = await self.change_applier.apply_change(change)
                 request.answer_json(200, {"number": change.number, "stamp": version, "verdict": "ran"})
+            case (_, ["evacuations", *names]):
+                await self._answer_evacuations(request, names)
             case (b"GET", ["state"]):
                 request.answer_json(200, self.state())
             case (b"GET", ["ready"]):
@@ -151,6 +154,21 @@
             case _:
                 raise errors.ServiceError("not_found", "There is no such path.")
 
+    async def _answer_evacuations(self, request: http_server.Request, names: list[str]) -> None:
+        """List the evacuated zones; evacuate the zone in the path, or readmit it."""
+        match (request.method, names):
+            case (b"GET", []):
+                read = await self.client.read_state()
+                zones = sorted(configuration.evacuated_zones(read.items))
+                request.answer_json(200, {"stamp": read.version, "evacuations": zones})
+            case (b"PUT" | b"DELETE", [quoted]):
+                zone = zone_evacuation.read_zone(urllib.parse.unquote(quoted))
+                order = zone_evacuation.ZoneOrder(zone, request.method == b"PUT", lambda: not request.gone)
+                version = await self.change_applier.apply(order)
+                request.answer_json(200, {"zone": zone, "stamp": version, "verdict": "ran"})
+            case _:
+                raise errors.ServiceError("bad_method", "This path does not take that method.")
+
     async def plan(self, document: typing.Any) -> dict[str, typing.Any]:  # noqa: ANN401 - any JSON value
         """Compute and store a plan: a complete configuration or a JSON Patch (RFC 6902) against the committed one."""
         self.counters.plans += 1
@@ -161,7 +179,8 @@
             raise errors.ServiceError("bad_request", "base is not a stamp.", field="base")
         if base != read.version:
             raise errors.ServiceError("base_moved", f"The blueprint is at {read.version}, not at {base}.")
-        changes = configuration.difference(read.items, planned_items(document, read.items))
+        before = configuration.without_evacuations(read.items)
+        changes = configuration.difference(before, planned_items(document, before))
         identifier = configuration.plan_id(base, changes)
         await self.client.propose(message.ChangeKind.PLAN, identifier, base, changes)
         described = configuration.describe(read.items, changes)
--- a/iriswheel/control/submitted_changes.py
+++ b/iriswheel/control/submitted_changes.py
@@ -20,6 +20,7 @@
 TIMEOUT_US = 900 * units.MILLISECOND_US  # a change is answered within this, known or not
 RETRY_DELAY_US = 30 * units.MILLISECOND_US
 PROBLEMS_SHOWN = 50
+NO_VERSION = 0  # for the id in a read before a change's base is known
 
 MakeItems: typing.TypeAlias = collections.abc.Callable[[configuration.Items], dict[str, configuration.Item]]
 
@@ -37,6 +38,14 @@
     make: MakeItems
     complete: bool = False
 
+    def identifier_on(self, _version: int) -> str:
+        """The id of the change, on whichever version it is proposed."""
+        return self.identifier
+
+    def decide(self, known: KnownState) -> Decision:
+        """Decide from a state whether the change is committed, can be proposed, or must be refused."""
+        return decide(known, self)
+
 
 class KnownState(typing.NamedTuple):
     """What was read of the committed state, to decide about a change."""
@@ -69,6 +78,16 @@
 Decision: typing.TypeAlias = Committed | Applicable | Refused
 
 
+class ReplicatedChange(typing.Protocol):
+    """A change of the replicated state that an operator asks for."""
+
+    def identifier_on(self, version: int) -> str:
+        """The id under which the change is proposed on a version."""
+
+    def decide(self, known: KnownState) -> Decision:
+        """Decide from a state whether the change is committed, can be proposed, or must be refused."""
+
+
 def items_after(change: SubmittedChange, items: configuration.Items) -> dict[str, configuration.Item]:
     """The items that a change makes of others, under its number.
 
@@ -113,11 +132,12 @@
     may_stand = change.complete and current == change.number
     if not is_base and not may_stand:
         return Refused(_base_passed(known, change, current))
+    before = configuration.without_evacuations(known.items)
     try:
-        made = items_after(change, known.items)
+        made = items_after(change, before)
     except errors.ServiceError as error:
         return Refused(error if is_base else _base_passed(known, change, current))
-    changes = configuration.difference(known.items, made)
+    changes = configuration.difference(before, made)
     already_stands = may_stand and not changes and bool(known.version)
     return Applicable(changes) if is_base or already_stands else Refused(_base_passed(known, change, current))
 
@@ -149,12 +169,23 @@
         self.counters = counters
 
     async def apply_change(self, change: SubmittedChange) -> int:
-        """Bring a change into force, and wait until the nodes have applied it.
+        """Bring a numbered change into force, and wait until the nodes have applied it.
 
         A change that comes again is found taken, also when later ones were taken since. The head
         compares versions, so of two changes on one base just one is taken. A refusal is given only
         after a read at the tail, under its lease, made for this change.
 
+        Returns and raises what `apply` does.
+        """
+        return await self.apply(change, self.local_state_for(change))
+
+    async def apply(self, change: ReplicatedChange, known: KnownState | None = None) -> int:
+        """Bring a change into force, and wait until the nodes have applied it.
+
+        Args:
+            change: The change.
+            known: What is known of the committed state to decide on first; None for a read at the tail.
+
         Returns:
             The version under which the change is committed.
 
@@ -164,7 +195,6 @@
         """
         until = self.parts.runtime.now() + TIMEOUT_US
         self.counters.changes += 1
-        known: KnownState | None = self.local_state_for(change)
         may_have_run, last_error = False, None
         while self.parts.runtime.now() < until:
             try:
@@ -202,16 +232,16 @@
             read_at_tail=False,
         )
 
-    async def tail_state_for(self, change: SubmittedChange, timeout_us: int) -> KnownState:
+    async def tail_state_for(self, change: ReplicatedChange, timeout_us: int) -> KnownState:
         """What the tail says of a change, under its lease."""
-        read = await self.client.read_at_tail(change.identifier, timeout_us)
+        read = await self.client.read_at_tail(change.identifier_on(NO_VERSION), timeout_us)
         return KnownState(
             version=read.version, items=read.items, taken_as=read.taken, forgotten=read.forgotten, read_at_tail=True
         )
 
-    async def _propose_once(self, known: KnownState, change: SubmittedChange, until: int) -> Committed | Refused:
+    async def _propose_once(self, known: KnownState, change: ReplicatedChange, until: int) -> Committed | Refused:
         """Propose a change on a known state, unless it is committed already or can't be."""
-        decision = decide(known, change)
+        decision = change.decide(known)
         if isinstance(decision, Refused):
             return decision
         if isinstance(decision, Applicable):
@@ -220,11 +250,12 @@
         return decision
 
     async def _propose(
-        self, base: int, change: SubmittedChange, changes: list[configuration.ItemChange], until: int
+        self, base: int, change: ReplicatedChange, changes: list[configuration.ItemChange], until: int
     ) -> int:
         left = max(0, until - self.parts.runtime.now())
+        identifier = change.identifier_on(base)
         try:
-            return (await self.client.propose(message.ChangeKind.APPLY, change.identifier, base, changes, left)).version
+            return (await self.client.propose(message.ChangeKind.APPLY, identifier, base, changes, left)).version
         except errors.ServiceError as error:
             if error.code != "base_moved":
                 raise
--- a/iriswheel/dataplane/forwarding.py
+++ b/iriswheel/dataplane/forwarding.py
@@ -69,10 +69,9 @@
 
     def ready(self, pool: str) -> list[str]:
         """Return the workers of a pool that may be sent to."""
+        follower = self.node.follower
         return [
-            worker.id
-            for worker in self.node.follower.workers
-            if worker.pool == pool and worker.state == message.WorkerState.READY
+            worker.id for worker in follower.workers if worker.pool == pool and follower.accepts_requests(worker.id)
         ]
 
     def state(self) -> dict[str, typing.Any]:
@@ -339,7 +338,7 @@
     ) -> attempt_outcome.AttemptOutcome:
         """Send a request over a connection and wait until its answer has ended or its time is over."""
         left_us = request.deadline_us - self.runtime.now()
-        if left_us <= 0 or self.node.follower.state(worker.id) != message.WorkerState.READY:
+        if left_us <= 0 or not self.node.follower.accepts_requests(worker.id):
             connection.drop()
             return attempt_outcome.AttemptOutcome.UNSENT
         head = self.protocol.head(
--- a/iriswheel/dataplane/interfaces.py
+++ b/iriswheel/dataplane/interfaces.py
@@ -77,8 +77,8 @@
     def member(self, identifier: str) -> message.Member | None:
         """Return a member, or None."""
 
-    def state(self, worker: str) -> str:
-        """Return a worker's state, a `message.WorkerState`."""
+    def accepts_requests(self, worker: str) -> bool:
+        """Whether new requests may go to a worker: it is listed as ready, and its zone is not evacuated."""
 
     def drained(self, worker: str) -> bool:
         """Whether the drain time of a worker that leaves or is gone is over."""
--- a/iriswheel/dataplane/relay.py
+++ b/iriswheel/dataplane/relay.py
@@ -51,7 +51,7 @@
         for expired in [name for name, token in self.tokens.items() if token.expires_at_us < now]:
             del self.tokens[expired]
         if (
-            follower.state(worker) != message.WorkerState.READY
+            not follower.accepts_requests(worker)
             or worker in self.node.reachability.unreachable_since
             or follower.needs_rejoin()
             or not follower.has_worker_update()
@@ -66,7 +66,9 @@
         name = edge_protocol.header(request.requestHeaders, edge_protocol.PASS)
         token = self.tokens.pop(name or "", NO_TOKEN)
         worker = self.node.follower.states.get(token.worker)
-        if worker is None or worker.state != message.WorkerState.READY or self.runtime.now() >= token.expires_at_us:
+        if worker is None or self.runtime.now() >= token.expires_at_us:
+            return None
+        if not self.node.follower.accepts_requests(worker.id):
             return None
         return worker
 
--- a/iriswheel/dataplane/worker_selection.py
+++ b/iriswheel/dataplane/worker_selection.py
@@ -95,7 +95,7 @@
         follower = self.node.follower
         path = request_router.request_path(request)
         return (
-            worker.state == message.WorkerState.READY
+            follower.accepts_requests(worker.id)
             and worker.pool == request.pool_name
             and not follower.needs_rejoin()
             and not follower.configuration_may_be_stale()
--- a/iriswheel/node/follower.py
+++ b/iriswheel/node/follower.py
@@ -71,6 +71,7 @@
         self.terms: dict[str, configuration.Terms] = {}
         self.tenant_index = tenant_index.TenantIndex()
         self.limits = configuration.Limits()
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.membership = message.Membership((0, 0), [], [], [], [])
         self.worker_list = worker_list.WorkerList()
         self.platform = platform_listing.PlatformListing(self)
@@ -134,6 +135,13 @@
         """Return a worker's state, a `message.WorkerState`; one that is not listed is gone."""
         return self.worker_list.state(worker)
 
+    def accepts_requests(self, worker: str) -> bool:
+        """Whether new requests may go to a worker: it is listed as ready, and its zone is not evacuated."""
+        listed = self.states.get(worker)
+        return (
+            listed is not None and listed.state == message.WorkerState.READY and listed.zone not in self.evacuated_zones
+        )
+
     def drained(self, worker: str) -> bool:
         """Whether a worker that leaves or is gone has had its time for streams under way."""
         return self.worker_list.drained(worker, self.runtime.now())
@@ -260,8 +268,15 @@
             self.platform.list_now.wake()
         for kind, name, item in parsed:
             self._put_item(kind, name, item)
+        self._take_evacuations(configuration.evacuated_zones(after))
         self.node.on_update()
 
+    def _take_evacuations(self, zones: frozenset[str]) -> None:
+        """Note which zones are evacuated now."""
+        if zones != self.evacuated_zones:
+            log.info("Evacuated zones: {zones}.", zones=", ".join(sorted(zones)) or "none")
+            self.evacuated_zones = zones
+
     def _put_item(
         self,
         kind: str,
--- a/iriswheel/pools/interfaces.py
+++ b/iriswheel/pools/interfaces.py
@@ -51,8 +51,8 @@
     def assignment(self, key: str) -> message.RoleAssignment | None:
         """Return a role's assignment, or None."""
 
-    def state(self, worker: str) -> str:
-        """Return a worker's state, a `message.WorkerState`."""
+    def accepts_requests(self, worker: str) -> bool:
+        """Whether new requests may go to a worker: it is listed as ready, and its zone is not evacuated."""
 
     def needs_rejoin(self) -> bool:
         """Whether this process did not run for a while and has not rejoined yet."""
--- a/iriswheel/pools/pool_owner.py
+++ b/iriswheel/pools/pool_owner.py
@@ -135,14 +135,14 @@
             self.check_workers()
 
     def check_workers(self) -> None:
-        """Close the sessions of workers that are no longer ready, release the grants of lost nodes."""
+        """Close the sessions of workers that get no new requests, release the grants of lost nodes."""
         follower = self.node.follower
         if follower.updated_at is None:
             return  # no worker list yet: a missing worker may only be unlisted
         unavailable = [
             worker
             for worker in self.records.session_table.by_worker
-            if follower.state(worker) != message.WorkerState.READY or worker in self.watch.ejected
+            if not follower.accepts_requests(worker) or worker in self.watch.ejected
         ]
         for worker in unavailable:
             self.counts.closed_sessions += self.records.evict(worker)
@@ -337,7 +337,9 @@
         if request.is_retry and not self.records.budget.has_capacity(now):
             wait_us = self.records.budget.wait_us(now)
             return self.deny("retry_budget", "Too many retries for now.", retry_us=wait_us)
-        choice = self.selector.pick(request, pool, self.node.follower.workers, now)
+        follower = self.node.follower
+        workers = [worker for worker in follower.workers if follower.accepts_requests(worker.id)]
+        choice = self.selector.pick(request, pool, workers, now)
         if isinstance(choice, str):
             return await self.grant(request, choice)
         if choice is not None:
--- a/iriswheel/pools/selection.py
+++ b/iriswheel/pools/selection.py
@@ -105,7 +105,7 @@
         Args:
             request: The request.
             pool: The pool's configuration.
-            workers: All workers that are listed now.
+            workers: The listed workers to which new requests may go.
             now: The present time, in µs.
 
         Returns:
--- a/tests/node_fixture.py
+++ b/tests/node_fixture.py
@@ -25,7 +25,7 @@
             self.world, "n1", host_model.Host(self.world, "10.0.2.1", "a")
         )
         self.runtime = process.runtime()
-        self.follower = types.SimpleNamespace(workers=[], states={}, state=lambda _name: "ready")
+        self.follower = types.SimpleNamespace(workers=[], states={}, accepts_requests=lambda _worker: True)
         self.retry_budget = retry_budget.Budget(slack=9)
         self.node = types.SimpleNamespace(
             runtime=self.runtime,
