--- a/iriswheel/cli/command.py
+++ b/iriswheel/cli/command.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import typing
+import urllib.parse
 
 import defopt
 import loguru
@@ -243,13 +244,33 @@
     call_core(core, "POST", "/changes", {"number": number, "built_on": built_on, **content})
 
 
+def evacuate(zone: str, *, core: list[str]) -> None:
+    """Have no new request sent to the workers of a zone, from the answer on; requests under way go on.
+
+    Saying it again changes nothing more.
+
+    :param zone: the zone, as the platform's worker list names it
+    :param core: IP:port of core machines' HTTP ports, tried in turn
+    """
+    call_core(core, "PUT", f"/evacuations/{urllib.parse.quote(zone, safe='')}")
+
+
+def readmit(zone: str, *, core: list[str]) -> None:
+    """Take an evacuation back: requests go to the zone's workers again.
+
+    :param zone: the zone; one that is not evacuated stays as it is
+    :param core: IP:port of core machines' HTTP ports, tried in turn
+    """
+    call_core(core, "DELETE", f"/evacuations/{urllib.parse.quote(zone, safe='')}")
+
+
 def show(what: str = "blueprint", *, core: list[str]) -> None:
-    """Read the configuration back, or a plan by its id, or the state of a process.
+    """Read the configuration back, or a plan by its id, the evacuated zones, or the state of a process.
 
-    :param what: configuration, state, or a plan's id
+    :param what: configuration, evacuations, state, or a plan's id
     :param core: IP:port of core machines' HTTP ports (for state: of any process)
     """
-    call_core(core, "GET", f"/{what}" if what in ("blueprint", "state") else f"/plans/{what}")
+    call_core(core, "GET", f"/{what}" if what in ("blueprint", "evacuations", "state") else f"/plans/{what}")
 
 
 def load(
@@ -360,6 +381,6 @@
 def main() -> None:
     """Run the subcommand that the command line names."""
     try:
-        defopt.run([core, node, load, check, plan, confirm, change, show, replay, history])
+        defopt.run([core, node, load, check, plan, confirm, change, evacuate, readmit, show, replay, history])
     except KeyboardInterrupt:
         sys.exit(service.ExitCode.INTERRUPTED)
--- a/tests/outside.py
+++ b/tests/outside.py
@@ -31,7 +31,20 @@
 StandIn = stand_in_worker.Worker | stand_in_platform.Platform
 
 ROOT = pathlib.Path(__file__).parent.parent
-COMMANDS = ("core", "node", "load", "check", "plan", "confirm", "change", "show", "replay", "history")
+COMMANDS = (
+    "core",
+    "node",
+    "load",
+    "check",
+    "plan",
+    "confirm",
+    "change",
+    "evacuate",
+    "readmit",
+    "show",
+    "replay",
+    "history",
+)
 REQUEST_ID = "X-Exchange-Id: x{}\r\nX-Send-Number: 1\r\nX-May-Repeat: yes\r\nX-Requester: someone\r\n"
 CHANGE = {"number": 1, "built_on": 0, "upsert": {"routes": {"r1": {"path": "/r1", "pool": "desk"}}}}
 CORE_CALLS: tuple[tuple[str, str, typing.Any], ...] = (  # method, path, body
@@ -54,6 +67,10 @@
     ("POST", "/plans/0-none/confirm", {}),
     ("DELETE", "/blueprint", None),
     ("GET", "/none", None),
+    ("PUT", "/evacuations/attic", None),
+    ("GET", "/evacuations", None),
+    ("DELETE", "/evacuations/attic", None),
+    ("DELETE", "/evacuations/attic", None),
 )
 NODE_CALLS = (  # method, path, further headers, body
     ("GET", "/ready", "", None),
