--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import types
+import unittest.mock
 from typing import Any
 
 import core_api
@@ -227,7 +228,7 @@
         for number in range(8):
             self.write(client, f"a{number}")
             self.go(50)
-        assert (len(first.seen), len(second.seen)) == (0, 8)
+        assert (len(first.connections), len(second.seen)) == (0, 8)
         self.evacuated = set()
         for number in range(8, 24):
             self.write(client, f"a{number}")
@@ -243,7 +244,7 @@
         assert client.status == 503
         retry_after = next(line for line in client.raw.lower().split(b"\r\n") if line.startswith(b"retry-after:"))
         assert float(retry_after.split(b":")[1]) < 1
-        assert worker.seen == []
+        assert worker.connections == []
 
     def test_a_retry_goes_to_no_evacuated_zone(self) -> None:
         self.idempotent(sends=3)
@@ -342,11 +343,17 @@
         answered = defer.ensureDeferred(test_operators.Caller(cluster, "c1").query("PUT", "/evacuations/north"))
         cluster.advance_until_called(answered, 4)
         assert deferreds.result_of(answered)[0] == 200
-        before = len(cluster.event_log.rows)
-        cluster.advance(8)
-        runs = [zones[row["worker"]] for row in cluster.event_log.rows[before:] if row["kind"] == "run"]
-        assert set(runs) == {"south"}
         owner = cluster.owner()
         assert owner is not None
-        sessions = owner.pool_owners[cluster.pool].records.session_table.by_worker
-        assert {zones[worker] for worker, records in sessions.items() if records} == {"south"}
+        pool_owner = owner.pool_owners[cluster.pool]
+        before = len(cluster.event_log.rows)
+        with unittest.mock.patch.object(
+            pool_owner.selector, "pick", side_effect=pool_owner.selector.pick, autospec=True
+        ) as pick:
+            cluster.advance(1.5)
+            sessions = pool_owner.records.session_table.by_worker
+            assert {zones[worker] for worker, records in sessions.items() if records} == {"south"}
+            cluster.advance(6)
+        offered = {zones[worker.id] for call in pick.call_args_list for worker in call.args[2]}
+        runs = {zones[row["worker"]] for row in cluster.event_log.rows[before:] if row["kind"] == "run"}
+        assert (offered, runs) == ({"south"}, {"south"})
