--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -340,20 +340,21 @@
             host, port = cluster.workers[name].host, addresses.WORKER_PORT
             cluster.platform.put(name, host=host, port=port, pool=cluster.pool, state="ready", zone=zones[name])
         cluster.advance(6)
-        answered = defer.ensureDeferred(test_operators.Caller(cluster, "c1").query("PUT", "/evacuations/north"))
-        cluster.advance_until_called(answered, 4)
-        assert deferreds.result_of(answered)[0] == 200
         owner = cluster.owner()
         assert owner is not None
         pool_owner = owner.pool_owners[cluster.pool]
+        sessions = pool_owner.records.session_table.by_worker
+        assert {zones[worker] for worker, records in sessions.items() if records} == {"north", "south"}
+        answered = defer.ensureDeferred(test_operators.Caller(cluster, "c1").query("PUT", "/evacuations/north"))
+        cluster.advance_until_called(answered, 4)
+        assert deferreds.result_of(answered)[0] == 200
+        pool_owner.check_workers()  # which it does each half second
+        assert {zones[worker] for worker, records in sessions.items() if records} == {"south"}
         before = len(cluster.event_log.rows)
         with unittest.mock.patch.object(
             pool_owner.selector, "pick", side_effect=pool_owner.selector.pick, autospec=True
         ) as pick:
-            cluster.advance(1.5)
-            sessions = pool_owner.records.session_table.by_worker
-            assert {zones[worker] for worker, records in sessions.items() if records} == {"south"}
-            cluster.advance(6)
+            cluster.advance(7)
         offered = {zones[worker.id] for call in pick.call_args_list for worker in call.args[2]}
         runs = {zones[row["worker"]] for row in cluster.event_log.rows[before:] if row["kind"] == "run"}
         assert (offered, runs) == ({"south"}, {"south"})
