A node keeps to the workers within its reach, and finds out beside the requests whether others are back

Cause: where fewer than half of the workers are healthy, all untried ones are candidates (many failures at once usually point to the node itself), and a shared part's home drew long prompts across the cut again and again; after three workers without a connection the request was refused.

Ruled out: a node without the core (it served on); the retry budget (nothing was sent); waits for the deadline (all three waits were for a connection).

Change: dataplane/worker_reach.py. A worker to which no connection could be had gets no request while others are within reach; a zone of which nobody was heard for 300 ms when one worker was out of reach is left out as a whole, until a connection to any of its workers is made. One worker of each such zone is tried each second beside the requests, and the connection is kept for them; a zone of which a silent request alone speaks is tried the same way. A request is refused after 1.05 s spent on connections, not after three of them, so refused connections cost it little. What was sent is not repeated any more often than before.

--- a/iriswheel/dataplane/forwarding.py
+++ b/iriswheel/dataplane/forwarding.py
@@ -19,6 +19,7 @@
     placement,
     request_counts,
     worker_connections,
+    worker_reach,
 )
 from iriswheel.runtime import scheduler, units
 from iriswheel.transport import message
@@ -37,7 +38,9 @@
 OVERLOADED_SILENCE_US = 1_200 * units.MILLISECOND_US  # and before the first event, where many wait
 SILENCE_SUSPICION = 0.3  # how much a silence counts against a worker
 WAITING_PER_OVERDUE = 3  # from more than one overdue stream in so many that wait, the workers are overloaded
-MAX_UNREACHED = 3  # workers tried that give no connection
+MAX_CONNECTING_US = (
+    3 * worker_connections.CONNECT_TIMEOUT_US
+)  # that a request waits for connections that it does not get
 MIN_RETRY_US = 150 * units.MILLISECOND_US  # a refused client may come back after so long
 OPTIONS_RELOAD_GRACE_US = 12 * units.SECOND_US  # requests of the time of a reload have ended by then
 MISDIRECTED = 421  # the status of a worker that does not serve what it was sent
@@ -55,6 +58,8 @@
         self.placements: dict[str, placement.Placement] = {}  # by pool name
         # Attempts that were sent and are under way, in the order of sending: a set would go by memory addresses.
         self.streams: dict[answer_stream.AnswerStream, None] = {}
+        self.reach = worker_reach.WorkerReach(node.runtime, node.follower, self.connections, self._last_contact_us)
+        self.reach.on_back = lambda worker: self.placement_of(worker.pool).record_return(worker.id)
         self.started = scheduler.Signal()  # wakes when there is a stream again
         self.counts = request_counts.ForwarderCounts()
 
@@ -74,6 +79,12 @@
             worker.id for worker in follower.workers if worker.pool == pool and follower.accepts_requests(worker.id)
         ]
 
+    def _last_contact_us(self, worker: message.Worker) -> int:
+        """Return when a worker last said anything to a request of this node; 0 for never."""
+        pool_placement = self.placements.get(worker.pool)
+        estimate = pool_placement.workers.get(worker.id) if pool_placement is not None else None
+        return estimate.last_contact_us if estimate is not None else 0
+
     def state(self) -> dict[str, typing.Any]:
         """Return what this forwarder shows of itself in the node's state."""
         return {
@@ -93,6 +104,7 @@
             await self.runtime.sleep(CHECK_INTERVAL_US)
             now = self.runtime.now()
             self.handle_silent_streams(now)
+            self.reach.retry()
             if now - swept_at_us > SWEEP_INTERVAL_US:
                 swept_at_us = now
                 self._sweep()
@@ -114,6 +126,7 @@
                 continue
             if not stream.failure_recorded:
                 stream.failure_recorded = True
+                self.reach.note_silent(stream.worker)
                 stream.request.placement.record_failure(stream.worker, SILENCE_SUSPICION)
             if self._should_try_elsewhere(stream, stream in overdue, overloaded, now):
                 self.counts.silent += 1
@@ -172,16 +185,17 @@
 
     async def send_with_retries(self, request: forwarded_request.ForwardedRequest) -> None:
         """Send a request to workers until one has answered or the request must be given up."""
-        unreached = 0
+        connecting_us = 0  # spent on connections that were not had
         while True:
             worker = self._choose_worker(request)
+            began_us = self.runtime.now()
             stream = answer_stream.AnswerStream(self.node, self.counts, request, worker.id)
             outcome = await self.send(request, worker, stream)
             match outcome:
                 case attempt_outcome.AttemptOutcome.UNSENT:
-                    unreached += 1
+                    connecting_us += self.runtime.now() - began_us
                     request.excluded_workers.add(worker.id)
-                    if unreached >= MAX_UNREACHED:
+                    if connecting_us >= MAX_CONNECTING_US:
                         raise self.final_error(request, "no_worker", "No worker can be reached now.")
                     continue
                 case attempt_outcome.AttemptOutcome.COMPLETE:
@@ -206,7 +220,7 @@
             request.parsed,
             request.keys,
             request.own_tokens,
-            self.ready(request.pool_name),
+            self._candidates(request),
             pool=request.pool,
             excluded_workers=request.excluded_workers,
         )
@@ -219,6 +233,12 @@
             raise self.final_error(request, "busy", "No worker would begin in time.", wait_us // 2)
         return self.node.follower.states[worker_id]
 
+    def _candidates(self, request: forwarded_request.ForwardedRequest) -> list[str]:
+        """Return the ready workers within reach; all ready ones where the request has tried each of those."""
+        ready = self.ready(request.pool_name)
+        reached = self.reach.within_reach(ready)
+        return ready if request.excluded_workers.issuperset(reached) else reached
+
     def _note_failure(
         self,
         request: forwarded_request.ForwardedRequest,
@@ -297,7 +317,7 @@
         """Return the workers that a request may still be sent to, without the current one."""
         return [
             worker
-            for worker in self.ready(request.pool_name)
+            for worker in self._candidates(request)
             if worker not in request.excluded_workers and worker != current
         ]
 
@@ -320,6 +340,7 @@
                 connection = await self.connections.get(worker, idle_use_us, request.deadline_us - self.runtime.now())
             except worker_connections.UnreachableError:
                 pool_placement.record_failure(worker.id, answer_stream.BROKEN_SUSPICION)
+                self.reach.note_unreached(worker)
                 self.counts.unreached += 1
                 return attempt_outcome.AttemptOutcome.UNSENT
             return await self._send_over(request, worker, stream, connection)
--- a/iriswheel/dataplane/placement.py
+++ b/iriswheel/dataplane/placement.py
@@ -196,6 +196,16 @@
         """
         self.estimate(worker).suspicion *= SUSPICION_AFTER_ANSWER
 
+    def record_return(self, worker: str) -> None:
+        """Trust a worker again that could not be reached for a while.
+
+        >>> placement = Placement(scheduler.Runtime(None, now=lambda: 5), "p")
+        >>> placement.record_failure("w1", 0.5); placement.record_return("w1"); placement.suspicion("w1", 5)
+        0.0
+        """
+        self.estimate(worker).suspicion = 0.0
+        self.on_load_change()
+
     def is_unhealthy(self, worker: str, now: int) -> bool:
         """Whether a worker is to get nothing as long as others are well."""
         return self.suspicion(worker, now) > EJECTION_SUSPICION or self.is_unresponsive(worker, now)
--- a/iriswheel/dataplane/worker_connections.py
+++ b/iriswheel/dataplane/worker_connections.py
@@ -225,7 +225,7 @@
         if not self.parser.should_keep_alive():
             self.must_close = True
         receiver.answer_complete()
-        self._release()
+        self.release()
 
     def _fail(self) -> None:
         """End the request and the connection: what came is no answer."""
@@ -251,7 +251,7 @@
             if name.lower() == "timeout" and value.strip().isdigit():
                 self.keep_alive_us = min(MAX_KEEP_ALIVE_US, int(value) * units.SECOND_US - KEEP_ALIVE_MARGIN_US)
 
-    def _release(self) -> None:
+    def release(self) -> None:
         """Offer the connection for the next request, if it is sound."""
         if self.must_close or self.keep_alive_us <= 0 or not self.is_connected:
             self.drop()
@@ -286,6 +286,7 @@
         self.idle: dict[str, list[WorkerConnection]] = {}  # by worker, the latest used last
         self.open: dict[str, int] = {}  # worker -> how many there are
         self.idle_limits: dict[str, IdleLimit] = {}  # by worker
+        self.on_connected: collections.abc.Callable[[str], object] = lambda _worker: None  # with the worker
 
     def count(self, worker: str) -> int:
         """Return how many connections to a worker are open.
@@ -338,9 +339,14 @@
         Raises:
             UnreachableError: No connection could be had.
         """
-        connection = self.take(worker.id, max_idle_us)
-        if connection is not None:
-            return connection
+        return self.take(worker.id, max_idle_us) or await self.connect(worker, left_us)
+
+    async def connect(self, worker: message.Worker, left_us: int = CONNECT_TIMEOUT_US) -> WorkerConnection:
+        """Return a new connection to a worker, waited for up to CONNECT_TIMEOUT_US, and no longer than left_us.
+
+        Raises:
+            UnreachableError: No connection could be had.
+        """
         self.open[worker.id] = self.open.get(worker.id, 0) + 1
         try:
             connection = await self._connect(worker, max(0, min(CONNECT_TIMEOUT_US, left_us)))
@@ -356,6 +362,7 @@
         if not connection.is_connected:
             self._count_closed(worker.id)
             raise UnreachableError("closed")
+        self.on_connected(worker.id)
         return connection
 
     def sweep(self, listed: set[str]) -> None:
