--- a/iriswheel/consensus/view_change.py
+++ b/iriswheel/consensus/view_change.py
@@ -6,7 +6,7 @@
 
 import loguru
 
-from iriswheel.consensus import decisions, timing
+from iriswheel.consensus import decisions, timing, view_formation
 from iriswheel.transport import message
 
 if typing.TYPE_CHECKING:
@@ -74,7 +74,7 @@
         alive = self.heartbeats.alive()
         voters = self._desired_voters(view)
         leaving = self.heartbeats.departing()
-        if decisions.is_handing_over(view, alive, leaving, self.heartbeats.known_synced(view)):
+        if view_formation.is_handing_over(view, alive, leaving, self.heartbeats.known_synced(view)):
             alive, voters = alive | leaving, view.voters
         live_ids = [voter.id for voter in view.voters if voter.id in alive]
         is_unchanged = voters == view.voters and _members(voters, alive) == set(decisions.chain_incarnations(view))
@@ -110,7 +110,7 @@
             if heartbeat.id not in known and heartbeat.disk_ok and not heartbeat.leaving
         ]
         states = {identifier: self.heartbeats.voter_state(identifier, self.started_at_us) for identifier in known}
-        return decisions.next_voters(
+        return view_formation.next_voters(
             view,
             self.own_voter.id,
             leaving=self.heartbeats.leaving,
@@ -142,7 +142,7 @@
         promises = await self._collect_promises(old, ballot)
         if promises is None:
             return
-        view = decisions.next_view(old, promises, voters, self.heartbeats.alive(), self.heartbeats.departing())
+        view = view_formation.next_view(old, promises, voters, self.heartbeats.alive(), self.heartbeats.departing())
         if view is None:
             log.warning("View {view} can't be proposed: no voter that answered has a synced copy.", view=old.number + 1)
             return
--- a/simulation/mutation_checks.py
+++ b/simulation/mutation_checks.py
@@ -22,7 +22,7 @@
 from twisted.web import http_headers
 
 from iriswheel import errors
-from iriswheel.consensus import decisions
+from iriswheel.consensus import decisions, view_formation
 from iriswheel.control import tail_contact
 from iriswheel.dataplane import (
     attempt_outcome,
@@ -52,7 +52,7 @@
 Arguments = typing.ParamSpec("Arguments")
 Sending = collections.abc.Coroutine[typing.Any, typing.Any, attempt_outcome.AttemptOutcome]
 
-_next_chain = decisions.next_chain
+_next_chain = view_formation.next_chain
 _apply_workers = follower.Follower.apply_workers
 _gateway_send = gateway.Gateway.send
 _select_worker = worker_selection.WorkerSelector.select_worker
@@ -156,7 +156,7 @@
 def _order_blank_first(
     view: message.View, promises: dict[str, message.Promise], alive: decisions.Incarnations
 ) -> list[message.ChainReplica]:
-    """In place of `decisions.next_chain`: replicas that lack records come first in the chain."""
+    """In place of `view_formation.next_chain`: replicas that lack records come first in the chain."""
     blank_first = sorted(alive, key=lambda i: (i in promises and promises[i].synced_view == view.number, i))
     return [message.ChainReplica(identifier, alive[identifier]) for identifier in blank_first]
 
@@ -164,7 +164,7 @@
 def _order_without_last_entries(
     view: message.View, promises: dict[str, message.Promise], alive: decisions.Incarnations
 ) -> list[message.ChainReplica] | None:
-    """In place of `decisions.next_chain`: how far each replica's log reaches is left out."""
+    """In place of `view_formation.next_chain`: how far each replica's log reaches is left out."""
     blind = {i: msgspec.structs.replace(promise, last_entry=(0, 0)) for i, promise in promises.items()}
     return _next_chain(view, blind, alive)
 
@@ -237,8 +237,8 @@
         1,
         "in_force",
     ),
-    "whole_copies": Guard([Patch(decisions, "next_chain", _order_blank_first)], "replace_all", 4, "kept"),
-    "tips": Guard([Patch(decisions, "next_chain", _order_without_last_entries)], "disk_old", 1, "kept"),
+    "whole_copies": Guard([Patch(view_formation, "next_chain", _order_blank_first)], "replace_all", 4, "kept"),
+    "tips": Guard([Patch(view_formation, "next_chain", _order_without_last_entries)], "disk_old", 1, "kept"),
     "pools": Guard([Patch(follower.Follower, "apply_workers", _apply_as_one_pool)], "other_pool", 1, "allowed"),
     "pins": Guard([Patch(sessions.SessionTable, "affinity", lambda _self, _identifier: None)], "calm", 1, "pinned"),
     "cap": Guard([Patch(sessions.SessionTable, "count", lambda _self, _worker: 0)], "many_talks", 1, "capped"),
--- a/simulation/state_search/cluster_model.py
+++ b/simulation/state_search/cluster_model.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from iriswheel.consensus import decisions
+from iriswheel.consensus import decisions, view_formation
 from iriswheel.transport import message
 
 replace = msgspec.structs.replace
@@ -185,7 +185,7 @@
             states[identifier] = decisions.VoterState(True, True)
         else:
             states[identifier] = decisions.VoterState(core.leaving, False)
-    return decisions.next_voters(
+    return view_formation.next_voters(
         view,
         proposer.identifier,
         leaving=proposer.leaving,
@@ -216,7 +216,7 @@
         return False
     view = core.view
     alive, voters = live(world), wanted_voters(world, core)
-    if decisions.is_handing_over(view, alive, departing(world), synced_in(world, view.number)):
+    if view_formation.is_handing_over(view, alive, departing(world), synced_in(world, view.number)):
         alive, voters = alive | departing(world), view.voters
     voter_ids = [voter.id for voter in view.voters if voter.id in alive]
     if len(voter_ids) < decisions.majority(len(view.voters)):
--- a/simulation/state_search/cluster_steps.py
+++ b/simulation/state_search/cluster_steps.py
@@ -1,8 +1,8 @@
 """All steps that a few core machines may take: messages, leases, the chain, and faults within the tolerance.
 
-The steps call `iriswheel.consensus.decisions`, the functions that the core itself runs; only disk, network and clock
-are abstract. A message stays in flight until its view is over, so each may arrive late, twice, in any order or never.
-Time passes only where the leases allow it: a voter's grant ends after the lease that counts on it.
+The steps call `iriswheel.consensus.decisions` and `view_formation`, the functions that the core itself runs; only disk,
+network and clock are abstract. A message stays in flight until its view is over, so each may arrive late, twice, in any
+order or never. Time passes only where the leases allow it: a voter's grant ends after the lease that counts on it.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from iriswheel.consensus import decisions
+from iriswheel.consensus import decisions, view_formation
 from iriswheel.transport import message
 from simulation.state_search import cluster_model
 
@@ -158,7 +158,7 @@
     live = cluster_model.live(world)
     promised = {identifier: promise.incarnation for identifier, promise in promises.items() if identifier in live}
     for alive in (live, promised):
-        view = decisions.next_view(core.view, promises, proposal.voters, alive, cluster_model.departing(world))
+        view = view_formation.next_view(core.view, promises, proposal.voters, alive, cluster_model.departing(world))
         if view is None or view in seen:
             continue
         seen.append(view)
--- a/simulation/state_search/explore.py
+++ b/simulation/state_search/explore.py
@@ -19,7 +19,7 @@
 import defopt
 import msgspec
 
-from iriswheel.consensus import decisions
+from iriswheel.consensus import decisions, view_formation
 from iriswheel.transport import message
 from simulation.state_search import cluster_model, cluster_steps
 
@@ -152,7 +152,7 @@
     given = [answer for answer in given if (request.number, answer) not in before.promises]
     if len(given) < decisions.majority(len(old.voters)):
         raise cluster_model.ViolationError(f"no majority is left of view {old.number}: {cluster_model.describe(old)}")
-    view = decisions.next_view(
+    view = view_formation.next_view(
         old, {answer.id: answer for answer in given}, voters, cluster_model.live(world), cluster_model.departing(world)
     )
     if view is None:
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -7,7 +7,7 @@
 import pytest
 from twisted.internet import defer, task
 
-from iriswheel.consensus import decisions, timing, view_consensus
+from iriswheel.consensus import decisions, timing, view_consensus, view_formation
 from iriswheel.replication import chain, replicated_state, snapshot_format
 from iriswheel.runtime import scheduler
 from iriswheel.transport import message
@@ -30,24 +30,24 @@
 class TestChainOrder:
     def test_of_copies_synced_one_view_before_the_newest_leads(self) -> None:
         answers = {"b": promised("b", 3, (3, 6)), "c": promised("c", 3, (3, 7))}
-        members = decisions.next_chain(make_view(4, "abc"), answers, {"b": "1", "c": "1"})
+        members = view_formation.next_chain(make_view(4, "abc"), answers, {"b": "1", "c": "1"})
         assert members is not None
         assert [member.id for member in members] == ["c", "b"]
 
     def test_newcomers_alone_agree_on_no_chain(self) -> None:
         answers = {"b2": promised("b2", 0), "c2": promised("c2", 0)}
         old = make_view(4, ["a", "b2", "c2"])
-        assert decisions.next_view(old, answers, old.voters, {"b2": "1", "c2": "1"}, {}) is None
+        assert view_formation.next_view(old, answers, old.voters, {"b2": "1", "c2": "1"}, {}) is None
 
     def test_a_copy_that_leaves_leads_only_where_no_other_can(self) -> None:
         old = make_view(4, "abc")
         alive, leaving = {"b": "1", "c": "1"}, {"a": "1"}
         answers = {"a": promised("a", 4), "b": promised("b", 3)}
-        agreed = decisions.next_view(old, answers, old.voters, alive, leaving)
+        agreed = view_formation.next_view(old, answers, old.voters, alive, leaving)
         assert agreed is not None
         assert [member.id for member in agreed.chain] == ["a", "b"]
         answers["b"] = promised("b", 4)
-        agreed = decisions.next_view(old, answers, old.voters, alive, leaving)
+        agreed = view_formation.next_view(old, answers, old.voters, alive, leaving)
         assert agreed is not None
         assert [member.id for member in agreed.chain] == ["b"]
 
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -1,5 +1,6 @@
 """The view agreement searched state by state: nothing breaks as it stands, and each guard taken out is noticed."""
 
+import types
 from collections.abc import Callable
 from typing import Any
 from unittest import mock
@@ -7,7 +8,7 @@
 import msgspec
 import pytest
 
-from iriswheel.consensus import decisions
+from iriswheel.consensus import decisions, view_formation
 from iriswheel.transport import message
 from simulation.state_search import cluster_model, explore
 
@@ -37,7 +38,7 @@
     view: message.View,
     promises: dict[str, message.Promise],
     alive: dict[str, str],
-    order: Callable[..., list[message.ChainReplica] | None] = decisions.next_chain,
+    order: Callable[..., list[message.ChainReplica] | None] = view_formation.next_chain,
 ) -> list[message.ChainReplica] | None:
     """Order the chain without a look at the last log entries."""
     promises = {
@@ -53,7 +54,7 @@
     alive: dict[str, str],
     _leaving: dict[str, str],
     *,
-    next_view: Callable[..., message.View | None] = decisions.next_view,
+    next_view: Callable[..., message.View | None] = view_formation.next_view,
 ) -> message.View | None:
     """Never let a leaving machine lead."""
     return next_view(view, promises, voters, alive, {})
@@ -86,10 +87,12 @@
         guard: tuple[str, Callable[..., Any]],
         limits: cluster_model.Limits,
         words: str,
+        *,
+        module: types.ModuleType = decisions,
         **more: Any,  # noqa: ANN401 - options of explore.search
     ) -> None:
         name, replacement = guard
-        with mock.patch.object(decisions, name, replacement):
+        with mock.patch.object(module, name, replacement):
             found = self.search(limits, states=GUARD_STATES, **more)
         assert words in found.violation
 
@@ -106,7 +109,7 @@
     def test_the_leaving_machine_with_the_only_synced_copy_hands_over(self) -> None:
         limits = cluster_model.Limits(proposals=1, changes=0, crashes=1, leaves=1)
         assert self.search(limits).violation == ""
-        self.breaks(("next_view", no_hand_over), limits, "no synced copy is left")
+        self.breaks(("next_view", no_hand_over), limits, "no synced copy is left", module=view_formation)
 
     def test_two_views_in_a_row_and_the_loss_of_their_head_leave_a_copy_that_may_lead(self) -> None:
         limits = cluster_model.Limits(proposals=1, changes=0, crashes=1)
@@ -127,7 +130,7 @@
 
     def test_without_synced_leaders_acknowledged_changes_are_lost(self) -> None:
         limits = cluster_model.Limits(proposals=1, changes=1, wipes=1)
-        self.breaks(("next_chain", unsynced_order), limits, "without acknowledged")
+        self.breaks(("next_chain", unsynced_order), limits, "without acknowledged", module=view_formation)
 
     def test_without_the_wait_for_grants_two_tails_serve_reads(self) -> None:
         limits = cluster_model.Limits(proposals=1, changes=0, leases=4)
@@ -156,7 +159,7 @@
 
     def test_without_the_order_by_last_entry_an_older_disk_leads(self) -> None:
         limits = cluster_model.Limits(proposals=1, changes=1, crashes=1, stale_disks=1)
-        self.breaks(("next_chain", order_without_last_entries), limits, "without acknowledged")
+        self.breaks(("next_chain", order_without_last_entries), limits, "without acknowledged", module=view_formation)
 
     def test_without_the_look_at_its_place_an_old_snapshot_takes_back_acknowledged_changes(self) -> None:
         limits = cluster_model.Limits(proposals=1, changes=1, late_refills=1)
--- a/tests/test_second_loss.py
+++ b/tests/test_second_loss.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from iriswheel.consensus import decisions
+from iriswheel.consensus import view_formation
 from iriswheel.runtime import units
 from iriswheel.transport import message
 from simulation import second_loss, second_loss_cases
@@ -53,6 +53,6 @@
 
 
 def test_a_chain_led_by_a_copy_that_is_not_synced_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(decisions, "next_chain", unsynced_order)
+    monkeypatch.setattr(view_formation, "next_chain", unsynced_order)
     found = [line for case in GUARDED for line in second_loss.play(case).complaints]
     assert f"no change was acknowledged for {second_loss.REPAIR_S} s" in found
