All test modules are under mypy

tests/test_simulated_cluster.py and tests/test_stopping.py were left out, since head, tail and pool owner of a cluster may be None and methods were replaced by assignment. tests/optional.py says where a test relies on a value; stand-ins go in by monkeypatch.

--- a/tests/test_simulated_cluster.py
+++ b/tests/test_simulated_cluster.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from typing import Any
 from unittest import mock
 
 import pytest
@@ -16,7 +17,7 @@
 from iriswheel.runtime import storage, units
 from iriswheel.transport import http_server, message
 from simulation import network_model, simulated_cluster
-from tests import conftest, deferreds
+from tests import conftest, deferreds, optional
 
 SECOND = units.SECOND_US
 
@@ -27,8 +28,16 @@
     def __init__(self) -> None:
         self.code = 0  # until the answer's head has come
         self.headers = http_headers.Headers()
-        self.receiver: load_generator.AnswerCollector | None = None
-        self.done: defer.Deferred[None] = defer.Deferred()
+        self.receiver: load_generator.AnswerCollector | None = None  # until then
+        self.done: defer.Deferred[bool] = defer.Deferred()
+
+    def transport(self) -> Any:  # noqa: ANN401 - Twisted describes transports by interfaces
+        """The client's side of the connection."""
+        return optional.present(self.receiver).transport
+
+    def body_parts(self) -> list[bytes]:
+        """The parts of the answer's body that have come."""
+        return optional.present(self.receiver).parts
 
     def has_begun(self) -> bool:
         """Whether a part of the answer's body has come."""
@@ -73,15 +82,22 @@
         return sent
 
     def answer(
-        self, cluster: simulated_cluster.SimulatedCluster, **more: int | str | tuple[str, ...]
+        self,
+        cluster: simulated_cluster.SimulatedCluster,
+        **more: Any,  # noqa: ANN401 - those of `query`
     ) -> tuple[int, http_headers.Headers, bytes]:
         """Send one request and wait for its end: status, headers, body."""
         sent = self.query(cluster, **more)
         assert cluster.advance_until(lambda: sent.done.called, 30)
-        return sent.code, sent.headers, b"".join(sent.receiver.parts)
+        return sent.code, sent.headers, b"".join(sent.body_parts())
 
     def open_sessions(self, cluster: simulated_cluster.SimulatedCluster) -> int:
-        return sum(len(rs) for rs in cluster.owner().pool_owners[cluster.pool].records.session_table.by_worker.values())
+        return sum(
+            len(rs)
+            for rs in optional.present(cluster.owner())
+            .pool_owners[cluster.pool]
+            .records.session_table.by_worker.values()
+        )
 
     def test_a_session_is_released_after_a_minute_without_requests(self, quiet_cluster: conftest.QuietCluster) -> None:
         cluster = quiet_cluster()
@@ -113,17 +129,17 @@
         assert cluster.world.time - started_at < SECOND
         assert code == 503
         assert b"sessions_full" in body
-        assert 25 <= int(headers.getRawHeaders("Retry-After")[0]) <= 31
+        assert 25 <= int(optional.present(headers.getRawHeaders("Retry-After"))[0]) <= 31
 
     def test_a_client_that_goes_away_ends_the_run_at_once(self, quiet_cluster: conftest.QuietCluster) -> None:
         cluster = quiet_cluster()
         request = self.query(cluster)
         assert cluster.advance_until(request.has_begun, 5)
-        request.receiver.transport.stopProducing()
+        request.transport().stopProducing()
         cluster.advance(0.1)
         assert [r["kind"] for r in cluster.event_log.rows if r["kind"] in ("ran", "cut")] == ["cut"]
         cluster.advance(1)
-        assert cluster.owner().pool_owners[cluster.pool].records.grants == {}
+        assert optional.present(cluster.owner()).pool_owners[cluster.pool].records.grants == {}
 
     def test_a_slow_client_slows_the_worker(
         self, quiet_cluster: conftest.QuietCluster, monkeypatch: pytest.MonkeyPatch
@@ -150,12 +166,12 @@
         assert held is not None
         request = self.query(cluster)
         assert cluster.advance_until(request.has_begun, 5)
-        request.receiver.transport.pauseProducing()
+        request.transport().pauseProducing()
         cluster.advance(5)
         assert sum(sent) < 12 * network_model.WINDOW_BYTES
-        request.receiver.transport.resumeProducing()
+        request.transport().resumeProducing()
         assert cluster.advance_until(lambda: request.done.called, 30)
-        assert sum(map(len, request.receiver.parts)) == 200 * 16_384
+        assert sum(len(part) for part in request.body_parts()) == 200 * 16_384
 
     def test_jumps_of_the_wall_clock_change_nothing(self) -> None:
         tapes = []
@@ -194,7 +210,7 @@
         cluster = quiet_cluster(shape="magnolia", configuration=document)
         assert self.answer(cluster, path="/far", node="n1")[0] == 404
         assert self.answer(cluster, path="/far", node="n6")[0] == 200
-        assert "routes/far" not in cluster.nodes["n1"].follower.items
+        assert "routes/far" not in optional.present(cluster.nodes["n1"].follower.items)
 
     def test_a_node_without_a_configuration_is_not_ready_and_answers_not_run(
         self, quiet_cluster: conftest.QuietCluster
@@ -219,14 +235,14 @@
         for name in ("c2", "c3"):
             cluster.cores[name].process.host.repair()
         assert cluster.advance_until(lambda: done.called, 20)
-        assert deferreds.result_of(done) > 0
+        assert optional.present(deferreds.result_of(done)) > 0
 
     def test_a_machine_that_alone_promised_does_not_break_the_chain_for_good(
         self, quiet_cluster: conftest.QuietCluster
     ) -> None:
         cluster = quiet_cluster()
-        head = cluster.head()
-        number = head.consensus.view.number + 1
+        head = optional.present(cluster.head())
+        number = optional.present(head.consensus.view).number + 1
         consensus = head.consensus
         consensus.acceptor.lease_grant = acceptor.LeaseGrant("", 0)  # as after a short cut, in which its grant ran out
         prepare = message.Prepare(number, (1, consensus.own_voter.id), consensus.own_voter.id)
@@ -235,7 +251,7 @@
         assert consensus.is_sealed()
         done = cluster.operator_runtime.spawn(cluster.operator.change(cluster.with_probe(1)), simulated_cluster.log)
         assert cluster.advance_until(lambda: done.called, 5)
-        assert deferreds.result_of(done) > 0
+        assert optional.present(deferreds.result_of(done)) > 0
 
     def plan_refused(self, cluster: simulated_cluster.SimulatedCluster) -> list[str]:
         """Code and verdict that a plan gets now."""
@@ -251,7 +267,7 @@
 
     def test_a_late_selection_that_was_given_up_gets_no_grant(self, quiet_cluster: conftest.QuietCluster) -> None:
         cluster = quiet_cluster()
-        node = cluster.owner()
+        node = optional.present(cluster.owner())
         pool_owner = node.pool_owners[cluster.pool]
         pool_owner.release("late-ask", errors.ExecutionOutcome.NOT_RUN)
         msg = message.SelectWorker(
@@ -272,12 +288,14 @@
         )
         done = node.runtime.spawn(pool_owner.select_worker(msg), simulated_cluster.log)
         cluster.advance(1)
-        assert done.result.code == "no_warden"
+        answer = deferreds.result_of(done)
+        assert isinstance(answer, message.SelectionDenied)
+        assert answer.code == "no_warden"
         assert pool_owner.records.claims == {}
 
     def test_a_claim_of_a_grant_that_came_too_late_is_given_back(self, quiet_cluster: conftest.QuietCluster) -> None:
         cluster = quiet_cluster()
-        node = cluster.owner()
+        node = optional.present(cluster.owner())
         pool_owner = node.pool_owners[cluster.pool]
         pool_owner.records.claims["e1"] = claims.Claim(
             "e1", 1, "n1", "old-ask", cluster.world.time + 600 * SECOND
@@ -289,13 +307,17 @@
 
     def test_a_former_pool_owner_gets_no_copy_taken(self, quiet_cluster: conftest.QuietCluster) -> None:
         cluster = quiet_cluster(shape="magnolia")
-        node = cluster.owner()
+        node = optional.present(cluster.owner())
         old = node.pool_owners[cluster.pool]
-        holder = next(m for m in cluster.nodes.values() if m.member_record.id == old.assignment.copies[0])
+        holder = next(
+            m for m in cluster.nodes.values() if optional.present(m.member_record).id == old.assignment.copies[0]
+        )
         holder.pool_roles.replica(cluster.pool).fence((old.assignment.term[0], old.assignment.term[1] + 1))
         done = node.runtime.spawn(
             old.replicator.copy(
-                message.ReplicateRecords(cluster.pool, old.assignment.term, node.member_record.id, [], [], [])
+                message.ReplicateRecords(
+                    cluster.pool, old.assignment.term, optional.present(node.member_record).id, [], [], []
+                )
             ),
             simulated_cluster.log,
         )
@@ -306,13 +328,13 @@
         self, quiet_cluster: conftest.QuietCluster
     ) -> None:
         cluster = quiet_cluster()
-        core = cluster.tail()
+        core = optional.present(cluster.tail())
 
         def had_an_owner(term: tuple[int, int]) -> bool:
             request = message.RecordsRequest("new", term, "n1")
             asked = core.runtime.spawn(core.session_replicas.collect(request), simulated_cluster.log)
             cluster.advance(0.1)
-            response = deferreds.result_of(asked)
+            response = optional.present(deferreds.result_of(asked))
             assert response.ok
             return response.has_replica
 
@@ -320,33 +342,33 @@
 
     def test_an_update_does_not_interrupt_a_call_to_a_core_machine(self, quiet_cluster: conftest.QuietCluster) -> None:
         cluster = quiet_cluster()
-        node, core = cluster.nodes["n1"], cluster.tail()
+        node, core = cluster.nodes["n1"], optional.present(cluster.tail())
         asked = node.runtime.spawn(
             node.peers.call(core.options.host, core.options.port, message.RecordsRequest("new", (9, 1), "n1"), SECOND),
             simulated_cluster.log,
         )
         node.on_update()
         cluster.advance(0.5)
-        assert deferreds.result_of(asked).ok
+        assert optional.present(deferreds.result_of(asked)).ok
         node.on_update()
         assert node.peers.connections[(core.options.host, core.options.port)].up
 
     def test_a_term_that_a_lost_membership_had_passed_is_replaced(self, quiet_cluster: conftest.QuietCluster) -> None:
         cluster = quiet_cluster(shape="magnolia")
         for who in ("copy", "holder"):
-            assignment = cluster.owner().pool_owners[cluster.pool].assignment
+            assignment = optional.present(cluster.owner()).pool_owners[cluster.pool].assignment
             name = assignment.holder if who == "holder" else assignment.copies[0]
-            node = next(m for m in cluster.nodes.values() if m.member_record.id == name)
+            node = next(m for m in cluster.nodes.values() if optional.present(m.member_record).id == name)
             newer = (
                 assignment.term[0],
-                cluster.tail().membership.latest.version[1] + 1,
+                optional.present(optional.present(cluster.tail()).membership.latest).version[1] + 1,
             )  # of a membership that nobody kept
             node.serve(None, message.RecordsRequest(cluster.pool, newer, "somebody"))
             assert self.answer(cluster, identifier=who, repeat=False, node="n1")[0] == 200
 
     def test_a_thawed_tail_answers_nothing_on_its_old_lease(self, quiet_cluster: conftest.QuietCluster) -> None:
         cluster = quiet_cluster()
-        tail = cluster.tail()
+        tail = optional.present(cluster.tail())
         tail.process.freeze()
         cluster.advance(4)
         tail.process.frozen = False  # it runs again, before it has heard anything
@@ -375,21 +397,25 @@
 
     def test_open_plans_are_bounded_by_their_bytes(self, quiet_cluster: conftest.QuietCluster) -> None:
         cluster = quiet_cluster()
-        chain = cluster.head().chain
+        chain = optional.present(cluster.head()).chain
         pad = [("terms/t", {"pad": "x" * (1 << 20)})]
         for k in range(40):
-            done = cluster.head().runtime.spawn(
+            done = optional.present(cluster.head()).runtime.spawn(
                 chain.answer(
                     message.ProposeChange(
-                        cluster.head().consensus.view.number, "plan", f"2-{k}", chain.latest_state.version, pad
+                        optional.present(optional.present(cluster.head()).consensus.view).number,
+                        "plan",
+                        f"2-{k}",
+                        chain.latest_state.version,
+                        pad,
                     )
                 ),
                 simulated_cluster.log,
             )
-            assert cluster.advance_until(lambda done=done: done.called, 5)
+            assert cluster.advance_until_called(done, 5)
         cluster.advance(2)
         assert sum(p.size for p in chain.latest_state.plans.values()) <= 16 << 20
-        assert sum(map(len, cluster.head().process.host.synced.values())) < 120 << 20
+        assert sum(len(value) for value in optional.present(cluster.head()).process.host.synced.values()) < 120 << 20
 
     def test_a_thawed_node_selects_nothing_before_it_has_rejoined(self, quiet_cluster: conftest.QuietCluster) -> None:
         cluster = quiet_cluster()
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -3,21 +3,41 @@
 import functools
 import os
 import pathlib
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Coroutine
+from typing import Any, cast
 
 import pytest
-from twisted.internet import address, defer, task, testing
+from twisted.internet import address, defer, error, interfaces, task, testing
+from twisted.python import failure
 
 from iriswheel.control import core
 from iriswheel.runtime import options, scheduler, units
 from iriswheel.transport import http_server, message
 from simulation import simulated_cluster
-from tests import conftest
+from tests import conftest, optional
 
 SECOND = units.SECOND_US
 
 
+def chain_length(cluster: simulated_cluster.SimulatedCluster) -> int:
+    """The replicas in the chain as the tail knows it; 0 where there is no tail."""
+    tail = cluster.tail()
+    return 0 if tail is None else len(optional.present(tail.consensus.view).chain)
+
+
+class UnbrokenTransport(testing.StringTransport):
+    """A connection's far side that must not be broken off."""
+
+    def abortConnection(self) -> None:
+        """Fail the test."""
+        pytest.fail("broken off")
+
+
+def build_channel(server: http_server.Server, port: int) -> Any:  # noqa: ANN401 - the interface lacks the types
+    """The server's protocol for a connection from a local port; None where the server takes none."""
+    return server.buildProtocol(cast("interfaces.IAddress", address.IPv4Address("TCP", "127.0.0.1", port)))
+
+
 class TestClosingServer:
     def test_what_was_answered_goes_out_before_the_connection_ends(self) -> None:
         clock = task.Clock()
@@ -27,16 +47,15 @@
             request.answer_json(200, {"whole": True})
 
         server = http_server.Server(runtime, handle)
-        wire = testing.StringTransport()
-        wire.abortConnection = lambda: pytest.fail("broken off")
-        channel = server.buildProtocol(address.IPv4Address("TCP", "127.0.0.1", 1))
+        wire = UnbrokenTransport()
+        channel = build_channel(server, 1)
         channel.makeConnection(wire)
         channel.dataReceived(b"GET /state HTTP/1.1\r\nHost: x\r\n\r\n")
         done = defer.ensureDeferred(server.finish(SECOND))
         assert b'{"whole": true}' in wire.value()
         assert (wire.disconnecting, done.called) == (True, False)  # disconnecting: after what was written
-        assert server.buildProtocol(address.IPv4Address("TCP", "127.0.0.1", 2)) is None
-        channel.connectionLost(testing.Failure(Exception()) if hasattr(testing, "Failure") else None)
+        assert build_channel(server, 2) is None
+        channel.connectionLost(failure.Failure(error.ConnectionDone()))
         assert done.called
 
 
@@ -79,9 +98,9 @@
         done = node.runtime.spawn(node.stop(), simulated_cluster.log)
         assert not node.ready()[0]
         cluster.advance(2.9)
-        assert not node.refusing_requests
+        refused_before = node.refusing_requests
         cluster.advance(0.5)
-        assert node.refusing_requests
+        assert (refused_before, node.refusing_requests) == (False, True)
         assert cluster.advance_until(lambda: done.called, 10)
         assert 6.5 * SECOND < cluster.world.time - started_at < 7.5 * SECOND
 
@@ -101,18 +120,16 @@
     ) -> None:
         cluster = quiet_cluster()
         for at in (cluster.tail, cluster.head):
-            machine = at()
+            machine = optional.present(at())
             started_at = cluster.world.time
             done = machine.runtime.spawn(machine.stop(), simulated_cluster.log)
-            assert cluster.advance_until(lambda done=done: done.called, 5)
+            assert cluster.advance_until_called(done, 5)
             assert cluster.world.time - started_at < SECOND
             machine.process.kill()
             others = [other for other in cluster.cores.values() if other is not machine]
-            assert {len(other.consensus.view.chain) for other in others} == {2}
+            assert {len(optional.present(other.consensus.view).chain) for other in others} == {2}
             cluster.start_core(machine.options.name, *cluster.places[machine.options.name])
-            assert cluster.advance_until(
-                lambda: cluster.tail() is not None and len(cluster.tail().consensus.view.chain) == 3, 5
-            )
+            assert cluster.advance_until(lambda: chain_length(cluster) == 3, 5)
 
     def stop(self, machine: core.Core) -> defer.Deferred[Any]:
         return machine.runtime.spawn(machine.stop(), simulated_cluster.log)
@@ -121,7 +138,7 @@
         self, quiet_cluster: conftest.QuietCluster
     ) -> None:
         cluster = quiet_cluster(grace_us=8 * SECOND)
-        head = cluster.head()
+        head = optional.present(cluster.head())
         others = [machine for machine in cluster.cores.values() if machine is not head]
         for machine in others:
             machine.process.host.fail()
@@ -135,27 +152,29 @@
         assert not done.called  # two blank machines can't take it over: of the voters it is the only one
 
     def test_a_core_machine_hands_over_to_joining_members_that_are_still_catching_up(
-        self, quiet_cluster: conftest.QuietCluster
+        self, quiet_cluster: conftest.QuietCluster, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         cluster = quiet_cluster(grace_us=30 * SECOND)
-        head, held = cluster.head(), [True]
+        head, held = optional.present(cluster.head()), [True]
 
         async def answer(msg: message.Message, real: Callable[..., Any]) -> message.Message:
             late = held and isinstance(msg, message.CatchUp)
             return message.AppendResponse(False) if late else await real(msg)
 
+        def is_in_chain(identifier: str) -> bool:
+            return identifier in [replica.id for replica in optional.present(head.consensus.view).chain]
+
         joining_members = []
         for machine in [machine for machine in cluster.cores.values() if machine is not head]:
             machine.process.host.fail()
             machine.process.host.synced.clear()
             cluster.start_core(machine.options.name, *cluster.places[machine.options.name])
             joining_members.append(cluster.cores[machine.options.name])
-            joining_members[-1].chain.answer = functools.partial(answer, real=joining_members[-1].chain.answer)
+            chain = joining_members[-1].chain
+            monkeypatch.setattr(chain, "answer", functools.partial(answer, real=chain.answer))
             identifier = joining_members[-1].consensus.own_voter.id
-            assert cluster.advance_until(
-                lambda identifier=identifier: identifier in [other.id for other in head.consensus.view.chain], 10
-            )
-        assert len(head.consensus.view.chain) == 3
+            assert cluster.advance_until(functools.partial(is_in_chain, identifier), 10)
+        assert len(optional.present(head.consensus.view).chain) == 3
         done = self.stop(head)
         cluster.advance(5)
         assert not done.called
@@ -168,7 +187,7 @@
         self, quiet_cluster: conftest.QuietCluster
     ) -> None:
         cluster = quiet_cluster(grace_us=8 * SECOND)
-        lost, leaving = cluster.tail(), cluster.head()
+        lost, leaving = optional.present(cluster.tail()), optional.present(cluster.head())
         lost.process.host.fail()
         cluster.advance(4)
         done = self.stop(leaving)
@@ -178,9 +197,7 @@
         cluster.start_core(lost.options.name, *cluster.places[lost.options.name])
         assert cluster.advance_until(lambda: done.called, 3)
         leaving.process.kill()
-        assert cluster.advance_until(
-            lambda: cluster.tail() is not None and len(cluster.tail().consensus.view.chain) == 2, 5
-        )
+        assert cluster.advance_until(lambda: chain_length(cluster) == 2, 5)
 
     def test_a_fleet_whose_core_machines_all_stop_ends_at_once(self, quiet_cluster: conftest.QuietCluster) -> None:
         cluster = quiet_cluster(grace_us=8 * SECOND)
@@ -198,7 +215,10 @@
         def at_home() -> bool:
             return all(
                 node.follower.session.is_established()
-                and (node.options.zone == "d" or zones[node.follower.session.address[0]] == node.options.zone)
+                and (
+                    node.options.zone == "d"
+                    or zones[optional.present(node.follower.session.address)[0]] == node.options.zone
+                )
                 for node in cluster.nodes.values()
             )
 
@@ -218,23 +238,29 @@
 
         assert cluster.advance_until(at_home_with_all, 15)
         cluster.advance(3)
-        assert members | {len(cluster.tail().membership.latest.members)} == {5}
+        assert members | {len(optional.present(optional.present(cluster.tail()).membership.latest).members)} == {5}
         moves = [node.follower.session.moves for node in cluster.nodes.values()]
         cluster.advance(30)
         assert [node.follower.session.moves for node in cluster.nodes.values()] == moves
 
     @pytest.mark.parametrize(("serve_on", "most"), [(True, 3), (False, 11)])
     def test_a_node_that_serves_on_queries_few_peers_for_the_core(
-        self, quiet_cluster: conftest.QuietCluster, serve_on: bool, most: int
+        self, quiet_cluster: conftest.QuietCluster, monkeypatch: pytest.MonkeyPatch, serve_on: bool, most: int
     ) -> None:
         cluster = quiet_cluster(zones=["a"] * 12, serve_on=serve_on)
-        node, asked = cluster.nodes["n1"], []
-        node.follower.runtime.spawn = lambda coroutine, *_log: asked.append(coroutine) or coroutine.close()
+        node = cluster.nodes["n1"]
+        asked: list[Coroutine[Any, Any, Any]] = []
+
+        def keep(coroutine: Coroutine[Any, Any, Any], *_log: object) -> None:
+            asked.append(coroutine)
+            coroutine.close()
+
+        monkeypatch.setattr(node.follower.runtime, "spawn", keep)
         node.follower.peer_status.query()
         assert len(asked) == most
 
     def test_nodes_without_updates_of_workers_do_not_storm_the_platform(
-        self, quiet_cluster: conftest.QuietCluster
+        self, quiet_cluster: conftest.QuietCluster, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         cluster = quiet_cluster(zones=["a", "b", "c", "d"] * 6, serve_on=True)
         asked = []
@@ -245,11 +271,13 @@
                 asked.append(cluster.world.time)
             await handle(request)
 
-        cluster.platform_process.ports[9000].handle = counted
+        monkeypatch.setattr(cluster.platform_process.ports[9000], "handle", counted)
         for machine in cluster.cores.values():  # nobody can hand the role on
             machine.process.kill()
         holder = next(
-            node for node in cluster.nodes.values() if node.follower.assignment("list").holder == node.member_record.id
+            node
+            for node in cluster.nodes.values()
+            if optional.present(node.follower.assignment("list")).holder == optional.present(node.member_record).id
         )
         holder.process.kill()
         del cluster.nodes[holder.options.name]
@@ -257,6 +285,7 @@
         del asked[:]
         cluster.advance(10)
         assert all(
-            node.follower.runtime.now() - node.follower.updated_at < 4 * SECOND for node in cluster.nodes.values()
+            node.follower.runtime.now() - optional.present(node.follower.updated_at) < 4 * SECOND
+            for node in cluster.nodes.values()
         )
         assert 5 < len(asked) < 30, len(asked)
