A cold worker gets requests from three nodes, at half of its rate all together

Cause: each node selects for itself, and a worker that is listed anew has no load and no suspicion, so that all nodes send to it at once. Class of fault: a limit over all nodes that each node judges alone. Change: of each cold worker's zone three nodes, ranked by name, send to it, each with a pause between two requests, so that all together use half of its rate; the pause starts anew with a node or a new set of members, so that restarts add nothing. All others leave it out; retries, resumes, sessions and first turns included. No shared part has its home at a cold worker. A zone may be told to count as cold (`ColdWorkers.treat_zone_as_cold`). Ruled out: a bucket at an owner, a message for each request; a token to each of all nodes, 63 at once.

--- a/iriswheel/dataplane/forwarding.py
+++ b/iriswheel/dataplane/forwarding.py
@@ -15,6 +15,7 @@
     answer_stream,
     attempt_outcome,
     client_disconnect,
+    cold_workers,
     forwarded_request,
     placement,
     request_counts,
@@ -52,6 +53,7 @@
         self.runtime = node.runtime
         self.protocol = node.edge_protocol
         self.connections = worker_connections.ConnectionPool(node.runtime)
+        self.cold_workers = cold_workers.ColdWorkers(node.runtime, node.options.name, node.follower)
         self.placements: dict[str, placement.Placement] = {}  # by pool name
         # Attempts that were sent and are under way, in the order of sending: a set would go by memory addresses.
         self.streams: dict[answer_stream.AnswerStream, None] = {}
@@ -68,7 +70,7 @@
         return pool_placement
 
     def ready(self, pool: str) -> list[str]:
-        """Return the workers of a pool that may be sent to."""
+        """Return the ready workers of a pool; to cold ones among them this node may not be allowed to send."""
         return [
             worker.id
             for worker in self.node.follower.workers
@@ -79,6 +81,7 @@
         """Return what this forwarder shows of itself in the node's state."""
         return {
             "counts": self.counts.state(),
+            "cold": self.cold_workers.state(),
             "places": [pool_placement.state() for _, pool_placement in sorted(self.placements.items())],
             "lines": sum(self.connections.open.values()),
         }
@@ -154,6 +157,7 @@
         """Close idle connections and those of workers that are gone; drop expired sessions."""
         workers = self.node.follower.workers
         self.connections.sweep({worker.id for worker in workers if worker.state != message.WorkerState.GONE})
+        self.cold_workers.sweep()
         for pool, pool_placement in self.placements.items():
             pool_placement.sweep(set(self.ready(pool)))
 
@@ -203,13 +207,15 @@
 
     def _choose_worker(self, request: forwarded_request.ForwardedRequest) -> message.Worker:
         """Return the worker for the next attempt; raises the error of a request that gets none."""
+        candidates = self.cold_workers.candidates(request.pool_name, request.pool)
         worker_id, wait_us = request.placement.pick(
             request.parsed,
             request.keys,
             request.own_tokens,
-            self.ready(request.pool_name),
+            candidates.ready,
             pool=request.pool,
             excluded_workers=request.excluded_workers,
+            cold_workers=candidates.cold,
         )
         now = self.runtime.now()
         if not worker_id:
@@ -298,7 +304,7 @@
         """Return the workers that a request may still be sent to, without the current one."""
         return [
             worker
-            for worker in self.ready(request.pool_name)
+            for worker in self.cold_workers.candidates(request.pool_name, request.pool).ready
             if worker not in request.excluded_workers and worker != current
         ]
 
@@ -339,7 +345,7 @@
     ) -> attempt_outcome.AttemptOutcome:
         """Send a request over a connection and wait until its answer has ended or its time is over."""
         left_us = request.deadline_us - self.runtime.now()
-        if left_us <= 0 or self.node.follower.state(worker.id) != message.WorkerState.READY:
+        if left_us <= 0 or not self._may_send_now(request, worker):
             connection.drop()
             return attempt_outcome.AttemptOutcome.UNSENT
         head = self.protocol.head(
@@ -367,6 +373,12 @@
             request.may_have_run = may_have_run_before
         return outcome
 
+    def _may_send_now(self, request: forwarded_request.ForwardedRequest, worker: message.Worker) -> bool:
+        """Whether a worker may still be sent to, after the wait for a connection; a send to a cold one is noted."""
+        listed = self.node.follower.states.get(worker.id, worker)
+        is_ready = self.node.follower.state(worker.id) == message.WorkerState.READY
+        return is_ready and self.cold_workers.start_send(listed, request.pool)
+
 
 def is_silent(stream: answer_stream.AnswerStream, overdue: bool, now: int) -> bool:
     """Whether a stream has been silent for so long that this counts against its worker.
--- a/iriswheel/dataplane/placement.py
+++ b/iriswheel/dataplane/placement.py
@@ -34,6 +34,7 @@
 OTHERS_VALID_US = 1_500 * units.MILLISECOND_US  # others' sums older than this count for nothing
 SUSPICION_HALF_LIFE_US = 2 * units.SECOND_US
 SUSPICION_US = 1 * units.SECOND_US  # what full suspicion counts for in time
+COLD_US = 200 * units.MILLISECOND_US  # what it counts for in time that a worker is cold
 EJECTION_SUSPICION = 0.45  # from here on a worker gets nothing, as long as others are well
 SUSPICION_AFTER_ANSWER = 0.7  # the part of it that is left after a complete answer
 OTHERS_SUSPICION = 0.4  # how much another node's suspicion counts beside one's own
@@ -281,6 +282,7 @@
         *,
         pool: configuration.Pool,
         excluded_workers: set[str],
+        cold_workers: collections.abc.Set[str] = frozenset(),
     ) -> tuple[str, int]:
         """Select the worker for a request.
 
@@ -291,6 +293,7 @@
             ready: The workers that may be sent to.
             pool: The pool's configuration.
             excluded_workers: The workers that earlier attempts went to.
+            cold_workers: Those of the ready workers that are cold.
 
         Returns:
             The worker, "" where there is none, and how long the request waits there in microseconds.
@@ -307,13 +310,16 @@
             worker = first_turn.worker
             if worker in candidates and first_turn.expires_at_us > now:
                 return worker, self.wait_us(worker, pool, now)  # a second turn: its prefix is held there
-        workers = tuple(ready)
+        # No shared part has its home at a cold worker, which most nodes can't send to.
+        workers = tuple(worker for worker in ready if worker not in cold_workers) or tuple(ready)
         shared_keys = keys[:-1]
         reserved = self.reserved_for_short_prompts(workers)
         if own_tokens + sum(size for _, size in zip(shared_keys, prompt.sizes, strict=False)) >= LONG_TOKENS:
             workers = tuple(worker for worker in workers if worker not in reserved)
             candidates = [worker for worker in candidates if worker not in reserved] or candidates
-        return self._nearest(candidates, shared_keys, prompt.sizes[:-1], own_tokens, workers, pool=pool)
+        return self._nearest(
+            candidates, shared_keys, prompt.sizes[:-1], own_tokens, workers, pool=pool, cold_workers=cold_workers
+        )
 
     def _candidates(self, ready: list[str], excluded_workers: set[str], now: int) -> list[str]:
         """Return the healthy workers not yet tried; all not yet tried where less than half of them are healthy.
@@ -333,6 +339,7 @@
         workers: tuple[str, ...],
         *,
         pool: configuration.Pool,
+        cold_workers: collections.abc.Set[str],
     ) -> tuple[str, int]:
         """Return the candidate with the least time to the first event, and how long the request waits there."""
         now = self.runtime.now()
@@ -342,6 +349,7 @@
             total_us = wait_us + self.read_us(worker, keys, sizes, own_tokens, workers)
             total_us += self.session_table.load(worker) * RUNNING_REQUEST_US // REQUEST_COST  # reserved by sessions
             total_us += int(self.suspicion(worker, now) * SUSPICION_US)
+            total_us += COLD_US if worker in cold_workers else 0
             total_us += self.runtime.rng.randrange(JITTER_US)
             if least_us is None or total_us < least_us:
                 best, best_wait_us, least_us = worker, wait_us, total_us
--- a/tests/node_fixture.py
+++ b/tests/node_fixture.py
@@ -25,7 +25,9 @@
             self.world, "n1", host_model.Host(self.world, "10.0.2.1", "a")
         )
         self.runtime = process.runtime()
-        self.follower = types.SimpleNamespace(workers=[], states={}, state=lambda _name: "ready")
+        self.follower = types.SimpleNamespace(
+            workers=[], states={}, state=lambda _name: "ready", membership=types.SimpleNamespace(members=[])
+        )
         self.retry_budget = retry_budget.Budget(slack=9)
         self.node = types.SimpleNamespace(
             runtime=self.runtime,
@@ -34,6 +36,7 @@
             draining=False,
             stopped=False,
             options_reloaded_at_us=None,
+            options=types.SimpleNamespace(name="n1"),
             loads=types.SimpleNamespace(report_now=scheduler.Signal(), mark_changed=lambda: None),
             gateway=types.SimpleNamespace(
                 retry_budgets=types.SimpleNamespace(budget=lambda _request: self.retry_budget)
@@ -45,6 +48,7 @@
         self.near = process_model.SimulatedProcess(self.world, "near", host_model.Host(self.world, "10.9.0.1", "a"))
         self.workers: list[Any] = []
         self.route = configuration.Route("/x/", "desk", repeat="may", resume=True, sends=2, cutoff_us=9 * SECOND)
+        self.pool = configuration.Pool(election="node")
 
     async def handle(self, request: http_server.Request) -> None:
         routed = routed_request.RoutedRequest(request, "n1/0", self.runtime.now())
@@ -53,7 +57,7 @@
             request.content.read(),
             self.route.repeat == "may",
         )
-        routed.route, routed.pool, routed.pool_name = self.route, configuration.Pool(election="node"), "desk"
+        routed.route, routed.pool, routed.pool_name = self.route, self.pool, "desk"
         assert routed.parsed.left_us is not None
         routed.terms, routed.deadline_us = configuration.Terms(), routed.arrived_at_us + routed.parsed.left_us
         await self.forwarder.forward(routed)
--- /dev/null
+++ b/tests/test_cold_workers.py
@@ -0,0 +1,331 @@
+"""Requests to a cold worker stay below the rate that it bears, summed over all nodes, in any second."""
+
+import types
+from typing import Any
+
+import pytest
+
+from iriswheel.configuration import configuration
+from iriswheel.dataplane import cold_workers, placement
+from iriswheel.runtime import scheduler, units
+from iriswheel.transport import message
+from tests import request_path
+
+SECOND = units.SECOND_US
+STEP_US = 10 * units.MILLISECOND_US
+RATE = 16.0
+BOUND = 29  # of the split sites: 16 a second, by 1.5, and 5
+ZONES = ("north", "south", "west")
+POOL = configuration.Pool(election="node", cold_rate=RATE)
+
+
+def member(name: str, zone: str, life: int = 1) -> message.Member:
+    return message.Member(f"{name}-{life}", name, zone, "h", 1, 2)
+
+
+def worker(name: str, zone: str, *, cold: bool) -> message.Worker:
+    return message.ZonedWorker(name, "h", 80, "desk", "ready", 0, zone, cold)
+
+
+class Prompt:
+    """A prompt of a single part."""
+
+    def __init__(self) -> None:
+        self.sizes = [40]
+
+
+class FleetNode:
+    """A node's selection and its knowledge of the fleet."""
+
+    def __init__(self, test: "Nodes", name: str) -> None:
+        self.name = name
+        self.fleet: Any = types.SimpleNamespace(workers=[], states={}, membership=types.SimpleNamespace(members=[]))
+        self.runtime = scheduler.Runtime(None, now=lambda: test.now, seed=len(test.nodes))
+        self.start()
+
+    def start(self) -> None:
+        """Begin anew: nothing of an earlier life is known."""
+        self.cold = cold_workers.ColdWorkers(self.runtime, self.name, self.fleet)
+        self.placement = placement.Placement(self.runtime, "desk")
+
+    def hear(self, members: list[message.Member], workers: list[message.Worker]) -> None:
+        self.fleet.membership = types.SimpleNamespace(members=members)
+        self.fleet.workers = workers
+        self.fleet.states = {listed.id: listed for listed in workers}
+
+    def pick(self, key: bytes = b"") -> str:
+        """The worker that a request goes to; "" for none."""
+        candidates = self.cold.candidates("desk", POOL)
+        chosen, _ = self.placement.pick(
+            Prompt(),
+            [key] if key else [],
+            40,
+            candidates.ready,
+            pool=POOL,
+            excluded_workers=set(),
+            cold_workers=candidates.cold,
+        )
+        return chosen
+
+    def send(self, key: bytes = b"") -> str:
+        """Send a request; the worker, or "" where none may be sent to."""
+        chosen = self.pick(key)
+        if not chosen or not self.cold.start_send(self.fleet.states[chosen], POOL):
+            return ""
+        return chosen
+
+
+class Nodes:
+    """Some sixty nodes over three zones, and the times at which requests went to each worker."""
+
+    @pytest.fixture(autouse=True)
+    def make_nodes(self) -> None:
+        self.now = 100 * SECOND
+        self.nodes: list[FleetNode] = []
+        self.sends: dict[str, list[int]] = {}
+        self.members = [member(f"node-{number}", ZONES[number % 3]) for number in range(63)]
+        self.nodes = [FleetNode(self, listed.name) for listed in self.members]
+
+    def hear(self, workers: list[message.Worker]) -> None:
+        for node in self.nodes:
+            node.hear(self.members, workers)
+
+    def play(self, seconds: float) -> None:
+        """Each node sends a request in each step of ten milliseconds."""
+        until = self.now + int(seconds * SECOND)
+        while self.now < until:
+            for node in self.nodes:
+                chosen = node.send()
+                if chosen:
+                    self.sends.setdefault(chosen, []).append(self.now)
+            self.now += STEP_US
+
+    def most_in_a_second(self, name: str) -> int:
+        times = self.sends.get(name, [])
+        return max((sum(start <= at < start + SECOND for at in times) for start in times), default=0)
+
+
+class TestBoundOverAllNodes(Nodes):
+    def test_a_cold_worker_gets_half_of_its_rate_from_all_nodes_together(self) -> None:
+        self.hear([worker("w1", "north", cold=True)])
+        self.play(4)
+        assert 0.4 * RATE * 4 <= len(self.sends["w1"]) <= 0.5 * RATE * 4 + cold_workers.SENDERS
+        assert self.most_in_a_second("w1") <= 0.5 * RATE + cold_workers.SENDERS
+
+    def test_nodes_that_disagree_about_the_members_stay_below_the_bound(self) -> None:
+        workers = [worker("w1", "north", cold=True)]
+        for node, own in zip(self.nodes, self.members, strict=True):
+            side = [other for other in self.members if (other.zone == "north") == (own.zone == "north")]
+            node.hear(side, workers)
+        self.play(4)
+        assert 0.8 * RATE < self.most_in_a_second("w1") <= RATE + 2 * cold_workers.SENDERS < BOUND
+
+    def test_the_sides_of_a_cut_send_to_cold_workers_of_their_own(self) -> None:
+        workers = [worker("w1", "north", cold=True), worker("w2", "south", cold=True)]
+        self.hear(workers)
+        self.play(2)
+        assert {zone: len(self.sends[name]) > RATE / 2 for name, zone in (("w1", "north"), ("w2", "south"))} == {
+            "north": True,
+            "south": True,
+        }
+        for listed in workers:
+            zones = {other.zone for other in self.members if other.name in self.senders(listed)}
+            assert zones == {listed.zone}
+
+    def senders(self, listed: message.Worker) -> list[str]:
+        return [node.name for node in self.nodes if node.cold.state()["workers"].get(listed.id)]
+
+    def test_restarts_of_nodes_add_nothing(self) -> None:
+        workers = [worker("w1", "north", cold=True)]
+        self.hear(workers)
+        self.play(1)
+        before = self.senders(workers[0])
+        for _ in range(4):  # every 250 ms all nodes begin anew, under new ids
+            self.members = [message.Member(f"{old.id}1", old.name, old.zone, "h", 1, 2) for old in self.members]
+            for node in self.nodes:
+                node.start()
+            self.hear(workers)
+            self.play(0.25)
+        assert self.senders(workers[0]) == before
+        self.play(1)
+        assert self.most_in_a_second("w1") <= 0.5 * RATE + cold_workers.SENDERS
+
+    def test_members_that_come_back_one_by_one_stay_below_the_bound(self) -> None:
+        workers = [worker("w1", "north", cold=True)]
+        members = self.members
+        for count in range(1, len(members) + 1):
+            self.members = members[:count]
+            self.hear(workers)
+            self.play(0.05)
+        assert self.most_in_a_second("w1") < BOUND
+
+    def test_a_worker_that_is_warm_again_has_no_bound(self) -> None:
+        self.hear([worker("w1", "north", cold=True)])
+        self.play(1)
+        self.hear([worker("w1", "north", cold=False)])
+        self.play(1)
+        assert self.most_in_a_second("w1") == 63 * 100
+
+    def test_a_pool_whose_cold_rate_is_unknown_has_no_bound(self) -> None:
+        node = self.nodes[0]
+        self.hear([worker("w1", "north", cold=True)])
+        assert node.cold.candidates("desk", configuration.Pool()).ready == ["w1"]
+        assert node.cold.start_send(node.fleet.states["w1"], configuration.Pool())
+
+
+class TestSelection(Nodes):
+    def warm_and_cold(self) -> list[message.Worker]:
+        return [worker(f"w{number}", "north", cold=number < 3) for number in range(9)]
+
+    def test_cold_workers_are_left_alone_while_others_are_free(self) -> None:
+        self.hear(self.warm_and_cold())
+        self.play(0.5)
+        assert set(self.sends) == {f"w{number}" for number in range(3, 9)}
+
+    def test_cold_workers_are_used_where_the_others_are_busy(self) -> None:
+        self.hear(self.warm_and_cold())
+        for node in self.nodes:
+            node.placement.take([(f"w{number}", 500, 100_000, 0) for number in range(3, 9)], complete=True)
+        self.play(1)
+        assert all(self.sends[f"w{number}"] for number in range(3))
+
+    def test_all_nodes_agree_on_the_home_of_a_shared_part(self) -> None:
+        workers = self.warm_and_cold()
+        self.hear(workers)
+        self.now += SECOND  # the senders' first pauses are over
+        keys = placement.chain(["guide", "letter"])
+        homes = set()
+        for node in self.nodes:
+            candidates = node.cold.candidates("desk", POOL)
+            prompt = types.SimpleNamespace(sizes=[9_000, 40])
+            chosen, _ = node.placement.pick(
+                prompt,
+                keys,
+                40,
+                candidates.ready,
+                pool=POOL,
+                excluded_workers=set(),
+                cold_workers=candidates.cold,
+            )
+            homes.add(chosen)
+        assert len(homes) == 1
+
+    def test_a_session_at_a_worker_that_became_cold_moves_but_for_its_senders(self) -> None:
+        workers = [worker(f"w{number}", "north", cold=False) for number in range(9)]
+        self.hear(workers)
+        key, terms = b"conversation", configuration.Terms()
+        for node in self.nodes:
+            for _ in range(2):
+                node.placement.note_turn(key, "w0", terms, 10)
+        assert {node.pick(key) for node in self.nodes} == {"w0"}
+        self.hear([worker("w0", "north", cold=True), *workers[1:]])
+        assert "w0" not in {node.send(key) for node in self.nodes}
+        self.now += SECOND
+        assert [node.send(key) for node in self.nodes].count("w0") == cold_workers.SENDERS
+        assert "w0" not in {node.send(key) for node in self.nodes}
+
+    def test_a_first_turn_at_a_worker_that_became_cold_is_held_back(self) -> None:
+        workers = [worker(f"w{number}", "north", cold=False) for number in range(9)]
+        self.hear(workers)
+        key = b"conversation"
+        for node in self.nodes:
+            node.placement.note_turn(key, "w0", configuration.Terms(), 10)
+        self.hear([worker("w0", "north", cold=True), *workers[1:]])
+        assert "w0" not in {node.send(key) for node in self.nodes}
+
+    def test_a_zone_that_was_evacuated_counts_as_cold_for_a_while(self) -> None:
+        self.hear([worker("w1", "north", cold=False), worker("w2", "south", cold=False)])
+        for node in self.nodes:
+            node.cold.treat_zone_as_cold("north", self.now + 3 * SECOND)
+        self.play(2.9)
+        assert self.most_in_a_second("w1") <= 0.5 * RATE + cold_workers.SENDERS
+        assert len(self.sends["w2"]) > 1000
+        for node in self.nodes:
+            node.cold.sweep()
+        self.play(1)
+        assert self.most_in_a_second("w1") > 1000
+
+    def test_a_shorter_time_does_not_end_a_longer_one(self) -> None:
+        node = self.nodes[0]
+        self.hear([worker("w1", "north", cold=False)])
+        node.cold.treat_zone_as_cold("north", self.now + 3 * SECOND)
+        node.cold.treat_zone_as_cold("north", self.now + 1 * SECOND)
+        self.now += 2 * SECOND
+        assert node.cold.is_cold(node.fleet.workers[0])
+
+    def test_the_state_tells_cold_workers_senders_and_counts(self) -> None:
+        self.hear(self.warm_and_cold())
+        states = [node.cold.state() for node in self.nodes]
+        assert all(sorted(state["workers"]) == ["w0", "w1", "w2"] for state in states)
+        assert sum(state["workers"]["w0"] for state in states) == cold_workers.SENDERS
+        self.hear([worker("w1", "north", cold=True)])
+        self.play(1)
+        assert sum(node.cold.state()["sent"] for node in self.nodes) == len(self.sends["w1"])
+        assert sum(node.cold.state()["held_back"] for node in self.nodes) > 1000
+
+
+class TestForwarding(request_path.RequestPath):
+    """The forwarder of one node, which is a sender of each of its cold workers."""
+
+    def list_workers(self, *cold: bool) -> None:
+        """List the scripted workers anew."""
+        self.follower.membership = types.SimpleNamespace(members=[member("n1", "a")])
+        self.follower.workers = [
+            message.ZonedWorker(f"i-{number}", f"10.0.3.{number}", 80, "desk", "ready", 0, "a", is_cold)
+            for number, is_cold in enumerate(cold, 1)
+        ]
+        self.follower.states = {listed.id: listed for listed in self.follower.workers}
+
+    @pytest.fixture(autouse=True)
+    def bound_cold_workers(self, use_mutating_route: None) -> None:  # noqa: ARG002 - asked for so that it runs before
+        self.pool = configuration.Pool(election="node", cold_rate=RATE)
+
+    def test_where_all_workers_are_cold_requests_beyond_the_rate_are_refused_at_once(self) -> None:
+        scripted = self.worker(request_path.good)
+        self.list_workers(True)
+        clients = [self.query(f"a{number}", ms=30) for number in range(60)]
+        refused = [client for client in clients if client.status == 503]
+        assert len(scripted.seen) <= 0.5 * RATE * 60 * 0.04 + 1
+        assert len(scripted.seen) >= 8
+        assert len(refused) == 60 - len(scripted.seen)
+        assert all(b"Retry-After: 0." in client.raw for client in refused)
+
+    def test_a_retry_goes_to_no_cold_worker_that_is_not_due(self) -> None:
+        def turn_away(connection: request_path.WorkerConnection, attempt: str) -> None:
+            connection.transport.write(request_path.answer(attempt, status=421))
+
+        self.worker(turn_away)
+        cold = self.worker(request_path.good)
+        self.list_workers(False, True)
+        clients = [self.query(f"a{number}", ms=5) for number in range(10)]
+        assert len(cold.seen) <= 1
+        assert [client.status for client in clients].count(503) >= 9
+
+    def test_of_two_requests_that_found_a_cold_worker_free_one_is_sent(self) -> None:
+        cold = self.worker(request_path.good)
+        self.list_workers(True)
+        self.query("a0", ms=500)  # refused: the sender's first pause
+        clients = [self.client() for _ in range(2)]
+        for number, client in enumerate(clients):
+            self.write(client, f"b{number}")
+        self.go(50)
+        assert len(cold.seen) == 1
+        assert sorted(client.status for client in clients) == [200, 503]
+        assert self.forwarder.state()["cold"]["sent"] == 1
+
+    def test_a_worker_that_becomes_cold_while_a_connection_is_made_is_not_sent_to(self) -> None:
+        scripted = self.worker(request_path.good)
+        self.list_workers(False)
+        client = self.client()
+        self.write(client, "a1")
+        start = self.forwarder.connections.get
+
+        async def list_as_cold_then_get(*arguments: Any) -> Any:  # noqa: ANN401 - as of ConnectionPool.get
+            connection = await start(*arguments)
+            self.list_workers(True)
+            return connection
+
+        self.forwarder.connections.get = list_as_cold_then_get  # type: ignore[method-assign, assignment]
+        self.go(50)
+        assert scripted.seen == []
+        assert client.status == 503
