--- a/iriswheel/dataplane/cold_workers.py
+++ b/iriswheel/dataplane/cold_workers.py
@@ -28,6 +28,9 @@
 MAX_FIRST_PAUSE_US = 500 * units.MILLISECOND_US
 """A new sender waits one pause, and no longer than this, before its first request."""
 
+READMITTED_ZONE_US = 3 * units.SECOND_US
+"""How long a readmitted zone's workers count as cold: by then the list says which of them are."""
+
 SENDER_KEY_PREFIX = "cold-worker/"
 
 
@@ -46,6 +49,9 @@
     def membership(self) -> message.Membership:
         """The newest membership."""
 
+    def accepts_requests(self, worker: str) -> bool:
+        """Whether new requests may go to a worker at all."""
+
 
 class Candidates(typing.NamedTuple):
     """The workers of a pool that a request may be sent to from this node now."""
@@ -112,6 +118,10 @@
         self._members: list[message.Member] = []  # by whom the senders were ranked
         self._senders: dict[str, list[str]] = {}  # by worker
 
+    def zone_readmitted(self, zone: str) -> None:
+        """Count the workers of a zone that is evacuated no more as cold until the list can say which of them are."""
+        self.treat_zone_as_cold(zone, self.runtime.now() + READMITTED_ZONE_US)
+
     def treat_zone_as_cold(self, zone: str, until_us: int) -> None:
         """Count all workers of a zone as cold for a while, whatever the list says.
 
@@ -130,7 +140,7 @@
         ready = [
             worker
             for worker in self.fleet.workers
-            if worker.pool == pool_name and worker.state == message.WorkerState.READY
+            if worker.pool == pool_name and self.fleet.accepts_requests(worker.id)
         ]
         cold = [worker for worker in ready if self.is_cold(worker)] if pool.cold_rate > 0 else []
         if not cold:
--- a/iriswheel/dataplane/forwarding.py
+++ b/iriswheel/dataplane/forwarding.py
@@ -70,11 +70,10 @@
         return pool_placement
 
     def ready(self, pool: str) -> list[str]:
-        """Return the ready workers of a pool; to cold ones among them this node may not be allowed to send."""
+        """Return the workers of a pool that take requests; to cold ones this node may not be allowed to send."""
+        follower = self.node.follower
         return [
-            worker.id
-            for worker in self.node.follower.workers
-            if worker.pool == pool and worker.state == message.WorkerState.READY
+            worker.id for worker in follower.workers if worker.pool == pool and follower.accepts_requests(worker.id)
         ]
 
     def state(self) -> dict[str, typing.Any]:
@@ -376,8 +375,8 @@
     def _may_send_now(self, request: forwarded_request.ForwardedRequest, worker: message.Worker) -> bool:
         """Whether a worker may still be sent to, after the wait for a connection; a send to a cold one is noted."""
         listed = self.node.follower.states.get(worker.id, worker)
-        is_ready = self.node.follower.state(worker.id) == message.WorkerState.READY
-        return is_ready and self.cold_workers.start_send(listed, request.pool)
+        accepts_requests = self.node.follower.accepts_requests(worker.id)
+        return accepts_requests and self.cold_workers.start_send(listed, request.pool)
 
 
 def is_silent(stream: answer_stream.AnswerStream, overdue: bool, now: int) -> bool:
--- a/tests/node_fixture.py
+++ b/tests/node_fixture.py
@@ -26,7 +26,7 @@
         )
         self.runtime = process.runtime()
         self.follower = types.SimpleNamespace(
-            workers=[], states={}, state=lambda _name: "ready", membership=types.SimpleNamespace(members=[])
+            workers=[], states={}, accepts_requests=lambda _worker: True, membership=types.SimpleNamespace(members=[])
         )
         self.retry_budget = retry_budget.Budget(slack=9)
         self.node = types.SimpleNamespace(
--- a/tests/test_cold_workers.py
+++ b/tests/test_cold_workers.py
@@ -39,7 +39,12 @@
 
     def __init__(self, test: "Nodes", name: str) -> None:
         self.name = name
-        self.fleet: Any = types.SimpleNamespace(workers=[], states={}, membership=types.SimpleNamespace(members=[]))
+        self.fleet: Any = types.SimpleNamespace(
+            workers=[],
+            states={},
+            membership=types.SimpleNamespace(members=[]),
+            accepts_requests=lambda worker: self.fleet.states[worker].state == "ready",
+        )
         self.runtime = scheduler.Runtime(None, now=lambda: test.now, seed=len(test.nodes))
         self.start()
 
