Replicated counters: adds are accepted at both sides of a cut, and count once

Cause: there was no such call.

Change: a replicated state of immutable adds, keyed by the incarnation that accepted them and a sequence number, with the union as merge; a group commit to the disk; one call at a time to each other core machine with what it lacks, newest first; an acknowledgement once `copies` disks hold the add, or all that can be reached. The interface gains /counters/NAME.

--- a/iriswheel/consensus/peer_heartbeats.py
+++ b/iriswheel/consensus/peer_heartbeats.py
@@ -210,6 +210,10 @@
         addresses.discard((self.own_voter.host, self.own_voter.port))
         return addresses
 
+    def addresses_heard(self) -> set[Address]:
+        """The same, with those of further core machines that live: newcomers that don't vote."""
+        return self.addresses() | {(heartbeat.host, heartbeat.port) for heartbeat in self.recent()}
+
     async def exchange(self) -> None:
         """Keep one heartbeat task for each address."""
         tasks: dict[Address, defer.Deferred[None]] = {}
--- a/iriswheel/consensus/view_consensus.py
+++ b/iriswheel/consensus/view_consensus.py
@@ -185,6 +185,10 @@
         """All addresses at which core machines are looked for, but this one's."""
         return self.peer_heartbeats.addresses()
 
+    def addresses_heard(self) -> set[peer_heartbeats.Address]:
+        """The same, with those of further core machines that live: newcomers that don't vote."""
+        return self.peer_heartbeats.addresses_heard()
+
     def learn_seeds(self, seeds: collections.abc.Iterable[peer_heartbeats.Address]) -> None:
         """Look for core machines at further addresses; they are no initial members."""
         self.peer_heartbeats.learn_seeds(seeds)
--- a/iriswheel/control/core.py
+++ b/iriswheel/control/core.py
@@ -24,6 +24,7 @@
     tail_service,
 )
 from iriswheel.membership import lease, membership_manager
+from iriswheel.replicated_counters import counters as replicated_counters
 from iriswheel.replication import chain
 from iriswheel.runtime import scheduler, storage, units
 from iriswheel.transport import message, peers, wire
@@ -73,6 +74,15 @@
         self.loads = load_exchange.LoadAggregator(parts, self.node_sessions.by_node)
         self.client = chain_client.ChainClient(parts, self.counters)
         self.change_applier = submitted_changes.ChangeApplier(parts, self.client, self.tail_contact, self.counters)
+        self.replicated_counters = replicated_counters.ReplicatedCounters(
+            runtime,
+            self.disk,
+            state,
+            peers=self.peers,
+            machine=self.consensus.own_voter.id,
+            copies=options.copies,
+            addresses=self.consensus.addresses_heard,
+        )
         self.operator_api = operator_api.OperatorApi(
             self,
             self.client,
@@ -114,6 +124,7 @@
             self.loads.run(),
         ):
             self.runtime.spawn(coroutine, log)
+        self.replicated_counters.start()
         identifier, view = self.consensus.own_voter.id, self.consensus.view
         if view is not None:
             log.info(
@@ -158,9 +169,14 @@
                 message.Heartbeat() | message.Prepare() | message.Accept() | message.Decided() | message.LeaseRequest()
             ):
                 return self.consensus.answer(received)
-            case message.PositionRequest() | message.SnapshotChunk() | message.CatchUp() | message.AppendRequest():
-                return self.chain.answer(received)
-            case message.ProposeChange() | message.ReadRequest():
+            case (
+                message.PositionRequest()
+                | message.SnapshotChunk()
+                | message.CatchUp()
+                | message.AppendRequest()
+                | message.ProposeChange()
+                | message.ReadRequest()
+            ):
                 return self.chain.answer(received)
             case message.NodeSessionsReport():
                 self.tail_service.apply_report(received)
@@ -170,6 +186,8 @@
                 return self.tail_service.remove_member(received)
             case message.RecordsRequest():
                 return self.session_replicas.collect(received)
+            case message.ReplicateAdds():
+                return self.replicated_counters.answer(received)
             case _:
                 self._serve_node(connection, received)
         return None
@@ -225,7 +243,7 @@
         self.tail_service.heartbeat_now.wake()
 
     async def stop(self) -> None:
-        """Send the nodes elsewhere, let the others agree on a chain without this machine, finish.
+        """Send the nodes elsewhere, let the others agree on a chain without this machine, give them all adds, finish.
 
         The only synced copy stays until another is up to date, or until the process is killed. A voter without
         whom the others can't go on stays for the whole grace, at whose end the platform kills it.
@@ -233,8 +251,12 @@
         self.node_sessions.stop()
         self._announce()
         self.consensus.announce_departure()
+        self.replicated_counters.stop()
         until = self.runtime.now() + self.options.grace_us
         await self.runtime.sleep(STOP_NOTICE_US)
-        while self.consensus.holds_only_copy() or (self.consensus.is_still_needed() and self.runtime.now() < until):
+        while self.consensus.holds_only_copy() or (self._is_still_needed() and self.runtime.now() < until):
             self.consensus.heartbeat_now.wake()
             await self.runtime.sleep(STOP_CHECK_INTERVAL_US)
+
+    def _is_still_needed(self) -> bool:
+        return self.consensus.is_still_needed() or self.replicated_counters.is_still_needed()
--- a/iriswheel/control/operator_api.py
+++ b/iriswheel/control/operator_api.py
@@ -9,7 +9,7 @@
 
 from iriswheel import errors
 from iriswheel.configuration import configuration
-from iriswheel.control import submitted_changes
+from iriswheel.control import counter_calls, submitted_changes
 from iriswheel.runtime import units
 from iriswheel.transport import message
 
@@ -141,16 +141,31 @@
                 change = read_change(request.json())
                 version = await self.change_applier.apply_change(change)
                 request.answer_json(200, {"number": change.number, "stamp": version, "verdict": "ran"})
+            case (_, ["counters", name]):
+                await self.serve_counter(request, name)
             case (b"GET", ["state"]):
                 request.answer_json(200, self.state())
             case (b"GET", ["ready"]):
                 ready = self.core.is_serving()
                 request.answer_json(200 if ready else 503, {"ready": ready})
-            case (_, ["blueprint" | "plans" | "changes" | "state" | "ready", *_]):
+            case (_, ["blueprint" | "plans" | "changes" | "counters" | "state" | "ready", *_]):
                 raise errors.ServiceError("bad_method", "This path does not take that method.")
             case _:
                 raise errors.ServiceError("not_found", "There is no such path.")
 
+    async def serve_counter(self, request: http_server.Request, quoted_name: str) -> None:
+        """Add to a replicated counter, or read it."""
+        counters = self.core.replicated_counters
+        match request.method:
+            case b"POST":
+                add = counter_calls.read_add(quoted_name, request.json())
+                await counters.add(add.call_id, add.amount)
+                request.answer_json(200, {"id": add.call_id.id, "verdict": "ran"})
+            case b"GET":
+                request.answer_json(200, {"sum": counters.sum_of(counter_calls.read_name(quoted_name))})
+            case _:
+                raise errors.ServiceError("bad_method", "This path does not take that method.")
+
     async def plan(self, document: typing.Any) -> dict[str, typing.Any]:  # noqa: ANN401 - any JSON value
         """Compute and store a plan: a complete configuration or a JSON Patch (RFC 6902) against the committed one."""
         self.counters.plans += 1
@@ -217,4 +232,5 @@
             "fed_bytes": {session.member.name: session.connection.sent_bytes for session in sessions},
             "roster": message.plain(core.membership.latest),
             "counts": msgspec.structs.asdict(self.counters),
+            "counters": core.replicated_counters.show(),
         }
--- /dev/null
+++ b/iriswheel/replicated_counters/add_log.py
@@ -0,0 +1,131 @@
+"""The adds to counters on this machine's disk: loaded at the start, written with a group commit."""
+
+from __future__ import annotations
+
+import loguru
+import msgspec
+
+from iriswheel.replicated_counters import counter_state
+from iriswheel.runtime import scheduler, storage, units
+from iriswheel.transport import message
+
+KEY_PREFIX = b"counter/"
+SEQUENCE_BYTES = 8
+MAX_GROUP = 2_000  # adds in one write
+RETRY_INTERVAL_US = 200 * units.MILLISECOND_US
+STALL_US = 600 * units.MILLISECOND_US  # a disk whose write takes so long counts as not working
+
+log = loguru.logger.bind(part="counters")
+
+
+class AddRecord(msgspec.Struct, array_like=True, frozen=True):
+    """An add as it stands on the disk under its key."""
+
+    name: str
+    id: str
+    amount: int
+
+
+def storage_key(add_id: counter_state.AddId) -> bytes:
+    """The disk's key of an add.
+
+    >>> storage_key(counter_state.AddId("c0ffee-1", 258))
+    b'counter/c0ffee-1/0000000000000102'
+    """
+    return KEY_PREFIX + add_id.origin.encode() + b"/" + add_id.sequence.to_bytes(SEQUENCE_BYTES, "big").hex().encode()
+
+
+def encode_add(add: message.CounterAdd) -> bytes:
+    """An add as bytes.
+
+    >>> encode_add(message.CounterAdd(1, "n", "x", 4)).hex()
+    '93a16ea17804'
+    """
+    return msgspec.msgpack.encode(AddRecord(add.name, add.id, add.amount))
+
+
+def load(state: dict[bytes, bytes]) -> counter_state.CounterState:
+    """The adds that the data folder holds.
+
+    >>> load({b"counter/a/0000000000000001": bytes.fromhex("93a16ea17804")}).sum_of("n")
+    4
+    """
+    counters = counter_state.CounterState()
+    for key, raw in state.items():
+        if key.startswith(KEY_PREFIX):
+            origin, _, sequence = key.removeprefix(KEY_PREFIX).rpartition(b"/")
+            record = msgspec.msgpack.decode(raw, type=AddRecord)
+            add = message.CounterAdd(int(sequence, 16), record.name, record.id, record.amount)
+            counters.insert(origin.decode(), add)
+    return counters
+
+
+class AddLog:
+    """Writes adds to the disk; those that come while a write is under way go together into the next one.
+
+    Attributes:
+        synced: The adds that are synced on the disk.
+        progress: Woken whenever a write has ended.
+    """
+
+    def __init__(
+        self, runtime: scheduler.Runtime, disk: storage.MonitoredDisk, counters: counter_state.CounterState
+    ) -> None:
+        """`counters` is what was loaded from the disk, and what new adds are looked up in."""
+        self.runtime = runtime
+        self.disk = disk
+        self.counters = counters
+        self.synced = counters.held.copy()
+        self.progress = scheduler.Signal()
+        self._unwritten: list[counter_state.AddId] = []
+        self._writing = False
+        self._unsynced_since_us = 0  # since when the oldest write has been under way, where one is
+
+    def is_working(self) -> bool:
+        """Whether the disk takes writes, and no write has been under way for STALL_US."""
+        stalls = self._writing and self.runtime.now() - self._unsynced_since_us >= STALL_US
+        return self.disk.ok and not stalls
+
+    @property
+    def unsynced_count(self) -> int:
+        """How many adds are not on the disk yet."""
+        return len(self._unwritten)
+
+    def append(self, add_id: counter_state.AddId) -> None:
+        """Have an add written that was inserted just now."""
+        self._unwritten.append(add_id)
+        if not self._writing:
+            self._writing = True
+            self.runtime.spawn(self._write_all(), log)
+
+    async def _write_all(self) -> None:
+        """Write until nothing is left; a write that fails is tried again until it succeeds."""
+        try:
+            while self._unwritten:
+                self._unsynced_since_us = self.runtime.now()
+                group = self._unwritten[:MAX_GROUP]
+                try:
+                    await self.disk.commit([(storage_key(each), self._encoded(each)) for each in group])
+                except storage.DiskError:  # MonitoredDisk logs it
+                    self.progress.wake()
+                    await self.runtime.sleep(RETRY_INTERVAL_US)
+                    continue
+                del self._unwritten[: len(group)]
+                for add_id in group:
+                    self.synced.add(add_id)
+                self.progress.wake()
+        finally:
+            self._writing = False
+
+    def _encoded(self, add_id: counter_state.AddId) -> bytes:
+        return encode_add(self.counters.add_of(add_id))
+
+    async def wait_until_synced(self, wanted: counter_state.HeldAdds, timeout_us: int) -> bool:
+        """Wait until adds are synced; False where they are not in time, or the disk does not work."""
+        until = self.runtime.now() + timeout_us
+        while not self.synced.has_all_of(wanted):
+            left_us = until - self.runtime.now()
+            if left_us <= 0 or not self.is_working():
+                return False
+            await self.runtime.pause(self.progress, left_us)
+        return True
--- /dev/null
+++ b/iriswheel/replicated_counters/counter_state.py
@@ -0,0 +1,179 @@
+"""The state of the replicated counters: a set of immutable adds, and the sums that follow from it.
+
+An add is identified by its origin, the incarnation of the machine that accepted it, and by its sequence number there.
+Replicas merge by the union of their sets, which is commutative, associative and idempotent, so that they agree once
+they hold the same adds, in whatever order these came.
+"""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+import typing
+
+import msgspec
+
+from iriswheel.replicated_counters import intervals
+from iriswheel.transport import message
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+DIGEST_BYTES = 8
+
+
+class AddId(typing.NamedTuple):
+    """The identity of an add."""
+
+    origin: str
+    sequence: int
+
+
+class CallId(typing.NamedTuple):
+    """The identity of a caller's add: it counts once, however many machines accepted it."""
+
+    name: str
+    id: str
+
+
+class CountedAdd(typing.NamedTuple):
+    """The add that counts among those with one `CallId`: that with the least identity."""
+
+    add_id: AddId
+    amount: int
+
+
+class HeldAdds:
+    """Which adds a replica holds, as sorted intervals of sequence numbers by origin.
+
+    >>> held = HeldAdds({"a": [(1, 3)]})
+    >>> held.lacks(HeldAdds({"a": [(1, 5)], "b": [(1, 1)]})).to_intervals()
+    {'a': [(4, 5)], 'b': [(1, 1)]}
+    """
+
+    def __init__(self, held: message.HeldIntervals | None = None) -> None:
+        self.by_origin = {origin: intervals.IntervalSet(found) for origin, found in (held or {}).items()}
+
+    def __contains__(self, add_id: AddId) -> bool:
+        """Whether an add is held."""
+        return add_id.origin in self.by_origin and add_id.sequence in self.by_origin[add_id.origin]
+
+    def __eq__(self, other: object) -> bool:
+        """Whether both are the same set."""
+        return isinstance(other, HeldAdds) and self.to_intervals() == other.to_intervals()
+
+    __hash__ = None  # type: ignore[assignment]  # it changes
+
+    def __len__(self) -> int:
+        """How many adds are held."""
+        return sum(map(len, self.by_origin.values()))
+
+    def copy(self) -> HeldAdds:
+        """A copy that changes by itself."""
+        return HeldAdds(self.to_intervals())
+
+    def add(self, add_id: AddId) -> bool:
+        """Note an add; False where it was held."""
+        return self.by_origin.setdefault(add_id.origin, intervals.IntervalSet()).add(add_id.sequence)
+
+    def update(self, other: HeldAdds) -> None:
+        """Note all that another replica holds."""
+        for origin, numbers in other.by_origin.items():
+            self.by_origin.setdefault(origin, intervals.IntervalSet()).update(numbers)
+
+    def of_origin(self, origin: str) -> intervals.IntervalSet:
+        """The sequence numbers that are held of an origin."""
+        return self.by_origin.get(origin, intervals.IntervalSet())
+
+    def lacks(self, other: HeldAdds) -> HeldAdds:
+        """What another replica holds and this one lacks."""
+        lacking = HeldAdds()
+        for origin, numbers in other.by_origin.items():
+            difference = numbers.difference(self.of_origin(origin))
+            if difference:
+                lacking.by_origin[origin] = difference
+        return lacking
+
+    def has_all_of(self, other: HeldAdds) -> bool:
+        """Whether nothing that another replica holds is lacking here."""
+        return all(numbers.issubset(self.of_origin(origin)) for origin, numbers in other.by_origin.items())
+
+    def to_intervals(self, origins: collections.abc.Collection[str] | None = None) -> message.HeldIntervals:
+        """The intervals as a message carries them, sorted by origin; all of them, or those of some origins."""
+        wanted = self.by_origin if origins is None else origins
+        return {origin: list(self.by_origin[origin].intervals) for origin in sorted(wanted) if self.of_origin(origin)}
+
+    def digest(self) -> bytes:
+        """A digest of the whole set.
+
+        >>> HeldAdds({"a": [(1, 3)]}).digest() == HeldAdds({"a": [(1, 2)]}).digest()
+        False
+        """
+        packed = msgspec.msgpack.encode(list(self.to_intervals().items()))
+        return hashlib.blake2b(packed, digest_size=DIGEST_BYTES).digest()
+
+
+class CounterState:
+    """The adds that a replica holds, and the sums of the counters.
+
+    >>> state = CounterState()
+    >>> state.insert("a", message.CounterAdd(1, "n", "x", 4)), state.insert("b", message.CounterAdd(1, "n", "x", 4))
+    (True, True)
+    >>> state.sum_of("n"), state.sum_of("unknown")
+    (4, 0)
+    """
+
+    def __init__(self) -> None:
+        self.held = HeldAdds()
+        self._adds: dict[str, dict[int, message.CounterAdd]] = collections.defaultdict(dict)  # by origin and sequence
+        self._counted: dict[CallId, CountedAdd] = {}
+        self._sums: dict[str, int] = collections.defaultdict(int)
+
+    def insert(self, origin: str, add: message.CounterAdd) -> bool:
+        """Take one add; False where it was held."""
+        add_id = AddId(origin, add.sequence)
+        if not self.held.add(add_id):
+            return False
+        self._adds[origin][add.sequence] = add
+        call_id = CallId(add.name, add.id)
+        counted = self._counted.get(call_id)
+        if counted is not None and counted.add_id < add_id:
+            return True
+        self._counted[call_id] = CountedAdd(add_id, add.amount)
+        self._sums[add.name] += add.amount - (0 if counted is None else counted.amount)
+        return True
+
+    def merge(self, other: CounterState) -> None:
+        """Take all adds that another replica holds."""
+        for origin, adds in other._adds.items():
+            for add in adds.values():
+                self.insert(origin, add)
+
+    def sum_of(self, name: str) -> int:
+        """The sum of a counter's distinct adds; 0 for an unknown counter."""
+        return self._sums.get(name, 0)
+
+    def sums(self) -> dict[str, int]:
+        """The sums of all counters."""
+        return dict(self._sums)
+
+    def counted(self, call_id: CallId) -> AddId | None:
+        """The add that counts for a caller's add; None where none is held."""
+        counted = self._counted.get(call_id)
+        return None if counted is None else counted.add_id
+
+    def add_of(self, add_id: AddId) -> message.CounterAdd:
+        """An add that is held."""
+        return self._adds[add_id.origin][add_id.sequence]
+
+    def newest(self, wanted: HeldAdds, limit: int) -> list[message.OriginAdds]:
+        """The newest adds of a set, by origin; at most `limit` of each origin and of all together."""
+        batches: list[message.OriginAdds] = []
+        left = limit
+        for origin in sorted(wanted.by_origin):
+            numbers = wanted.by_origin[origin].newest_first()
+            adds = [self._adds[origin][number] for number, _ in zip(numbers, range(left), strict=False)]
+            if adds:
+                batches.append(message.OriginAdds(origin, adds))
+            left -= len(adds)
+        return batches
--- /dev/null
+++ b/iriswheel/replicated_counters/replicator.py
@@ -0,0 +1,195 @@
+"""Replication of the counters between core machines: one task and one call at a time for each other machine."""
+
+from __future__ import annotations
+
+import typing
+
+import loguru
+
+from iriswheel.consensus import decisions
+from iriswheel.replicated_counters import counter_state, peer_replica
+from iriswheel.runtime import scheduler, units
+from iriswheel.transport import message, wire
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from iriswheel.replicated_counters import add_log
+    from iriswheel.transport import peer_calls
+
+CALL_TIMEOUT_US = 1 * units.SECOND_US
+SYNC_WAIT_US = 400 * units.MILLISECOND_US  # how long an answer waits for the disk; below a peer's patience
+RETRY_INTERVAL_US = 200 * units.MILLISECOND_US
+AGING_INTERVAL_US = 500 * units.MILLISECOND_US
+ADDRESS_INTERVAL_US = 250 * units.MILLISECOND_US
+
+log = loguru.logger.bind(part="counters")
+
+
+class Replicator:
+    """Sends what other core machines lack, takes what they send, and keeps what is known of them.
+
+    Nothing is sent before `activate`: a fleet that counts nothing sends nothing.
+
+    Args:
+        runtime: Clock and tasks.
+        peers: Calls to other machines.
+        counters: The state that is replicated.
+        disk_log: Where it is synced.
+        origin: This machine and incarnation.
+        addresses: Gives the addresses of the other core machines.
+    """
+
+    def __init__(
+        self,
+        runtime: scheduler.Runtime,
+        peers: peer_calls.PeerCalls,
+        counters: counter_state.CounterState,
+        disk_log: add_log.AddLog,
+        *,
+        origin: str,
+        addresses: collections.abc.Callable[[], set[peer_replica.Address]],
+    ) -> None:
+        self.runtime = runtime
+        self.peers = peers
+        self.counters = counters
+        self.disk_log = disk_log
+        self.origin = origin
+        self.addresses = addresses
+        self.replicas: dict[peer_replica.Address, peer_replica.PeerReplica] = {}
+        self.progress = disk_log.progress  # woken too whenever something was learnt of others, and at every tick
+        self.active = False
+        self._send_now = scheduler.Signal()
+        self._origins_seen: set[str] = set()
+        self._held_for_long = counters.held.copy()  # at least AGING_INTERVAL_US old
+        self._held_lately = counters.held.copy()
+
+    def activate(self) -> None:
+        """Start the tasks, where they don't run yet."""
+        if self.active:
+            return
+        self.active = True
+        self._refresh()
+        for coroutine in (self._refresh_periodically(), self._tick_periodically(), self._age_periodically()):
+            self.runtime.spawn(coroutine, log)
+
+    # ---- what is known -------------------------------------------------------------
+
+    def holders(self, add_id: counter_state.AddId) -> set[peer_replica.Address]:
+        """The other machines that hold an add synced."""
+        return {address for address, replica in self.replicas.items() if add_id in replica.synced}
+
+    def writable(self) -> set[peer_replica.Address]:
+        """The other machines that may sync an add now."""
+        return {address for address, replica in self.replicas.items() if replica.writable}
+
+    def holds_what_majority_had(self) -> bool:
+        """Whether this machine holds what a majority of the machines, itself included, held when it compared."""
+        compared = [
+            replica
+            for replica in self.replicas.values()
+            if replica.compared and self.counters.held.has_all_of(replica.synced)
+        ]
+        return len(compared) + 1 >= decisions.majority(len(self.replicas) + 1)
+
+    def machines_with(self, adds: counter_state.HeldAdds) -> int:
+        """How many other machines are known to have some adds synced."""
+        return sum(replica.synced.has_all_of(adds) for replica in self.replicas.values())
+
+    def lag(self, replica: peer_replica.PeerReplica) -> int:
+        """How many of the adds held here a machine has not synced, as far as known."""
+        return len(replica.synced.lacks(self.counters.held))
+
+    # ---- what others send ------------------------------------------------------------
+
+    async def answer(self, request: message.ReplicateAdds) -> message.ReplicateAddsResponse:
+        """Take adds, and say what is synced here of them, or of all where a digest is to be compared."""
+        self.activate()
+        if request.sender not in self._origins_seen:
+            self._origins_seen.add(request.sender)
+            self.compare_now()
+        wanted = counter_state.HeldAdds()
+        for batch in request.batches:
+            for add in batch.adds:
+                add_id = counter_state.AddId(batch.origin, add.sequence)
+                wanted.add(add_id)
+                if self.counters.insert(batch.origin, add):
+                    self.disk_log.append(add_id)
+        if request.batches:
+            self.progress.wake()
+            await self.disk_log.wait_until_synced(wanted, SYNC_WAIT_US)
+        return self._response(request)
+
+    def _response(self, request: message.ReplicateAdds) -> message.ReplicateAddsResponse:
+        synced, disk_ok = self.disk_log.synced, self.disk_log.is_working()
+        if not request.digest:
+            held = synced.to_intervals({batch.origin for batch in request.batches})
+            return message.ReplicateAddsResponse(self.origin, disk_ok, complete=False, held=held)
+        if synced.digest() == request.digest:
+            return message.ReplicateAddsResponse(self.origin, disk_ok, complete=True, same=True)
+        return message.ReplicateAddsResponse(self.origin, disk_ok, complete=True, held=synced.to_intervals())
+
+    # ---- tasks -----------------------------------------------------------------------
+
+    def send_now(self) -> None:
+        """Send what was added just now."""
+        self._send_now.wake()
+
+    def compare_now(self) -> None:
+        """Compare with all other machines at once: one of them is new, or was heard again."""
+        for replica in self.replicas.values():
+            replica.compare_now = True
+        self._send_now.wake()
+
+    def _refresh(self) -> None:
+        """Keep one task for each address."""
+        addresses = self.addresses()
+        for address in [known for known in self.replicas if known not in addresses]:
+            del self.replicas[address]
+        for address in sorted(addresses):
+            if address not in self.replicas:
+                replica = self.replicas[address] = peer_replica.PeerReplica(address)
+                self.runtime.spawn(self._replicate_to(replica), log)
+
+    async def _refresh_periodically(self) -> None:
+        while True:
+            await self.runtime.sleep(ADDRESS_INTERVAL_US)
+            self._refresh()
+
+    async def _tick_periodically(self) -> None:
+        while True:
+            await self.runtime.sleep(peer_replica.TICK_US)
+            for replica in self.replicas.values():
+                was_reachable = replica.reachable
+                replica.tick()
+                if was_reachable and not replica.reachable:
+                    log.warning("Counters: {}:{} can't be reached.", *replica.address)
+            self.progress.wake()
+
+    async def _age_periodically(self) -> None:
+        while True:
+            await self.runtime.sleep(AGING_INTERVAL_US)
+            self._held_for_long, self._held_lately = self._held_lately, self.counters.held.copy()
+
+    async def _replicate_to(self, replica: peer_replica.PeerReplica) -> None:
+        """Send to one machine for as long as its address is known."""
+        while self.replicas.get(replica.address) is replica:
+            request = replica.next_request(self.counters, self.origin, self.runtime.now())
+            if request is None or not await self._exchange(replica, request):
+                await self.runtime.pause(self._send_now, RETRY_INTERVAL_US)
+
+    async def _exchange(self, replica: peer_replica.PeerReplica, request: message.ReplicateAdds) -> bool:
+        """Make one call; False where it should not be followed by another one at once."""
+        replica.awaiting = True
+        host, port = replica.address
+        try:
+            response = await self.peers.call(host, port, request, CALL_TIMEOUT_US)
+        except (wire.ConnectionBrokenError, scheduler.DeadlineError):
+            replica.fail()
+            return False
+        if not replica.reachable:
+            log.info("Counters: {}:{} answers again.", *replica.address)
+        answer = typing.cast("message.ReplicateAddsResponse", response)  # the only answer to ReplicateAdds
+        replica.take(answer, self._held_for_long)
+        self.progress.wake()
+        return answer.disk_ok
--- a/iriswheel/transport/message.py
+++ b/iriswheel/transport/message.py
@@ -21,6 +21,12 @@
 from iriswheel.transport.messages.consensus import Promise as Promise
 from iriswheel.transport.messages.consensus import View as View
 from iriswheel.transport.messages.consensus import Voter as Voter
+from iriswheel.transport.messages.counters import CounterAdd as CounterAdd
+from iriswheel.transport.messages.counters import HeldIntervals as HeldIntervals
+from iriswheel.transport.messages.counters import Interval as Interval
+from iriswheel.transport.messages.counters import OriginAdds as OriginAdds
+from iriswheel.transport.messages.counters import ReplicateAdds as ReplicateAdds
+from iriswheel.transport.messages.counters import ReplicateAddsResponse as ReplicateAddsResponse
 from iriswheel.transport.messages.health import ProbeOutcome as ProbeOutcome
 from iriswheel.transport.messages.health import ProbeRequest as ProbeRequest
 from iriswheel.transport.messages.health import ProbeResponse as ProbeResponse
@@ -154,4 +160,6 @@
     | ChargeRequest
     | ChargeResponse
     | ChargeRefund
+    | ReplicateAdds
+    | ReplicateAddsResponse
 )
--- a/tests/outside.py
+++ b/tests/outside.py
@@ -21,10 +21,11 @@
 from benchmarks import stand_in_platform, stand_in_worker
 from iriswheel import errors
 from iriswheel.configuration import configuration
-from iriswheel.runtime import options
+from iriswheel.runtime import options, scheduler
 from iriswheel.transport import http_server
 from iriswheel.verification import replay
 from simulation import addresses, operator_model, simulated_cluster
+from simulation import deployment as deployment_model
 from simulation.scenarios import actions
 from tests import deferreds, recorded
 
@@ -54,6 +55,11 @@
     ("POST", "/plans/0-none/confirm", {}),
     ("DELETE", "/blueprint", None),
     ("GET", "/none", None),
+    ("POST", "/counters/n", {"id": "x", "amount": 4}),
+    ("POST", "/counters/n", {"id": "x", "amount": 4}),
+    ("POST", "/counters/n", {"id": "y", "amount": "4"}),
+    ("GET", "/counters/n", None),
+    ("DELETE", "/counters/n", None),
 )
 NODE_CALLS = (  # method, path, further headers, body
     ("GET", "/ready", "", None),
@@ -118,6 +124,20 @@
     return {**out, "body": shape(document)}
 
 
+def exchange(
+    simulated: deployment_model.Deployment, runtime: scheduler.Runtime, host: str, port: int, text: str
+) -> bytes:
+    """Send a request as it stands, from a simulated process; all that came back within three seconds."""
+    point: typing.Any = endpoints.TCP4ClientEndpoint(runtime.reactor, host, port, timeout=2)
+    opened = point.connect(protocol.Factory.forProtocol(Client))
+    simulated.advance_until(lambda: opened.called, 3)
+    client: typing.Any = deferreds.result_of(opened)
+    client.transport.write(text.encode())
+    simulated.advance(3)
+    client.transport.abortConnection()
+    return bytes(client.received)
+
+
 class Outside:
     """A quiet simulated fleet, asked over bare connections."""
 
@@ -141,15 +161,7 @@
 
     def query(self, host: str, port: int, text: str) -> bytes:
         """Send a request as it stands; all that came back within three seconds."""
-        runtime = self.cluster.operator_runtime
-        point: typing.Any = endpoints.TCP4ClientEndpoint(runtime.reactor, host, port, timeout=2)
-        opened = point.connect(protocol.Factory.forProtocol(Client))
-        self.cluster.advance_until(lambda: opened.called, 3)
-        client: typing.Any = deferreds.result_of(opened)
-        client.transport.write(text.encode())
-        self.cluster.advance(3)
-        client.transport.abortConnection()
-        return bytes(client.received)
+        return exchange(self.cluster, self.cluster.operator_runtime, host, port, text)
 
     def core_answers(self) -> list[typing.Any]:
         """The answers of a core machine to all calls."""
