--- a/simulation/site/site.py
+++ b/simulation/site/site.py
@@ -167,7 +167,7 @@
         process = self.new_process(name, self.places[name])
         options = self.options(name, "core")
         started = self.cores[name] = server_model.SimulatedCore(process, process.runtime(), options)
-        handle = platform_programs.configuration_api.ConfigurationApi(started).handle
+        handle = platform_programs.core_api.make_handler(started)
         control = http_server.Server(started.runtime, handle, connection_limit=options.connections)
         process.reactor.listenTCP(options.port, wire.Listener(started.runtime, started.serve, log))
         process.reactor.listenTCP(settings_files.CONTROL_PORT, control)
