--- a/tests/test_cold_workers.py
+++ b/tests/test_cold_workers.py
@@ -150,6 +150,17 @@
         self.play(1)
         assert self.most_in_a_second("w1") <= 0.5 * RATE + cold_workers.SENDERS
 
+    def test_a_sender_that_leaves_is_replaced(self) -> None:
+        workers = [worker("w1", "north", cold=True)]
+        self.hear(workers)
+        before = self.senders(workers[0])
+        self.members = [listed for listed in self.members if listed.name != before[0]]
+        self.nodes = [node for node in self.nodes if node.name != before[0]]
+        self.hear(workers)
+        after = self.senders(workers[0])
+        assert len(after) == cold_workers.SENDERS
+        assert len(set(after) - set(before)) == 1
+
     def test_members_that_come_back_one_by_one_stay_below_the_bound(self) -> None:
         workers = [worker("w1", "north", cold=True)]
         members = self.members
@@ -193,22 +204,23 @@
         workers = self.warm_and_cold()
         self.hear(workers)
         self.now += SECOND  # the senders' first pauses are over
-        keys = placement.chain(["guide", "letter"])
-        homes = set()
-        for node in self.nodes:
-            candidates = node.cold.candidates("desk", POOL)
-            prompt = types.SimpleNamespace(sizes=[9_000, 40])
-            chosen, _ = node.placement.pick(
-                prompt,
-                keys,
-                40,
-                candidates.ready,
-                pool=POOL,
-                excluded_workers=set(),
-                cold_workers=candidates.cold,
-            )
-            homes.add(chosen)
-        assert len(homes) == 1
+        for number in range(30):
+            keys = placement.chain([f"guide-{number}", "letter"])
+            assert len({self.home(node, keys) for node in self.nodes}) == 1
+
+    def home(self, node: FleetNode, keys: list[bytes]) -> str:
+        candidates = node.cold.candidates("desk", POOL)
+        prompt = types.SimpleNamespace(sizes=[9_000, 40])
+        chosen, _ = node.placement.pick(
+            prompt,
+            keys,
+            40,
+            candidates.ready,
+            pool=POOL,
+            excluded_workers=set(),
+            cold_workers=candidates.cold,
+        )
+        return chosen
 
     def test_a_session_at_a_worker_that_became_cold_moves_but_for_its_senders(self) -> None:
         workers = [worker(f"w{number}", "north", cold=False) for number in range(9)]
@@ -219,10 +231,10 @@
                 node.placement.note_turn(key, "w0", terms, 10)
         assert {node.pick(key) for node in self.nodes} == {"w0"}
         self.hear([worker("w0", "north", cold=True), *workers[1:]])
-        assert "w0" not in {node.send(key) for node in self.nodes}
+        assert not {node.pick(key) for node in self.nodes} & {"w0", ""}
         self.now += SECOND
         assert [node.send(key) for node in self.nodes].count("w0") == cold_workers.SENDERS
-        assert "w0" not in {node.send(key) for node in self.nodes}
+        assert not {node.pick(key) for node in self.nodes} & {"w0", ""}
 
     def test_a_first_turn_at_a_worker_that_became_cold_is_held_back(self) -> None:
         workers = [worker(f"w{number}", "north", cold=False) for number in range(9)]
@@ -297,9 +309,19 @@
         self.worker(turn_away)
         cold = self.worker(request_path.good)
         self.list_workers(False, True)
-        clients = [self.query(f"a{number}", ms=5) for number in range(10)]
-        assert len(cold.seen) <= 1
-        assert [client.status for client in clients].count(503) >= 9
+        clients = [self.query(f"a{number}", ms=5) for number in range(6)]
+        assert cold.seen == []
+        assert all(client.status == 503 and b"turned it away" in client.raw for client in clients)
+        assert self.forwarder.counts.retried == 0
+
+    def test_no_connection_is_made_to_a_cold_worker_that_is_not_due(self) -> None:
+        for _ in range(5):
+            self.worker(request_path.good)
+        self.list_workers(False, True, True, True, True)
+        self.forwarder.placement_of("desk").take([("i-1", 20, 20_000, 0)], complete=True)
+        client = self.query("a1")
+        assert client.status == 200
+        assert [len(scripted.connections) for scripted in self.workers] == [1, 0, 0, 0, 0]
 
     def test_of_two_requests_that_found_a_cold_worker_free_one_is_sent(self) -> None:
         cold = self.worker(request_path.good)
