--- a/tests/test_cold_workers.py
+++ b/tests/test_cold_workers.py
@@ -203,6 +203,7 @@
     def test_all_nodes_agree_on_the_home_of_a_shared_part(self) -> None:
         workers = self.warm_and_cold()
         self.hear(workers)
+        self.play(0.01)
         self.now += SECOND  # the senders' first pauses are over
         for number in range(30):
             keys = placement.chain([f"guide-{number}", "letter"])
