--- a/iriswheel/configuration/validation.py
+++ b/iriswheel/configuration/validation.py
@@ -150,14 +150,16 @@
 def pool_errors(key: str, pool: schema.Pool) -> collections.abc.Iterator[str]:
     """What is wrong with a pool.
 
-    >>> list(pool_errors("pools/p", schema.Pool(slots=1)))
-    ['pools/p: long_slots is above slots']
+    >>> list(pool_errors("pools/p", schema.Pool(slots=1, cold_rate=-1.0)))
+    ['pools/p: long_slots is above slots', 'pools/p: cold_rate is out of range']
     """
     if pool.election not in tuple(schema.Election):
         yield f"{key}: election is none of {', '.join(schema.Election)}"
     yield from positive_errors(key, pool, POSITIVE_POOL_FIELDS)
     if pool.long_slots > pool.slots:
         yield f"{key}: long_slots is above slots"
+    if not 0 <= pool.cold_rate < schema.INTEGER_BOUND:  # also false for what is no number
+        yield f"{key}: cold_rate is out of range"
 
 
 def tenant_errors(key: str, tenant: schema.Tenant, owners: KeyOwners) -> collections.abc.Iterator[str]:
