--- a/iriswheel/control/operator_api.py
+++ b/iriswheel/control/operator_api.py
@@ -131,13 +131,8 @@
             case (b"GET", ["blueprint"]):
                 read = await self.client.read_state()
                 request.answer_json(200, {"stamp": read.version, "blueprint": configuration.unflatten(read.items)})
-            case (b"POST", ["plans"]):
-                request.answer_json(200, await self.plan(request.json()))
-            case (b"GET", ["plans", identifier]):
-                request.answer_json(200, await self._planned(identifier))
-            case (b"POST", ["plans", identifier, "confirm"]):
-                response = await self.confirm(identifier)
-                request.answer_json(200, {"id": identifier, "stamp": response.version, "verdict": "ran"})
+            case (_, ["plans", *rest]):
+                await self._answer_plans(request, rest)
             case (b"POST", ["changes"]):
                 change = read_change(request.json())
                 version = await self.change_applier.apply_change(change)
@@ -151,11 +146,24 @@
             case (b"GET", ["ready"]):
                 ready = self.core.is_serving()
                 request.answer_json(200 if ready else 503, {"ready": ready})
-            case (_, ["blueprint" | "plans" | "changes" | "counters" | "state" | "ready", *_]):
+            case (_, ["blueprint" | "changes" | "counters" | "state" | "ready", *_]):
                 raise errors.ServiceError("bad_method", "This path does not take that method.")
             case _:
                 raise errors.ServiceError("not_found", "There is no such path.")
 
+    async def _answer_plans(self, request: http_server.Request, rest: list[str]) -> None:
+        """Make a plan, show or confirm the one in the path."""
+        match (request.method, rest):
+            case (b"POST", []):
+                request.answer_json(200, await self.plan(request.json()))
+            case (b"GET", [identifier]):
+                request.answer_json(200, await self._planned(identifier))
+            case (b"POST", [identifier, "confirm"]):
+                response = await self.confirm(identifier)
+                request.answer_json(200, {"id": identifier, "stamp": response.version, "verdict": "ran"})
+            case _:
+                raise errors.ServiceError("bad_method", "This path does not take that method.")
+
     async def _answer_evacuations(self, request: http_server.Request, names: list[str]) -> None:
         """List the evacuated zones; evacuate the zone in the path, or readmit it."""
         match (request.method, names):
