Cold workers and cuts between zones in the platform's model, with the rule FAILBACK

Change: shape `apart` (three zones, warm-up 3 s, 16 requests a second while cold); a worker is cold after a start during traffic, tells so in the list and in its health answers, and its process ends when it is overrun. The network cuts links between zones, silently, with resets or refusing. Who is in touch follows from the cuts: a path both ways to each core machine that reaches over half of the core; DRAIN, LOST and the acknowledgements regard them too.

--- a/simulation/network_model.py
+++ b/simulation/network_model.py
@@ -101,6 +101,10 @@
         if self.done or not self.process.alive:
             return
         here = self.process.host.host
+        if self.world.refused_zone_links and self.world.is_refused(here, self.host):
+            refused_at = self.world.time + world.NEAR_US
+            self.world.push(refused_at, lambda: self.process.call(lambda: self.fail(error.ConnectionRefusedError())))
+            return
         if not self.world.is_open(here, self.host) or self.host not in self.world.machines:
             self.world.push(self.world.time + world.RESEND_US, self.send_syn)
             return
--- a/simulation/platform_rules.py
+++ b/simulation/platform_rules.py
@@ -18,7 +18,7 @@
 import defopt
 
 import simulation.rules.log as event_log
-from simulation.rules import answers, configuration, routing
+from simulation.rules import answers, cold_workers, configuration, routing
 
 Rule = collections.abc.Callable[[event_log.Log], collections.abc.Iterator[str]]
 
@@ -37,6 +37,7 @@
     budget=routing.budget,
     order=answers.order,
     recover=answers.recover,
+    failback=cold_workers.failback,
 )
 
 
--- /dev/null
+++ b/simulation/rules/zone_cuts.py
@@ -0,0 +1,77 @@
+"""Cuts between the zones of a site, as an event log tells them."""
+
+from __future__ import annotations
+
+import typing
+
+Row = dict[str, typing.Any]
+
+
+class ZoneCut:
+    """A cut of links between zones: when it began and ended, and which links it cut."""
+
+    def __init__(self, begin: int, end: int, links: set[tuple[str, str]]) -> None:
+        self.begin, self.end, self.links = begin, end, links
+
+    def touches(self, begin: int, end: int) -> bool:
+        """Whether it lies in a span, at least in part.
+
+        >>> ZoneCut(5, 9, set()).touches(9, 12), ZoneCut(5, 9, set()).touches(1, 4)
+        (True, False)
+        """
+        return self.begin <= end and self.end >= begin
+
+    def parts(self, zone: str, other: str) -> bool:
+        """Whether something that one of two zones sends does not reach the other."""
+        return (zone, other) in self.links or (other, zone) in self.links
+
+
+class ZoneCuts:
+    """All cuts of a run.
+
+    >>> rows = [dict(at=5, kind="zones_cut", cut="k", links=[["a", "b"]]), dict(at=9, kind="zones_joined", cut="k")]
+    >>> cuts = ZoneCuts(rows, 20)
+    >>> cuts.has_path("a", "b", 6, 7), cuts.has_path("a", "b", 10, 12), cuts.has_path("a", "c", 6, 7)
+    (False, True, True)
+    """
+
+    def __init__(self, rows: list[Row], ended_at: int) -> None:
+        self.cuts: list[ZoneCut] = []
+        open_cuts: dict[str, ZoneCut] = {}
+        for row in rows:
+            if row["kind"] == "zones_cut":
+                cut = ZoneCut(row["at"], ended_at + 1, {(sender, receiver) for sender, receiver in row["links"]})
+                open_cuts[row["cut"]] = cut
+                self.cuts.append(cut)
+            elif row["kind"] == "zones_joined":
+                open_cuts.pop(row["cut"]).end = row["at"]
+
+    def has_path(self, zone: str, other: str, begin: int, end: int) -> bool:
+        """Whether two zones reached each other both ways through a span."""
+        return zone == other or not any(cut.touches(begin, end) and cut.parts(zone, other) for cut in self.cuts)
+
+    def touch(self, begin: int, end: int) -> bool:
+        """Whether any link between zones was cut in a span."""
+        return any(cut.touches(begin, end) for cut in self.cuts)
+
+    def touch_zone(self, zone: str, begin: int, end: int) -> bool:
+        """Whether any link of a zone was cut in a span."""
+        return any(cut.touches(begin, end) and any(zone in link for link in cut.links) for cut in self.cuts)
+
+    def changes_between(self, zones: set[str]) -> list[int]:
+        """When cuts of links among some zones began or ended."""
+        fitting = [cut for cut in self.cuts if any(set(link) <= zones for link in cut.links)]
+        return [moment for cut in fitting for moment in (cut.begin, cut.end)]
+
+    def time_cut(self, zone: str, other: str, begin: int, end: int) -> int:
+        """For how long of a span two zones did not reach each other both ways."""
+        spans = sorted(
+            (max(begin, cut.begin), min(end, cut.end))
+            for cut in self.cuts
+            if zone != other and cut.touches(begin, end) and cut.parts(zone, other)
+        )
+        total, covered_to = 0, begin
+        for since, until in spans:
+            total += max(0, until - max(since, covered_to))
+            covered_to = max(covered_to, until)
+        return total
--- a/simulation/site/configurations.py
+++ b/simulation/site/configurations.py
@@ -103,8 +103,13 @@
                 names["event_tokens"]: parameters.event_tokens,
                 names["models"]: [{"name": "m"}],
             },
+            **self._warmup(),
         }
 
+    def _warmup(self) -> Document:
+        names, cold = platform_names.POOL, self.site.shape.cold
+        return {} if cold is None else {names["warmup_s"]: cold.warmup_s, names["cold_per_s"]: cold.requests_per_s}
+
     def first(self) -> Document:
         """The first configuration."""
         names = platform_names.CONFIGURATION
--- a/simulation/site/faults.py
+++ b/simulation/site/faults.py
@@ -149,7 +149,8 @@
         host = f"{settings_files.CORE_HOST_PREFIX}{number}"
         self.site.places[new] = self.site.places[old]._replace(host=host)
         self.site.note_core_movements([*removed, new])
-        self.site.event_log.put(self.world.time, "machine", name=new, host=host, role="core")
+        zone = self.site.zone_field(new)
+        self.site.event_log.put(self.world.time, "machine", name=new, host=host, role="core", **zone)
         self.note_fault(new, "new")
         return new
 
--- a/simulation/site/shapes.py
+++ b/simulation/site/shapes.py
@@ -6,6 +6,7 @@
 import typing
 
 from simulation.clients import request_kinds
+from simulation.workers import cold_start
 
 LONG = request_kinds.RequestKind(
     "bundle",
@@ -42,6 +43,8 @@
         tolerated_losses: How many core machines may be lost at once.
         engine_parameters: Those parameters of the workers' engines that differ from the defaults.
         connections: How many connections a worker takes.
+        cold: How workers warm up; None where they are never cold.
+        tolerated_zones: How many zones may be lost at once.
 
     >>> SHAPES["swan"].rate
     122.0
@@ -57,6 +60,13 @@
     tolerated_losses: int = 1
     engine_parameters: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
     connections: int = 360
+    cold: cold_start.ColdBounds | None = None
+    tolerated_zones: int = 0
+
+    @property
+    def is_split(self) -> bool:
+        """Whether its zones may be lost or cut off from each other."""
+        return self.tolerated_zones > 0
 
     def zones(self) -> list[str]:
         """The zones that have nodes, in the order of their names."""
@@ -129,4 +139,56 @@
         engine_parameters=dict(capacity=16, kv_capacity=378_000, event_tokens=6),
         connections=510,
     ),
+    "apart": Shape(
+        nodes=["osborne"] * 3 + ["malaga"] * 3 + ["kewdale"] * 2,
+        cores=["osborne", "osborne", "malaga", "malaga", "kewdale"],
+        workers=["osborne", "malaga", "kewdale"] * 2,
+        rate=90.0,
+        kinds=(
+            dataclasses.replace(
+                LONG,
+                late_value=0.2,
+                share=44.1,
+                aim_ms=863,
+                pause_ms=300,
+                event_tokens=7,
+                deadline_ms=8_634,
+                parts=(request_kinds.PartKind(13_300, 0.7, 30, 0.3),),
+                events=request_kinds.SizeKind(17, 1.4, 68),
+                body_bytes=17_000,
+            ),
+            dataclasses.replace(
+                SHORT,
+                late_value=0.3,
+                share=314.0,
+                aim_ms=423,
+                pause_ms=300,
+                event_tokens=7,
+                deadline_ms=4_235,
+                parts=(request_kinds.PartKind(55, 0.4, 4, 0.0), request_kinds.PartKind(37, 0.7, 560, 0.3)),
+                events=request_kinds.SizeKind(6, 1.4, 26),
+                body_bytes=380,
+            ),
+        ),
+        retry_slack=52,
+        bounds=dict(
+            contact_ms=4000,
+            ack_deadline_ms=5000,
+            settle_s=6,
+            drain_deadline_ms=4000,
+            apply_deadline_ms=2500,
+            stretch_ms=6000,
+            recovery_s=15,
+            pass_ms=200,
+            evacuate_deadline_ms=5000,
+            merge_ms=3000,
+        ),
+        tolerated_losses=2,
+        tolerated_zones=1,
+        engine_parameters=dict(
+            capacity=12, waiting_limit=36, kv_capacity=331_000, event_tokens=7, report_lag_us=100_000
+        ),
+        connections=490,
+        cold=cold_start.ColdBounds(warmup_s=3.0, requests_per_s=16.0),
+    ),
 }
--- /dev/null
+++ b/simulation/site/split_days.py
@@ -0,0 +1,108 @@
+"""Days of sites whose workers start cold, and whose zones are cut off from each other or lose power."""
+
+from __future__ import annotations
+
+import typing
+
+from simulation.site import days, zone_faults
+
+if typing.TYPE_CHECKING:
+    from simulation.site import site
+
+SHAPE = "apart"  # the deployment that these days are for
+CUT_S = 9
+ZONE_DOWN_S = 5.5
+WORKERS_DOWN_S = 4.5
+BURST_FACTOR, BURST_S = 1.5, 5
+
+
+def _random_zone(deployment: site.Site) -> str:
+    return deployment.rng.choice(deployment.shape.zones())
+
+
+# ---- cold workers --------------------------------------------------------------------------
+
+
+def cold_crash(deployment: site.Site) -> None:
+    """Some workers crash, one after the other, and come back cold."""
+    deployment.advance(3)
+    for name in days.sample_share(deployment, deployment.live_workers(), 0.4):
+        deployment.faults.crash_worker(name, "reset", back=2)
+        deployment.advance(1.5)
+
+
+def cold_return(deployment: site.Site) -> None:
+    """The workers of a zone are down, and come back together."""
+    deployment.advance(4)
+    deployment.zone_faults.return_workers(_random_zone(deployment), WORKERS_DOWN_S, how="dark")
+
+
+def cold_burst(deployment: site.Site) -> None:
+    """The workers of a zone come back together while one kind of request comes far more often."""
+    deployment.advance(4)
+    deployment.zone_faults.return_workers(_random_zone(deployment), WORKERS_DOWN_S)
+    deployment.advance(WORKERS_DOWN_S - 1)
+    kind = deployment.rng.choice(deployment.shape.kinds).name
+    for traffic in deployment.traffics:
+        traffic.rate_factors[kind] = BURST_FACTOR
+    deployment.advance(BURST_S)
+    for traffic in deployment.traffics:
+        traffic.rate_factors.clear()
+
+
+# ---- cuts and losses of zones --------------------------------------------------------------
+
+
+def _change_and_release(deployment: site.Site) -> None:
+    """Send a change during the cut that has just begun, and release a worker just after its end."""
+    deployment.advance(1)
+    deployment.configurations.begin_change("idle")
+    deployment.advance(4)
+    deployment.configurations.begin_change("timeout")
+    deployment.advance(CUT_S - 5 + 0.3)
+    deployment.faults.replace_worker(days.choose_one(deployment, deployment.live_workers()))
+    deployment.configurations.begin_change("idle")
+
+
+def zone_cut(deployment: site.Site) -> None:
+    """A zone is cut off from the others: silently, or connections are reset, or new ones are refused as well."""
+    deployment.advance(4)
+    deployment.zone_faults.isolate(_random_zone(deployment), CUT_S, deployment.rng.choice(zone_faults.CUT_KINDS))
+    _change_and_release(deployment)
+
+
+def zone_one_way(deployment: site.Site) -> None:
+    """Nothing passes out of a zone, or nothing into it."""
+    deployment.advance(4)
+    outward = deployment.rng.random() < 0.5
+    deployment.zone_faults.cut_one_way(_random_zone(deployment), CUT_S, outward=outward)
+    _change_and_release(deployment)
+
+
+def zone_bridge(deployment: site.Site) -> None:
+    """Two zones can't reach each other, while a third reaches both."""
+    deployment.advance(4)
+    one, other = deployment.rng.sample(deployment.shape.zones(), 2)
+    deployment.zone_faults.cut_pair(one, other, CUT_S)
+    _change_and_release(deployment)
+
+
+def zone_power(deployment: site.Site) -> None:
+    """A zone is without power for some seconds; a change comes meanwhile."""
+    deployment.advance(4)
+    deployment.zone_faults.power_off(_random_zone(deployment), ZONE_DOWN_S)
+    deployment.advance(1)
+    deployment.configurations.begin_change("idle")
+    deployment.advance(ZONE_DOWN_S + 1)
+    deployment.configurations.begin_change("idle")
+
+
+DAYS: tuple[days.Day, ...] = (
+    cold_crash,
+    cold_return,
+    cold_burst,
+    zone_cut,
+    zone_one_way,
+    zone_bridge,
+    zone_power,
+)
--- a/simulation/workers/worker.py
+++ b/simulation/workers/worker.py
@@ -6,9 +6,11 @@
 
 from iriswheel.runtime import units
 from simulation import event_log, inference_engine, platform_names
-from simulation.workers import served_http
+from simulation.workers import cold_start, served_http
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from iriswheel.runtime import scheduler
 
 DEFAULT_LEFT_MS = "60000"
@@ -74,6 +76,8 @@
         health: What it answers to health checks: "good", "bad", or the truth where empty.
         close_share: How often an answer says that the connection ends.
         linger_share: How often a request runs on for a while after its connection is lost.
+        cold: Its warm-up, where workers of its deployment have one.
+        on_overrun: Called once where it gets far more requests than it bears while cold.
     """
 
     def __init__(
@@ -87,6 +91,7 @@
         connection_limit: int = 360,
         idle_us: int = IDLE_US,
         probe_path: str = platform_names.PATHS["probe"],
+        cold_bounds: cold_start.ColdBounds | None = None,
     ) -> None:
         super().__init__(runtime)
         self.name, self.pool, self.event_log = name, pool, event_log
@@ -100,6 +105,8 @@
         self.close_share = CLOSE_SHARE
         self.linger_share = LINGER_SHARE
         self.weights = 1
+        self.cold = None if cold_bounds is None else cold_start.ColdStart(cold_bounds)
+        self.on_overrun: collections.abc.Callable[[], object] | None = None
         self.runs: dict[served_http.ServedRequest, Run] = {}
         self.accepted = 0
         self.note("born", pool=pool)
@@ -178,11 +185,18 @@
         is_healthy = {"good": True, "bad": False}.get(self.health, is_healthy)
 
         def answer(_number: int, _last: bool) -> None:
-            request.reply(200 if is_healthy else 503, [(platform_names.HEADERS["worker"], self.id)])
+            request.reply(200 if is_healthy else 503, self._probe_headers())
 
         if not self.engine.offer(inference_engine.Job("probe", [], 1, on_event=answer)):
             request.reply(503, [(platform_names.HEADERS["not_run"], "1")])
 
+    def _probe_headers(self) -> Headers:
+        names = platform_names.HEADERS
+        headers = [(names["worker"], self.id)]
+        if self.cold is not None:
+            headers.append((names["cold_left"], str(self.cold.left_ms(self.runtime.now()))))
+        return headers
+
     def serve(self, request: served_http.ServedRequest) -> None:
         """Run a request, or refuse it as one that has not run."""
         names = platform_names.HEADERS
@@ -195,6 +209,7 @@
             self.note("arrived", verdict=code, **row)
             request.reply(code, refusal)
             return
+        self._count_while_cold()
         run = self._new_run(request, attempt)
         if left_ms <= 0 or not self.engine.offer(run.job):
             self.note("arrived", verdict=503, **row)
@@ -224,8 +239,17 @@
             counts=request.header(names["tokens"]),
             parts=request.header(names["parts"]),
             pool=self.pool,
+            **({} if self.cold is None else dict(cold=self.cold.is_cold(self.runtime.now()))),
         )
 
+    def _count_while_cold(self) -> None:
+        if self.cold is None:
+            return
+        self.cold.note_request(self.runtime.now())
+        if self.cold.is_overrun() and self.on_overrun is not None:
+            collapse, self.on_overrun = self.on_overrun, None
+            collapse()
+
     def _refusal_code(self, request: served_http.ServedRequest, attempt: str) -> int:
         """The status of a request that is not for this instance, or 0."""
         names = platform_names.HEADERS
--- a/simulation/world.py
+++ b/simulation/world.py
@@ -67,6 +67,8 @@
         self.processes: dict[str, process_model.SimulatedProcess] = {}
         self.machines: dict[str, host_model.Host] = {}
         self.cuts: set[tuple[str, str]] = set()  # (host, host): what the first sends does not reach the second
+        self.zone_cuts: set[tuple[str, str]] = set()  # (zone, zone): likewise for all hosts of two zones
+        self.refused_zone_links: set[tuple[str, str]] = set()  # of those, the ones that refuse new connections at once
         self.slow: dict[str, int] = {}  # host -> extra delay each way, microseconds
         self.loss: dict[str, float] = {}  # host -> share of its packets that are lost and sent again
         self.held_writes = False  # whether what is written waits for the process's next turn, and dies with it
@@ -125,8 +127,14 @@
         for host in (sender, receiver):
             if host in self.machines and not self.machines[host].power:
                 return False
+        if self.zone_cuts and (self.zone(sender), self.zone(receiver)) in self.zone_cuts:
+            return False
         return (sender, receiver) not in self.cuts
 
+    def is_refused(self, sender: str, receiver: str) -> bool:
+        """Whether a cut between the zones of two hosts refuses a new connection at once."""
+        return (self.zone(sender), self.zone(receiver)) in self.refused_zone_links
+
     def delay(self, sender: str, receiver: str) -> int:
         """How long a packet takes from one host to another, in microseconds; draws randomness.
 
