--- a/iriswheel/replicated_counters/add_log.py
+++ b/iriswheel/replicated_counters/add_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 import loguru
 import msgspec
 
@@ -9,6 +11,9 @@
 from iriswheel.runtime import scheduler, storage, units
 from iriswheel.transport import message
 
+if typing.TYPE_CHECKING:
+    import collections.abc
+
 KEY_PREFIX = b"counter/"
 SEQUENCE_BYTES = 8
 MAX_GROUP = 2_000  # adds in one write
@@ -91,10 +96,10 @@
         """How many adds are not on the disk yet."""
         return len(self._unwritten)
 
-    def append(self, add_id: counter_state.AddId) -> None:
-        """Have an add written that was inserted just now."""
-        self._unwritten.append(add_id)
-        if not self._writing:
+    def append(self, add_ids: collections.abc.Iterable[counter_state.AddId]) -> None:
+        """Have adds written that were inserted just now."""
+        self._unwritten += add_ids
+        if self._unwritten and not self._writing:
             self._writing = True
             self.runtime.spawn(self._write_all(), log)
 
--- a/iriswheel/replicated_counters/counter_state.py
+++ b/iriswheel/replicated_counters/counter_state.py
@@ -36,11 +36,15 @@
     id: str
 
 
-class CountedAdd(typing.NamedTuple):
-    """The add that counts among those with one `CallId`: that with the least identity."""
+class OriginAdd(typing.NamedTuple):
+    """An add with its origin."""
 
-    add_id: AddId
-    amount: int
+    origin: str
+    add: message.CounterAdd
+
+    def add_id(self) -> AddId:
+        """The identity of the add."""
+        return AddId(self.origin, self.add.sequence)
 
 
 class HeldAdds:
@@ -142,7 +146,7 @@
     def __init__(self) -> None:
         self.held = HeldAdds()
         self._adds: dict[str, dict[int, message.CounterAdd]] = collections.defaultdict(dict)  # by origin and sequence
-        self._counted: dict[CallId, CountedAdd] = {}
+        self._counted: dict[str, dict[str, OriginAdd]] = collections.defaultdict(dict)  # by counter and id: the least
         self._sums: dict[str, int] = collections.defaultdict(int)
 
     def insert(self, origin: str, add: message.CounterAdd) -> bool:
@@ -151,12 +155,11 @@
         if not self.held.add(add_id):
             return False
         self._adds[origin][add.sequence] = add
-        call_id = CallId(add.name, add.id)
-        counted = self._counted.get(call_id)
-        if counted is not None and counted.add_id < add_id:
+        counted = self._counted[add.name].get(add.id)
+        if counted is not None and counted.add_id() < add_id:
             return True
-        self._counted[call_id] = CountedAdd(add_id, add.amount)
-        self._sums[add.name] += add.amount - (0 if counted is None else counted.amount)
+        self._counted[add.name][add.id] = OriginAdd(origin, add)
+        self._sums[add.name] += add.amount - (0 if counted is None else counted.add.amount)
         return True
 
     def merge(self, other: CounterState) -> None:
@@ -175,8 +178,8 @@
 
     def counted(self, call_id: CallId) -> AddId | None:
         """The add that counts for a caller's add; None where none is held."""
-        counted = self._counted.get(call_id)
-        return None if counted is None else counted.add_id
+        counted = self._counted.get(call_id.name, {}).get(call_id.id)
+        return None if counted is None else counted.add_id()
 
     def add_of(self, add_id: AddId) -> message.CounterAdd:
         """An add that is held."""
--- a/iriswheel/replicated_counters/counters.py
+++ b/iriswheel/replicated_counters/counters.py
@@ -122,7 +122,7 @@
         add = message.CounterAdd(self._last_sequence, call_id.name, call_id.id, amount)
         add_id = counter_state.AddId(self.origin, add.sequence)
         self.state.insert(self.origin, add)
-        self.disk_log.append(add_id)
+        self.disk_log.append([add_id])
         self.replicator.send_now()
         return add_id
 
--- a/iriswheel/replicated_counters/replicator.py
+++ b/iriswheel/replicated_counters/replicator.py
@@ -112,18 +112,24 @@
         if request.sender not in self._origins_seen:
             self._origins_seen.add(request.sender)
             self.compare_now()
-        wanted = counter_state.HeldAdds()
-        for batch in request.batches:
-            for add in batch.adds:
-                add_id = counter_state.AddId(batch.origin, add.sequence)
-                wanted.add(add_id)
-                if self.counters.insert(batch.origin, add):
-                    self.disk_log.append(add_id)
         if request.batches:
+            wanted = self._insert(request.batches)
             self.progress.wake()
             await self.disk_log.wait_until_synced(wanted, SYNC_WAIT_US)
         return self._response(request)
 
+    def _insert(self, batches: list[message.OriginAdds]) -> counter_state.HeldAdds:
+        """Take adds and have those written that are new here; returns all of them."""
+        received, new = counter_state.HeldAdds(), []
+        for batch in batches:
+            for add in batch.adds:
+                add_id = counter_state.AddId(batch.origin, add.sequence)
+                received.add(add_id)
+                if self.counters.insert(batch.origin, add):
+                    new.append(add_id)
+        self.disk_log.append(new)
+        return received
+
     def _response(self, request: message.ReplicateAdds) -> message.ReplicateAddsResponse:
         synced, disk_ok = self.disk_log.synced, self.disk_log.is_working()
         if not request.digest:
