--- a/iriswheel/node/follower.py
+++ b/iriswheel/node/follower.py
@@ -272,10 +272,14 @@
         self.node.on_update()
 
     def _take_evacuations(self, zones: frozenset[str]) -> None:
-        """Note which zones are evacuated now."""
-        if zones != self.evacuated_zones:
-            log.info("Evacuated zones: {zones}.", zones=", ".join(sorted(zones)) or "none")
-            self.evacuated_zones = zones
+        """Note which zones are evacuated now, and tell the node which of them are so no more."""
+        if zones == self.evacuated_zones:
+            return
+        log.info("Evacuated zones: {zones}.", zones=", ".join(sorted(zones)) or "none")
+        readmitted = self.evacuated_zones - zones
+        self.evacuated_zones = zones
+        for zone in sorted(readmitted):
+            self.node.on_zone_readmitted(zone)
 
     def _put_item(
         self,
--- a/iriswheel/node/node.py
+++ b/iriswheel/node/node.py
@@ -137,6 +137,10 @@
 
     # ---- controllers -----------------------------------------------------------------
 
+    def on_zone_readmitted(self, zone: str) -> None:
+        """Send carefully to the workers of a zone that is evacuated no more."""
+        self.gateway.forwarder.cold_workers.zone_readmitted(zone)
+
     def on_update(self) -> None:
         """The membership, the slice or the workers changed: look which role assignments are here."""
         if self.member_record is None:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -203,6 +203,22 @@
         assert deferreds.result_of(change) == 200
         assert self.evacuated() == ["zone-0", "zone-1", "zone-2"]
 
+    def test_a_readmitted_zones_workers_count_as_cold_until_the_list_can_say_how_warm_they_are(self) -> None:
+        node = next(iter(self.cluster.nodes.values()))
+        worker = message.ZonedWorker("i-1", "10.0.3.1", 80, "desk", "ready", zone="north")
+
+        def is_cold() -> bool:
+            return node.gateway.forwarder.cold_workers.is_cold(worker)
+
+        assert self.call(0, "PUT", "/evacuations/north")[0] == 200
+        assert not is_cold()
+        assert self.call(0, "DELETE", "/evacuations/north")[0] == 200
+        assert is_cold()
+        self.cluster.advance(2.5)
+        assert is_cold()
+        self.cluster.advance(1)
+        assert not is_cold()
+
     def test_an_acknowledged_order_outlives_a_loss_of_all_power(self) -> None:
         assert self.call(0, "PUT", "/evacuations/north")[0] == 200
         actions.blackout(self.cluster, wiped=set())
--- a/tests/test_worker_reach.py
+++ b/tests/test_worker_reach.py
@@ -122,6 +122,7 @@
 
     def test_a_zone_that_was_quiet_is_hidden_for_a_moment_only(self) -> None:
         self.start_workers()
+        self.go(1_000)
         lost = self.follower.workers[2]
         self.world.cut([NODE], [lost.host])
         self.forwarder.reach.note_unreached(lost)
