Tallies in the platform's model: callers within each zone, and TWICE, STALE and LOST for them

Cause: no caller of ours used a tally, so nothing showed that adds are to be taken on both sides of a cut. Ruled out: operators as callers, who stand outside of all zones and reach both sides.

Change: applications call POST and GET /tallies/ID at the control addresses, nearest first; an add is sent again with its id. Calls to control addresses are one module now, which operators use too. Workers of the simulated core answer by platform/core_api.py.

--- a/simulation/clients/operator.py
+++ b/simulation/clients/operator.py
@@ -7,19 +7,14 @@
 import typing
 
 import loguru
-from twisted.internet import defer
 
 from iriswheel.runtime import units
 from simulation import event_log, platform_names
-from simulation.clients import connection
+from simulation.clients import control_call
 
 if typing.TYPE_CHECKING:
     from iriswheel.runtime import scheduler
 
-MAX_REDIRECTS = 3  # that one call follows
-CONNECT_TIMEOUT_US = units.SECOND_US
-ANSWER_TIMEOUT_US = units.SECOND_US
-ANSWER_TIMEOUT_PER_BYTE_US = 5
 FIRST_RETRY_WAIT_US = 100 * units.MILLISECOND_US
 MAX_RETRY_WAIT_US = units.SECOND_US
 CLEAR_ERRORS = (400, 409, 412, 413, 422)
@@ -27,42 +22,12 @@
 MAX_UNEXPECTED_ERRORS = 3  # other answers 4xx until an operator gives up
 LOGGED_BYTES = 200
 
-Address = tuple[str, int]
 Document = dict[str, typing.Any]
-Headers = list[tuple[str, str]]
 Hook = collections.abc.Callable[[], object]
 
 log = loguru.logger.bind(part="users")
 
 
-class Answer(typing.NamedTuple):
-    """What came of a call: a status and a body, or status 0 without a clear answer."""
-
-    status: int
-    body: bytes
-
-
-UNCLEAR = Answer(0, b"")
-
-
-class Redirect(typing.NamedTuple):
-    """Where an answer 307 sends a call."""
-
-    address: Address
-    path: str
-
-
-def parse_redirect(location: str) -> Redirect | None:
-    """The address and path that a Location header names, or None where it names no port.
-
-    >>> parse_redirect("http://10.1.0.2:8262/config")
-    Redirect(address=('10.1.0.2', 8262), path='/config')
-    """
-    authority, _, rest = location.partition("://")[2].partition("/")
-    host, colon, port = authority.rpartition(":")
-    return Redirect((host, int(port)), f"/{rest}") if colon else None
-
-
 class Operator:
     """Someone who changes the configuration.
 
@@ -78,69 +43,27 @@
         self,
         runtime: scheduler.Runtime,
         event_log: event_log.EventLog,
-        addresses: collections.abc.Callable[[], list[Address]],
+        addresses: collections.abc.Callable[[], list[control_call.Address]],
         name: str,
     ) -> None:
         """Make an operator who calls at these addresses of core machines."""
         self.runtime, self.event_log, self.addresses, self.name = runtime, event_log, addresses, name
         self.changes = 0
-        self.first_address: Address | None = None
-        self.last_address: Address | None = None
+        self.first_address: control_call.Address | None = None
+        self.last_address: control_call.Address | None = None
         self.lost_share = 0.0
         self.on_send: list[Hook] = []
         self.on_acknowledged: list[Hook] = []
 
     # ---- calls --------------------------------------------------------------------------
 
-    async def call(self, method: str, headers: Headers, raw: bytes, address: Address) -> Answer:
-        """Call one core machine, and those that it passes the call on to."""
-        path = platform_names.PATHS["blueprint"]
-        for _ in range(MAX_REDIRECTS):
-            answer = await self._call_once(method, path, headers, raw, address)
-            if answer is None or answer.outcome != "whole":
-                return UNCLEAR
-            if answer.code != 307:
-                return Answer(answer.code, answer.body)
-            redirect = parse_redirect(answer.header("location") or "")
-            if redirect is None:
-                return UNCLEAR
-            address, path = redirect
-        return UNCLEAR
-
-    async def _call_once(
-        self, method: str, path: str, headers: Headers, raw: bytes, address: Address
-    ) -> connection.PendingAnswer | None:
-        host, port = address
-        all_headers = [
-            ("Host", f"{host}:{port}"),
-            ("Content-Type", "application/json"),
-            *headers,
-            ("Content-Length", str(len(raw))),
-            ("Connection", "close"),
-        ]
-        try:
-            opened = await connection.connect(self.runtime, host, port, CONNECT_TIMEOUT_US)
-        except defer.CancelledError:
-            raise
-        except Exception:  # whatever the network says, there is no connection
-            return None
-        answered: defer.Deferred[connection.PendingAnswer] = defer.Deferred()
-        head = connection.encode_head(method, path, all_headers)
-        opened.start(connection.PendingAnswer(answered.callback), head + raw)
-        self.runtime.later(ANSWER_TIMEOUT_US + len(raw) * ANSWER_TIMEOUT_PER_BYTE_US, opened.drop, "silent")
-        answer = await answered
-        opened.drop("done")
-        return answer
-
     async def call_until_clear(
-        self, method: str, headers: Headers, raw: bytes, seconds: float = 60, send: str = ""
-    ) -> Answer:
+        self, call: control_call.Call, seconds: float = 60, send: str = ""
+    ) -> control_call.Answer:
         """Call one core machine after the other until an answer is clear, or the time is up.
 
         Args:
-            method: GET, PUT or PATCH.
-            headers: Headers besides those of every call.
-            raw: The body.
+            call: What is sent.
             seconds: How long to try.
             send: The name of the change in the event log.
         """
@@ -149,20 +72,21 @@
         while self.runtime.now() < until:
             addresses = self.addresses()
             address, self.first_address = self.first_address or addresses[turn % len(addresses)], None
-            status, body = await self.call(method, headers, raw, address)
-            if status == 200 and method != "GET":
+            answer = await control_call.send(self.runtime, call, address)
+            status, body = answer.status, answer.body
+            if status == 200 and call.method != "GET":
                 self.last_address = address
                 status = self._acknowledged(status, send)
             if status == 200 or status in CLEAR_ERRORS:
-                return Answer(status, body)
+                return control_call.Answer(status, body)
             if 400 <= status < 500 and status not in TEMPORARY_ERRORS:
                 unexpected_errors += 1
                 if unexpected_errors == MAX_UNEXPECTED_ERRORS:
-                    return Answer(status, body)
+                    return control_call.Answer(status, body)
             turn += 1
             await self.runtime.sleep(wait_us)
             wait_us = min(MAX_RETRY_WAIT_US, wait_us * 3 // 2)
-        return UNCLEAR
+        return control_call.UNCLEAR
 
     def _acknowledged(self, status: int, send: str) -> int:
         """The status that the operator sees of an acknowledgement: 0 where it is lost on its way."""
@@ -197,15 +121,18 @@
         names = dict(version=version, base=base, send=f"{self.name}-{self.changes}")
         self.event_log.put(self.runtime.now(), "config_sent", doc=document, valid=valid, **names)
         headers, raw = [("If-Match", str(base))], json.dumps(body).encode()
-        status, answer = await self.call_until_clear(method, headers, raw, seconds, names["send"])
-        text = answer[:LOGGED_BYTES].decode("latin-1")
+        call = control_call.Call(method, platform_names.PATHS["blueprint"], headers, raw)
+        answer = await self.call_until_clear(call, seconds, names["send"])
+        status, text = answer.status, answer.body[:LOGGED_BYTES].decode("latin-1")
         self.event_log.put(self.runtime.now(), "config_answer", code=status, text=text, **names)
         return status
 
     async def read(self, seconds: float = 20) -> Document | None:
         """Read the newest configuration back; None without a clear answer."""
         started_at = self.runtime.now()
-        status, raw = await self.call_until_clear("GET", [], b"", seconds)
+        call = control_call.Call("GET", platform_names.PATHS["blueprint"], [])
+        answer = await self.call_until_clear(call, seconds)
+        status, raw = answer.status, answer.body
         document = json.loads(raw) if status == 200 else None
         version = document.get(platform_names.CONFIGURATION["version"]) if document is not None else None
         self.event_log.put(
--- /dev/null
+++ b/simulation/clients/tally_caller.py
@@ -0,0 +1,141 @@
+"""Applications within a zone that add to tallies and read them at the control addresses, nearest first."""
+
+from __future__ import annotations
+
+import collections.abc
+import json
+import typing
+
+import loguru
+
+from iriswheel.runtime import units
+from simulation import event_log, platform_names
+from simulation.clients import control_call
+
+if typing.TYPE_CHECKING:
+    from iriswheel.runtime import scheduler
+
+CALL_TIMEOUT_US = 6 * units.SECOND_US  # after which a call is given up
+RETRY_WAIT_US = 100 * units.MILLISECOND_US
+MEAN_PAUSE_US = 250 * units.MILLISECOND_US  # of one caller between two calls
+READ_SHARE = 0.4
+LARGEST_AMOUNT = 9
+NEXT_ADDRESS_STATUSES = (0, 429)  # besides all 5xx
+
+Hook = collections.abc.Callable[[str], object]
+Addresses = collections.abc.Callable[[], list[control_call.Address]]
+
+log = loguru.logger.bind(part="users")
+
+
+class TallyCaller:
+    """One application: it adds to some tallies and reads them, one call after the other.
+
+    Each try of a call is one row `tally_try` of the event log.
+    """
+
+    def __init__(
+        self,
+        runtime: scheduler.Runtime,
+        event_log: event_log.EventLog,
+        addresses: Addresses,
+        name: str,
+        tallies: collections.abc.Sequence[str],
+    ) -> None:
+        """Make an application.
+
+        Args:
+            runtime: The clock, and the source of random numbers.
+            event_log: Where each try is noted.
+            addresses: The control addresses now, the nearest first.
+            name: Its name in the event log.
+            tallies: The names of the tallies that it uses.
+        """
+        self.runtime, self.event_log, self.addresses = runtime, event_log, addresses
+        self.name, self.tallies = name, tallies
+        self.calls = 0
+        self.on_acknowledged: list[Hook] = []  # called once each, with the host that acknowledges the next add
+
+    async def run(self, until: int) -> None:
+        """Call until a time."""
+        rng = self.runtime.rng
+        while self.runtime.now() < until:
+            await self.runtime.sleep(int(rng.expovariate(1 / MEAN_PAUSE_US)))
+            tally = rng.choice(self.tallies)
+            if rng.random() < READ_SHARE:
+                await self.read(tally)
+            else:
+                await self.add(tally, 1 + rng.randrange(LARGEST_AMOUNT))
+
+    async def add(self, tally: str, amount: int) -> bool:
+        """Add to a tally, sent again with the same id until it is acknowledged: whether it was."""
+        names = platform_names.TALLY
+        identifier = f"{self.runtime.rng.getrandbits(64):016x}"
+        raw = json.dumps({names["id"]: identifier, names["amount"]: amount}).encode()
+        fields = dict(op="add", tally=tally, id=identifier, amount=amount)
+        call = control_call.Call("POST", _path(tally), [], raw)
+        return await self._send(call, fields, CALL_TIMEOUT_US) is not None
+
+    async def read(self, tally: str, timeout_us: int = CALL_TIMEOUT_US, purpose: str = "read") -> int | None:
+        """Read a tally: its sum, or None where none came in time.
+
+        Args:
+            tally: The name of the tally.
+            timeout_us: After what time the call is given up.
+            purpose: "read", or "final" at the end of the day.
+        """
+        call = control_call.Call("GET", _path(tally), [])
+        body = await self._send(call, dict(op=purpose, tally=tally), timeout_us)
+        return None if body is None else _sum_of(body)
+
+    async def _send(self, call: control_call.Call, fields: dict[str, typing.Any], timeout_us: int) -> bytes | None:
+        """Call one machine after the other until one answers; the answer's body, or None."""
+        until, turn = self.runtime.now() + timeout_us, 0
+        self.calls += 1
+        while self.runtime.now() < until:
+            addresses = self.addresses()
+            began = self.runtime.now()
+            answer = await control_call.send(self.runtime, call, addresses[turn % len(addresses)])
+            self.event_log.put(
+                self.runtime.now(),
+                "tally_try",
+                call=f"{self.name}-{self.calls}",
+                began=began,
+                host=answer.host,
+                code=answer.status,
+                sent=answer.was_sent,
+                sum=_sum_of(answer.body) if call.method == "GET" and answer.status == 200 else None,
+                **fields,
+            )
+            if answer.status == 200:
+                self._call_hooks(call, answer.host)
+                return answer.body
+            if answer.status not in NEXT_ADDRESS_STATUSES and answer.status < 500:
+                return None
+            turn += 1
+            await self.runtime.sleep(RETRY_WAIT_US)
+        return None
+
+    def _call_hooks(self, call: control_call.Call, host: str) -> None:
+        if call.method == "POST":
+            hooks, self.on_acknowledged = self.on_acknowledged, []
+            for hook in hooks:
+                hook(host)
+
+
+def _path(tally: str) -> str:
+    return platform_names.PATHS["tallies"] + tally
+
+
+def _sum_of(body: bytes) -> int | None:
+    """The sum that an answer holds, or None where it holds none.
+
+    >>> _sum_of(b'{"sum": 1873}'), _sum_of(b"[]")
+    (1873, None)
+    """
+    try:
+        document = json.loads(body)
+    except ValueError:
+        return None
+    found = document.get(platform_names.TALLY["sum"]) if isinstance(document, dict) else None
+    return found if type(found) is int else None
--- a/simulation/platform_days.py
+++ b/simulation/platform_days.py
@@ -56,6 +56,7 @@
     "zone_one_way": 24,
     "zone_bridge": 24,
     "zone_power": 20,
+    "tally_kill": 20,
 }
 USUAL_LENGTH_S = 16
 LINES_PER_RULE = 3  # of complaints that are printed
--- a/simulation/platform_programs.py
+++ b/simulation/platform_programs.py
@@ -11,8 +11,9 @@
     sys.path.append(str(platform_names.PLATFORM))
 
 import configuration_api
+import core_api
 import formats
 import run as entry_points
 import settings
 
-__all__ = ["configuration_api", "entry_points", "formats", "settings"]
+__all__ = ["configuration_api", "core_api", "entry_points", "formats", "settings"]
--- a/simulation/platform_rules.py
+++ b/simulation/platform_rules.py
@@ -18,7 +18,7 @@
 import defopt
 
 import simulation.rules.log as event_log
-from simulation.rules import answers, cold_workers, configuration, routing
+from simulation.rules import answers, cold_workers, configuration, routing, tallies
 
 Rule = collections.abc.Callable[[event_log.Log], collections.abc.Iterator[str]]
 
@@ -38,6 +38,9 @@
     order=answers.order,
     recover=answers.recover,
     failback=cold_workers.failback,
+    tally_twice=tallies.twice,
+    tally_stale=tallies.stale,
+    tally_lost=tallies.lost,
 )
 
 
--- a/simulation/rules/log.py
+++ b/simulation/rules/log.py
@@ -28,6 +28,7 @@
     cold_limit=29,
 )
 PROCESS_ENDS = ("kill", "power", "term", "closing", "new")  # faults that a process's next start ends
+LIFE_ENDS = (*PROCESS_ENDS, "gone")
 UNCLEAR_CODES = (200, 0, None)  # of a configuration that is in force, or may be
 
 Row = dict[str, typing.Any]
@@ -81,9 +82,10 @@
         arrivals: Rows of workers that got an attempt, by its name; `runs` and `run_ends` likewise.
         run_by_seal: Rows `run` by the seal; `run_end_by_seal` likewise rows `ran`.
         zones: The zone of each machine, where the log tells it; `worker_zones` likewise by a worker's instance.
-        nodes_by_host: The name of the node at each address.
+        nodes_by_host: The name of the node at each address; `cores_by_host` likewise of core machines.
         platform_zone: The zone of the platform's list of workers.
         cuts: Cuts between zones.
+        disk_losses: When each machine lost its disk.
         faults: The faults of each machine.
         core_changes: When faults of core machines or cuts between them began or ended.
         configurations: What operators sent, in its order.
@@ -110,9 +112,13 @@
         self.core = {name for name, machine in machines.items() if machine["role"] == "core"}
         self.zones = {name: machine.get("zone", "") for name, machine in machines.items()}
         self.nodes_by_host = {machine["host"]: name for name, machine in machines.items() if machine["role"] == "edge"}
+        self.cores_by_host = {machine["host"]: name for name, machine in machines.items() if machine["role"] == "core"}
         self.worker_zones = {row["worker"]: row["zone"] for row in self.kinds["placed"]}
         self.platform_zone: str = begun.get("platform_zone", "")
         self.cuts = zone_cuts.ZoneCuts([*self.kinds["zones_cut"], *self.kinds["zones_joined"]], self.ended_at)
+        self.disk_losses: collections.defaultdict[str, list[int]] = collections.defaultdict(list)
+        for row in self.kinds["disk_lost"]:
+            self.disk_losses[row["name"]].append(row["at"])
         self.faults: collections.defaultdict[str, list[Fault]] = collections.defaultdict(list)
         self.core_changes = self.cuts.changes_between({self.zones[name] for name in self.core})
         self._read_faults()
@@ -169,6 +175,17 @@
         """Whether a machine had a fault in a span."""
         return any(fault.touches(begin, end) for fault in self.faults[name])
 
+    def is_one_life(self, name: str, begin: int, end: int) -> bool:
+        """Whether no process of a machine ended in a span."""
+        return not any(fault.what in LIFE_ENDS and fault.touches(begin, end) for fault in self.faults[name])
+
+    def cut_off_until(self, name: str, at: int) -> int | None:
+        """When the last cut healed that a machine was behind at a time, or None where it was behind none."""
+        zone = self.zones.get(name, "")
+        ends = [cut.end for cut in self.cuts.cuts if cut.touches(at, at) and any(zone in link for link in cut.links)]
+        ends += [fault.end for fault in self.faults[name] if fault.what == "cut" and fault.touches(at, at)]
+        return max(ends, default=None)
+
     def is_settled(self, at: int) -> bool:
         """Whether the core was settled through the contact time before a moment."""
         since = at - self.bounds["contact"]
--- a/simulation/site/faults.py
+++ b/simulation/site/faults.py
@@ -65,9 +65,15 @@
         machine = self.site.process_of(name).host
         machine.fail()
         if wipe:
-            machine.synced.clear()
+            self._wipe(name)
         self.site.schedule(back, self.site.restart, name)
 
+    def _wipe(self, name: str) -> None:
+        """Let a core machine lose its disk; the log of a site whose rules regard that tells it."""
+        self.site.process_of(name).host.synced.clear()
+        if self.site.shape.is_split:
+            self.site.event_log.put(self.world.time, "disk_lost", name=name)
+
     def freeze(self, name: str, seconds: float) -> None:
         """Freeze a node or core machine's process for a while."""
         self.note_fault(name, "freeze")
@@ -113,6 +119,8 @@
             name: The core machine to remove.
             gently: Whether it gets a SIGTERM; it loses power otherwise.
         """
+        if self.site.shape.is_split:
+            self.site.event_log.put(self.world.time, "disk_lost", name=name)
         old = self.site.cores.pop(name)
         self.note_fault(name, "term" if gently else "gone")
 
@@ -154,15 +162,16 @@
         self.note_fault(new, "new")
         return new
 
-    def close(self, how: ClosingFault, down: float) -> None:
-        """Kill every process, or let every machine lose power, or also let a core machine lose its disk.
+    def close(self, how: ClosingFault, down: float, wiped_count: int = 1) -> None:
+        """Kill every process, or let every machine lose power, or also let core machines lose their disks.
 
         Args:
             how: Which of the three.
             down: After how many seconds all start again.
+            wiped_count: How many core machines lose their disks, where any do.
         """
         names = [*sorted(self.site.cores), *sorted(self.site.nodes)]
-        wiped = self.site.rng.choice(sorted(self.site.cores)) if how == "wipe" else ""
+        wiped = set(self._choose_cores(wiped_count)) if how == "wipe" else set()
         back_at = self.world.time + int(down * units.SECOND_US)
         self.site.event_log.put(self.world.time, "closing", back=back_at, how=how)
         for name in names:
@@ -171,10 +180,14 @@
                 self.site.process_of(name).kill()
             else:
                 self.site.process_of(name).host.fail()
-            if name == wiped:
-                self.site.process_of(name).host.synced.clear()
+            if name in wiped:
+                self._wipe(name)
             self.site.schedule(down, self.site.restart, name)
 
+    def _choose_cores(self, count: int) -> list[str]:
+        names = sorted(self.site.cores)
+        return [self.site.rng.choice(names)] if count == 1 else self.site.rng.sample(names, count)
+
     # ---- the network --------------------------------------------------------------------
 
     def isolate(self, name: str, seconds: float, clients: bool = False, both: bool = True) -> None:
--- a/simulation/site/site.py
+++ b/simulation/site/site.py
@@ -28,7 +28,7 @@
 )
 from simulation.clients import client, operator, virtual_address
 from simulation.rules import earned_value
-from simulation.site import configurations, faults, settings_files, shapes, zone_faults
+from simulation.site import applications, configurations, faults, settings_files, shapes, zone_faults
 from simulation.workers import cold_start, listing
 
 SEED_LIST_LAG_US = 3 * units.SECOND_US  # after which operators see which core machines came or went
@@ -122,6 +122,7 @@
         self.configurations = configurations.Configurations(self)
         self.faults = faults.Faults(self)
         self.zone_faults = zone_faults.ZoneFaults(self)
+        self.applications = applications.Applications(self)
 
     # ---- machines and processes ---------------------------------------------------------
 
@@ -175,7 +176,7 @@
         process = self.new_process(name, self.places[name])
         options = self.options(name, "core")
         started = self.cores[name] = server_model.SimulatedCore(process, process.runtime(), options)
-        handle = platform_programs.configuration_api.ConfigurationApi(started).handle
+        handle = platform_programs.core_api.make_handler(started)
         control = http_server.Server(started.runtime, handle, connection_limit=options.connections)
         process.reactor.listenTCP(options.port, wire.Listener(started.runtime, started.serve, log))
         process.reactor.listenTCP(settings_files.CONTROL_PORT, control)
@@ -344,6 +345,8 @@
         for _ in range(READ_BACKS):
             self.read_back(READ_BACK_S)
             self.advance(READ_BACK_GAP_S)
+        if self.applications.callers:
+            self.applications.read_final()
         self.event_log.put(self.world.time, "ended")
 
     def read_back(self, seconds: float) -> None:
--- a/simulation/site/split_days.py
+++ b/simulation/site/split_days.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from simulation.site import days, zone_faults
+from simulation.site import days, faults, zone_faults
 
 if typing.TYPE_CHECKING:
     from simulation.site import site
@@ -14,6 +14,8 @@
 ZONE_DOWN_S = 5.5
 WORKERS_DOWN_S = 4.5
 BURST_FACTOR, BURST_S = 1.5, 5
+TALLY_DOWN_S, TALLY_LOSS_GAP_S = 2, 3.5
+ACKNOWLEDGED_LOSS_S = 0.004  # within which a machine is lost that acknowledged
 
 
 def _random_zone(deployment: site.Site) -> str:
@@ -97,6 +99,58 @@
     deployment.configurations.begin_change("idle")
 
 
+# ---- tallies -------------------------------------------------------------------------------
+
+
+def tally_quiet(deployment: site.Site) -> None:
+    """Applications add to tallies and read them; nothing else happens."""
+    deployment.applications.start()
+
+
+def tally_cut(deployment: site.Site) -> None:
+    """A zone is cut off while applications on both sides add to the same tallies."""
+    deployment.applications.start()
+    deployment.advance(2)
+    deployment.zone_faults.isolate(_random_zone(deployment), CUT_S, deployment.rng.choice(zone_faults.CUT_KINDS))
+
+
+def tally_kill(deployment: site.Site) -> None:
+    """The machine that acknowledges an add is killed or loses power right after, three times."""
+    deployment.applications.start()
+    for _ in range(3):
+        deployment.advance(2)
+        _lose_who_acknowledges(deployment)
+        deployment.advance(TALLY_LOSS_GAP_S)
+
+
+def _lose_who_acknowledges(deployment: site.Site) -> None:
+    strike = deployment.rng.choice([deployment.faults.kill, deployment.faults.power_off])
+    wait = deployment.rng.uniform(0, ACKNOWLEDGED_LOSS_S)
+
+    def lose(host: str) -> None:
+        for name in sorted(deployment.cores):
+            if deployment.places[name].host == host:
+                deployment.schedule(wait, strike, name, TALLY_DOWN_S)
+
+    deployment.rng.choice(deployment.applications.callers).on_acknowledged.append(lose)
+
+
+def _close_tallies(deployment: site.Site, how: faults.ClosingFault) -> None:
+    deployment.applications.start()
+    deployment.advance(6 + deployment.rng.random())
+    deployment.faults.close(how, 0.7 + deployment.rng.random() * 0.7, wiped_count=deployment.shape.tolerated_losses)
+
+
+def tally_wipe(deployment: site.Site) -> None:
+    """As many machines as may be lost lose their disks, while all others lose power."""
+    _close_tallies(deployment, "wipe")
+
+
+def tally_kill_all(deployment: site.Site) -> None:
+    """Every process is killed."""
+    _close_tallies(deployment, "kill_all")
+
+
 DAYS: tuple[days.Day, ...] = (
     cold_crash,
     cold_return,
@@ -105,4 +159,9 @@
     zone_one_way,
     zone_bridge,
     zone_power,
+    tally_quiet,
+    tally_cut,
+    tally_kill,
+    tally_wipe,
+    tally_kill_all,
 )
--- a/tests/test_split_days.py
+++ b/tests/test_split_days.py
@@ -8,6 +8,8 @@
 
 SHAPE = "apart"
 COLD_DAYS = (("cold_crash", 1), ("cold_return", 2), ("cold_burst", 2))
+TALLY_DAYS = (("tally_cut", 1), ("tally_kill", 1), ("tally_wipe", 1), ("tally_kill_all", 1))
+TALLY_RULES = ("tally_twice", "tally_stale", "tally_lost")
 ZONE_DAYS = (("zone_cut", 1), ("zone_one_way", 1), ("zone_bridge", 2), ("zone_power", 1))
 
 
@@ -17,11 +19,11 @@
     return platform_rules.examine(platform_days.play(name, seed, SHAPE).event_log.rows)
 
 
-def test_cold_workers_get_no_more_requests_than_they_bear() -> None:
-    assert {day: complaints(*day).get("failback", []) for day in COLD_DAYS} == {day: [] for day in COLD_DAYS}
+def test_tallies_count_each_add_once_and_keep_it() -> None:
+    found = {day: [rule for rule in TALLY_RULES if rule in complaints(*day)] for day in TALLY_DAYS}
+    assert found == {day: [] for day in TALLY_DAYS}
 
 
 @pytest.mark.parametrize(("name", "seed"), [*COLD_DAYS, *ZONE_DAYS])
-def test_a_split_day_breaks_no_rule_but_that_about_cold_workers(name: str, seed: int) -> None:
-    """The rule about cold workers, which these days break too, has the test before."""
-    assert set(complaints(name, seed)) <= {"failback"}
+def test_a_split_day_breaks_no_rule(name: str, seed: int) -> None:
+    assert complaints(name, seed) == {}
--- /dev/null
+++ b/tests/test_tally_rules.py
@@ -0,0 +1,148 @@
+"""The rules about tallies complain of a log that breaks them, and are content with the nearest good one."""
+
+from typing import Any
+
+import pytest
+
+from simulation import platform_rules
+from tests import test_judge, test_zone_cuts
+
+SECOND, MILLISECOND = test_judge.SECOND, test_judge.MILLISECOND
+ANSWER_US = 20 * MILLISECOND
+Rows = list[dict[str, Any]]
+
+
+def row_of_try(op: str, at: int, machine: str, **fields: Any) -> dict[str, Any]:  # noqa: ANN401 - fields of a row
+    """A try that a core machine answers with 200 at a time."""
+    host = test_zone_cuts.MACHINES[machine]["host"]
+    usual = dict(call=f"{op}-{at}", began=at - ANSWER_US, host=host, code=200, sent=True, sum=None, tally="t1")
+    return dict(at=at, kind="tally_try", op=op, **{**usual, **fields})
+
+
+def add(at: int, machine: str = "c1", amount: int = 4, **fields: Any) -> dict[str, Any]:  # noqa: ANN401
+    """An add that a machine acknowledged."""
+    return row_of_try("add", at, machine, **{"id": f"id-{at}", "amount": amount, **fields})
+
+
+def read(at: int, total: int | None, machine: str = "c1", **fields: Any) -> dict[str, Any]:  # noqa: ANN401
+    """A read that a machine answered."""
+    return row_of_try("read", at, machine, sum=total, **fields)
+
+
+def final(total: int | None, machine: str = "c2", **fields: Any) -> dict[str, Any]:  # noqa: ANN401
+    """A read at the end of the day."""
+    return row_of_try("final", 58 * SECOND, machine, sum=total, **fields)
+
+
+def broken(*rows: dict[str, Any] | Rows) -> set[str]:
+    """The rules that rows break."""
+    flat = [row for item in rows for row in (item if isinstance(item, list) else [item])]
+    log = [test_zone_cuts.BEGUN, *test_judge.BASE[1:], *flat, *test_judge.END]
+    return set(platform_rules.examine(sorted(log, key=lambda row: row["at"])))
+
+
+def lost_disk(machine: str, at: int) -> Rows:
+    """A machine loses power and its disk, and is back three seconds later."""
+    return [
+        dict(at=at, kind="disk_lost", name=machine),
+        *test_judge.inject_fault(machine, "power", at, at + 3 * SECOND),
+    ]
+
+
+class TestTwice:
+    def test_a_read_gives_no_more_than_what_could_have_counted(self) -> None:
+        added = [add(10 * SECOND), add(11 * SECOND, amount=3)]
+        assert broken(added, read(20 * SECOND, 7)) == set()
+        assert broken(added, read(20 * SECOND, 8)) == {"tally_twice"}
+        assert broken(added, read(20 * SECOND, 11)) == {"tally_twice"}
+
+    def test_an_id_counts_once_at_any_machine(self) -> None:
+        again = [add(10 * SECOND, code=0, id="x"), add(11 * SECOND, "c2", id="x")]
+        assert broken(again, read(20 * SECOND, 4)) == set()
+        assert broken(again, read(20 * SECOND, 8)) == {"tally_twice"}
+
+    @pytest.mark.parametrize(
+        ("fields", "may_count"),
+        [
+            (dict(code=0), True),
+            (dict(code=500), True),
+            (dict(code=503), False),
+            (dict(code=429), False),
+            (dict(code=0, sent=False), False),
+        ],
+    )
+    def test_an_add_counts_unless_it_was_never_sent_or_promised_undone(
+        self, fields: dict[str, Any], may_count: bool
+    ) -> None:
+        assert broken(add(10 * SECOND, **fields), read(20 * SECOND, 0)) == set()
+        expected = set() if may_count else {"tally_twice"}
+        assert broken(add(10 * SECOND, **fields), read(20 * SECOND, 4)) == expected
+
+    def test_an_add_counts_from_its_first_try_on(self) -> None:
+        under_way = add(20 * SECOND + ANSWER_US)
+        assert broken(under_way, read(20 * SECOND, 4)) == set()
+        assert broken(under_way, read(20 * SECOND - 1, 4)) == {"tally_twice"}
+
+    def test_tallies_are_apart(self) -> None:
+        assert broken(add(10 * SECOND), read(20 * SECOND, 4, tally="t2")) == {"tally_twice"}
+
+
+class TestStale:
+    def test_a_machine_tells_what_it_acknowledged_in_the_same_life(self) -> None:
+        soon = 10 * SECOND + 2 * ANSWER_US
+        assert broken(add(10 * SECOND), read(soon, 4)) == set()
+        assert broken(add(10 * SECOND), read(soon, 0)) == {"tally_stale"}
+        assert broken(add(10 * SECOND), read(soon, 0, "c2")) == set()
+        assert broken(add(10 * SECOND), read(10 * SECOND + ANSWER_US - 1, 0)) == set()  # asked before
+
+    @pytest.mark.parametrize(("what", "is_bound"), [("kill", False), ("power", False), ("cut", True), ("freeze", True)])
+    def test_a_life_ends_with_the_process(self, what: str, is_bound: bool) -> None:
+        fault = test_judge.inject_fault("c1", what, 11 * SECOND, 12 * SECOND)
+        expected = {"tally_stale"} if is_bound else set()
+        assert broken(add(10 * SECOND), read(13 * SECOND, 0), fault) == expected
+
+    def test_after_a_calm_time_all_machines_tell_it(self) -> None:
+        assert broken(add(10 * SECOND), read(13 * SECOND + ANSWER_US, 0, "c2")) == {"tally_stale"}
+        assert broken(add(10 * SECOND), read(13 * SECOND + ANSWER_US, 4, "c2")) == set()
+        assert broken(add(10 * SECOND), read(13 * SECOND + ANSWER_US - 1, 0, "c2")) == set()
+
+    def test_trouble_of_the_core_or_a_link_delays_that(self) -> None:
+        late = read(30 * SECOND, 0, "c2")
+        assert (
+            broken(add(10 * SECOND), late, test_zone_cuts.cut_rows(test_zone_cuts.PAIR, 9 * SECOND, 28 * SECOND))
+            == set()
+        )
+        healed = test_zone_cuts.cut_rows(test_zone_cuts.PAIR, 9 * SECOND, 26 * SECOND)
+        assert broken(add(10 * SECOND), late, healed) == {"tally_stale"}
+        slow_disk = test_judge.inject_fault("c3", "disk slow", 29 * SECOND, 29 * SECOND + 1)
+        assert broken(add(10 * SECOND), late, slow_disk) == set()
+        node = test_judge.inject_fault("n3", "kill", 29 * SECOND, 29 * SECOND + 1)
+        assert broken(add(10 * SECOND), late, node) == {"tally_stale"}
+
+
+class TestLost:
+    def test_the_end_of_the_day_has_all_that_was_acknowledged(self) -> None:
+        assert broken(add(10 * SECOND), final(4)) == set()
+        assert "tally_lost" in broken(add(10 * SECOND), final(0))
+        assert broken(add(10 * SECOND, code=0), final(0)) == set()
+        just_before = add(58 * SECOND - ANSWER_US - 2 * SECOND)
+        assert broken(just_before, final(0)) == set()
+
+    def test_it_is_read_in_time(self) -> None:
+        failed = [final(None, code=404, call="f1")]
+        assert "tally_lost" in broken(failed)
+        assert broken(failed, dict(final(0, "c3", call="f1"), at=59 * SECOND)) == set()
+
+    def test_trouble_does_not_excuse_it(self) -> None:
+        end = 57 * SECOND
+        assert "tally_lost" in broken(add(10 * SECOND), final(0), test_judge.inject_fault("c1", "kill", end, end + 1))
+        assert "tally_lost" in broken(add(10 * SECOND), final(0), lost_disk("c1", 11 * SECOND))
+
+    def test_a_disk_that_is_lost_soon_after_a_cut_excuses_what_its_machine_acknowledged_behind_it(self) -> None:
+        cut = test_zone_cuts.cut_rows(test_zone_cuts.ISOLATED, 9 * SECOND, 20 * SECOND)
+        for at, is_excused in ((12, True), (19, True), (22, True), (24, False)):
+            found = broken(add(10 * SECOND), final(0), cut, lost_disk("c1", at * SECOND))
+            assert ("tally_lost" not in found) == is_excused, at
+        assert "tally_lost" in broken(add(10 * SECOND), final(0), cut, lost_disk("c2", 12 * SECOND))
+        assert "tally_lost" in broken(add(8 * SECOND), final(0), cut, lost_disk("c1", 12 * SECOND))
+        assert "tally_lost" in broken(add(10 * SECOND), final(0), cut)
