--- a/simulation/clients/operator.py
+++ b/simulation/clients/operator.py
@@ -49,6 +49,7 @@
         """Make an operator who calls at these addresses of core machines."""
         self.runtime, self.event_log, self.addresses, self.name = runtime, event_log, addresses, name
         self.changes = 0
+        self.orders = 0
         self.first_address: control_call.Address | None = None
         self.last_address: control_call.Address | None = None
         self.lost_share = 0.0
@@ -127,6 +128,17 @@
         self.event_log.put(self.runtime.now(), "config_answer", code=status, text=text, **names)
         return status
 
+    async def order_evacuation(self, zone: str, *, begins: bool, seconds: float) -> int:
+        """Let a zone be evacuated, or take that back: the status, 0 without a clear answer."""
+        self.orders += 1
+        fields = dict(zone=zone, begins=begins, send=f"{self.name}-order-{self.orders}")
+        self.event_log.put(self.runtime.now(), "evacuation_sent", **fields)
+        path = platform_names.PATHS["evacuation"] + zone
+        call = control_call.Call("POST" if begins else "DELETE", path, [])
+        answer = await self.call_until_clear(call, seconds, f"{self.name}-order-{self.orders}")
+        self.event_log.put(self.runtime.now(), "evacuation_answer", code=answer.status, **fields)
+        return answer.status
+
     async def read(self, seconds: float = 20) -> Document | None:
         """Read the newest configuration back; None without a clear answer."""
         started_at = self.runtime.now()
--- a/simulation/platform_days.py
+++ b/simulation/platform_days.py
@@ -23,7 +23,7 @@
 import simulation.site.days as days_of_one_fault
 from simulation import core_days, platform_rules
 from simulation.rules import earned_value
-from simulation.site import drawn_day, shapes, site, split_days
+from simulation.site import drawn_day, shapes, site, split_days, split_drawn_day
 
 Totals = dict[str, float]
 Complaints = dict[str, list[str]]
@@ -37,9 +37,11 @@
         core_days.time_of_day,
         core_days.lose_tail,
         *split_days.DAYS,
+        split_drawn_day.split_drawn,
     )
 }
-SPLIT_DAYS = frozenset(day.__name__ for day in split_days.DAYS)  # those for a deployment of their own
+# Those for a deployment of their own.
+SPLIT_DAYS = frozenset(day.__name__ for day in (*split_days.DAYS, split_drawn_day.split_drawn))
 LENGTHS_S = {  # of the traffic
     "closing_kill": 30,
     "closing_power": 30,
@@ -57,6 +59,9 @@
     "zone_bridge": 24,
     "zone_power": 20,
     "tally_kill": 20,
+    "split_drawn": 50,
+    "evacuate": 18,
+    "evacuate_closing": 26,
 }
 USUAL_LENGTH_S = 16
 LINES_PER_RULE = 3  # of complaints that are printed
--- a/simulation/platform_rules.py
+++ b/simulation/platform_rules.py
@@ -18,7 +18,7 @@
 import defopt
 
 import simulation.rules.log as event_log
-from simulation.rules import answers, cold_workers, configuration, routing, tallies
+from simulation.rules import answers, cold_workers, configuration, evacuations, routing, tallies
 
 Rule = collections.abc.Callable[[event_log.Log], collections.abc.Iterator[str]]
 
@@ -41,6 +41,9 @@
     tally_twice=tallies.twice,
     tally_stale=tallies.stale,
     tally_lost=tallies.lost,
+    evac=evacuations.evac,
+    evac_lost=evacuations.evac_lost,
+    evac_acks=evacuations.evac_acks,
 )
 
 
--- /dev/null
+++ b/simulation/rules/evacuations.py
@@ -0,0 +1,84 @@
+"""The rules about evacuations: acknowledged in time, in force in time, and kept through a closing fault."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+from iriswheel.runtime import units
+
+if typing.TYPE_CHECKING:
+    import simulation.rules.log as event_log
+
+Complaints = collections.abc.Iterator[str]
+
+NOT_FOR_THIS_WORKER = 421
+
+
+class Evacuation(typing.NamedTuple):
+    """An evacuation that was acknowledged, and when it was taken back."""
+
+    zone: str
+    acknowledged_at: int
+    until: int
+
+
+def _evacuations(log: event_log.Log) -> list[Evacuation]:
+    found = []
+    for answer in log.kinds["evacuation_answer"]:
+        if not answer["begins"] or answer["code"] != 200:
+            continue
+        ends = [
+            sent["at"]
+            for sent in log.kinds["evacuation_sent"]
+            if not sent["begins"] and sent["zone"] == answer["zone"] and sent["at"] > answer["at"]
+        ]
+        found.append(Evacuation(answer["zone"], answer["at"], min(ends, default=log.ended_at + 1)))
+    return found
+
+
+def _arrivals(log: event_log.Log, evacuation: Evacuation, begin: float) -> collections.abc.Iterator[event_log.Row]:
+    """The requests that reached workers of an evacuated zone after some time."""
+    for row in log.kinds["arrived"]:
+        is_there = log.worker_zones.get(row["worker"]) == evacuation.zone and begin < row["at"] < evacuation.until
+        if is_there and row["verdict"] != NOT_FOR_THIS_WORKER and not log.is_held_up(row):
+            yield row
+
+
+def evac(log: event_log.Log) -> Complaints:
+    """Requests that machines in touch sent to workers of a zone too long after its evacuation was acknowledged."""
+    for evacuation in _evacuations(log):
+        for row in _arrivals(log, evacuation, evacuation.acknowledged_at + log.bounds["evacuate"]):
+            node = log.nodes_by_host.get(row["peer"])
+            if node is not None and log.is_in_touch(node, row["at"]):
+                after_ms = (row["at"] - evacuation.acknowledged_at) // units.MILLISECOND_US
+                yield f"{row['attempt']} reached zone {evacuation.zone} {after_ms} ms after its evacuation, from {node}"
+
+
+def evac_lost(log: event_log.Log) -> Complaints:
+    """Requests that reach an evacuated zone although all machines are back from the closing fault for long."""
+    for closing in log.kinds["closing"]:
+        begin = closing["back"] + log.bounds["recovery"]
+        for evacuation in _evacuations(log):
+            if evacuation.acknowledged_at < closing["at"] < evacuation.until:
+                count = sum(1 for _ in _arrivals(log, evacuation, begin))
+                if count:
+                    yield f"{count} requests reached zone {evacuation.zone}, evacuated before the closing fault"
+
+
+def evac_acks(log: event_log.Log) -> Complaints:
+    """Orders to evacuate a zone or take it back that were not acknowledged in time in a settled stretch."""
+    answers = {answer["send"]: answer for answer in log.kinds["evacuation_answer"]}
+    for sent in log.kinds["evacuation_sent"]:
+        answer, due_at = answers.get(sent["send"]), int(sent["at"] + log.bounds["ack"])
+        if answer is not None and answer["code"] == 200 and answer["at"] <= due_at:
+            continue
+        has_change = any(sent["at"] <= change <= due_at for change in log.core_changes)
+        if (
+            due_at <= log.ended_at
+            and not has_change
+            and log.is_settled(due_at)
+            and not log.cuts.touch(sent["at"], due_at)
+        ):
+            code = None if answer is None else answer["code"]
+            yield f"the order about zone {sent['zone']} was not acknowledged in time, the answer was {code}"
--- a/simulation/rules/log.py
+++ b/simulation/rules/log.py
@@ -164,7 +164,8 @@
             for row in self.kinds["config_sent"]
         }
         for row in reversed(self.kinds["acknowledgement_lost"]):
-            found[row["send"]]["acknowledged"] = row["at"]
+            if row["send"] in found:  # other orders are acknowledged too
+                found[row["send"]]["acknowledged"] = row["at"]
         for row in self.kinds["config_answer"]:
             found[row["send"]].update(code=row["code"], answered=row["at"])
         return list(found.values())
--- a/simulation/site/split_days.py
+++ b/simulation/site/split_days.py
@@ -4,9 +4,13 @@
 
 import typing
 
+import loguru
+
 from simulation.site import days, faults, zone_faults
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from simulation.site import site
 
 SHAPE = "apart"  # the deployment that these days are for
@@ -14,9 +18,12 @@
 ZONE_DOWN_S = 5.5
 WORKERS_DOWN_S = 4.5
 BURST_FACTOR, BURST_S = 1.5, 5
+EVACUATED_S = 8
 TALLY_DOWN_S, TALLY_LOSS_GAP_S = 2, 3.5
 ACKNOWLEDGED_LOSS_S = 0.004  # within which a machine is lost that acknowledged
 
+log = loguru.logger.bind(part="site")
+
 
 def _random_zone(deployment: site.Site) -> str:
     return deployment.rng.choice(deployment.shape.zones())
@@ -151,6 +158,46 @@
     _close_tallies(deployment, "kill_all")
 
 
+# ---- evacuations ---------------------------------------------------------------------------
+
+
+def _order(deployment: site.Site, order: collections.abc.Coroutine[typing.Any, typing.Any, int]) -> None:
+    deployment.operator_runtime.spawn(order, log)
+
+
+def _evacuate(deployment: site.Site, *, warm: bool) -> None:
+    """Have a zone evacuated in the next seconds, and taken back at their end."""
+    zone = _random_zone(deployment)
+    _order(deployment, deployment.zone_faults.evacuate(zone))
+    deployment.schedule(EVACUATED_S, lambda: _order(deployment, deployment.zone_faults.take_back(zone, warm=warm)))
+
+
+def evacuate(deployment: site.Site) -> None:
+    """A zone is evacuated and taken back, its workers cold by then; a change comes meanwhile."""
+    deployment.advance(3)
+    _evacuate(deployment, warm=False)
+    deployment.advance(1)
+    deployment.configurations.begin_change("idle")
+
+
+def evacuate_warm(deployment: site.Site) -> None:
+    """A zone is evacuated and taken back while core machines and nodes are killed; its workers stay warm."""
+    deployment.advance(3)
+    _evacuate(deployment, warm=True)
+    deployment.advance(0.05)
+    deployment.faults.kill(days.choose_one(deployment, deployment.cores), 2)
+    deployment.advance(1)
+    deployment.faults.kill(days.choose_one(deployment, deployment.nodes), 2)
+
+
+def evacuate_closing(deployment: site.Site) -> None:
+    """Right after an evacuation is acknowledged a closing fault strikes; it is never taken back."""
+    deployment.advance(4)
+    status = deployment.operator_runtime.spawn(deployment.zone_faults.evacuate(_random_zone(deployment)), log)
+    deployment.advance_until(lambda: status.called, EVACUATED_S)
+    deployment.faults.close(deployment.rng.choice(faults.CLOSING_FAULTS), 0.7 + deployment.rng.random() * 0.7)
+
+
 DAYS: tuple[days.Day, ...] = (
     cold_crash,
     cold_return,
@@ -164,4 +211,7 @@
     tally_kill,
     tally_wipe,
     tally_kill_all,
+    evacuate,
+    evacuate_warm,
+    evacuate_closing,
 )
--- /dev/null
+++ b/simulation/site/split_drawn_day.py
@@ -0,0 +1,94 @@
+"""A drawn day of a split site: besides the faults of other drawn days, one of a zone, and often an evacuation."""
+
+from __future__ import annotations
+
+import typing
+
+import loguru
+
+from simulation.site import days, drawn_day, faults, zone_faults
+
+if typing.TYPE_CHECKING:
+    from simulation.site import site
+
+DAY_S = 32
+SLOTS_S = (2.0, 18.0)  # when the fault of a zone and that of a core machine may begin, in either order
+SLOT_SPREAD_S = 3.0
+ZONE_FAULT_S = (3.0, 8.0)  # the shortest and the longest
+EVACUATED_S = 8.0
+CHANGE_TIMES_S = (3, 9, 15, 21, 28)
+
+log = loguru.logger.bind(part="site")
+
+
+class SplitDrawnDay(drawn_day.DrawnDay):
+    """A drawn day of a split site under way.
+
+    No more is lost at once than the deployment tolerates: the fault of a zone and that of a core machine are far apart.
+    """
+
+    def random_zone(self) -> str:
+        """A random zone."""
+        return self.rng.choice(self.site.shape.zones())
+
+    def zone_faults(self) -> list[drawn_day.Action]:
+        """What may happen to a zone."""
+        strikes = self.site.zone_faults
+        seconds = self.rng.uniform(*ZONE_FAULT_S)
+        return [
+            lambda: strikes.isolate(self.random_zone(), seconds, self.rng.choice(zone_faults.CUT_KINDS)),
+            lambda: strikes.cut_one_way(self.random_zone(), seconds, outward=self.rng.random() < 0.5),
+            lambda: self._cut_random_pair(seconds),
+            lambda: strikes.power_off(self.random_zone(), seconds),
+            lambda: strikes.return_workers(self.random_zone(), seconds, how="dark"),
+        ]
+
+    def _cut_random_pair(self, seconds: float) -> None:
+        one, other = self.rng.sample(self.site.shape.zones(), 2)
+        self.site.zone_faults.cut_pair(one, other, seconds)
+
+    def evacuate(self) -> None:
+        """Evacuate a random zone for a while; its workers are cold or warm at the end."""
+        zone, warm = self.random_zone(), self.rng.random() < 0.5
+        strikes, spawn = self.site.zone_faults, self.site.operator_runtime.spawn
+        spawn(strikes.evacuate(zone), log)
+        self.site.schedule(EVACUATED_S, lambda: spawn(strikes.take_back(zone, warm=warm), log))
+
+    def play(self) -> None:
+        """Play the day; half of the days end with a closing fault."""
+        self.site.applications.start()
+        actions = [
+            *self.node_faults(),
+            *self.worker_losses(),
+            *self.load_changes(),
+            *self.worker_faults(),
+            *self.configuration_changes(),
+            self.evacuate,
+            self.evacuate,
+        ]
+        for action in self.rng.sample(actions, self.rng.randrange(2, 5)):
+            self.site.schedule(self.fault_time(), action)
+        zone_slot, core_slot = self.rng.sample(SLOTS_S, 2)
+        self.site.schedule(zone_slot + SLOT_SPREAD_S * self.rng.random(), self.rng.choice(self.zone_faults()))
+        core_fault = self.rng.choice(self.core_faults())
+        self.site.schedule(
+            core_slot + SLOT_SPREAD_S * self.rng.random(), lambda: self.on_random_machine(self.site.cores, core_fault)
+        )
+        for seconds in CHANGE_TIMES_S:
+            self.site.schedule(seconds, self.site.configurations.begin_change, "idle")
+        self.site.advance(DAY_S)
+        if self.rng.random() < drawn_day.CLOSING_SHARE:
+            self.close()
+
+    def close(self) -> None:
+        """End the day with a closing fault right after an acknowledgement."""
+        days.acknowledged_change(self.site)
+        how = self.rng.choice(faults.CLOSING_FAULTS)
+        down = 0.7 + self.rng.random()
+        self.site.faults.close(how, down, wiped_count=self.site.shape.tolerated_losses)
+        self.site.advance(drawn_day.AFTER_CLOSING_S)
+
+
+def split_drawn(deployment: site.Site) -> None:
+    """Four to six faults at random times, one of them of a whole zone; half of these days end with a closing fault."""
+    SplitDrawnDay(deployment).play()
--- a/simulation/site/zone_faults.py
+++ b/simulation/site/zone_faults.py
@@ -9,6 +9,8 @@
 import functools
 import typing
 
+from simulation.site import settings_files
+
 if typing.TYPE_CHECKING:
     import collections.abc
 
@@ -60,6 +62,23 @@
 
         worker.on_overrun = functools.partial(self.site.schedule, 0, collapse)
 
+    # ---- evacuations --------------------------------------------------------------------
+
+    async def evacuate(self, zone: str) -> int:
+        """Let the operator evacuate a zone: the status."""
+        return await self._order(zone, begins=True)
+
+    async def take_back(self, zone: str, *, warm: bool) -> int:
+        """Let the operator take a zone's evacuation back: the status. The zone's workers are cold by then, or warm."""
+        if not warm:
+            for name in self.workers_of(zone):
+                self.cool(name)
+        return await self._order(zone, begins=False)
+
+    async def _order(self, zone: str, *, begins: bool) -> int:
+        seconds = settings_files.bounds(self.site.shape)["ack_deadline_ms"] / 1000
+        return await self.site.operator.order_evacuation(zone, begins=begins, seconds=seconds)
+
     # ---- cuts ---------------------------------------------------------------------------
 
     def cut(self, links: collections.abc.Iterable[ZoneLink], seconds: float, how: CutKind = "silent") -> None:
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -48,7 +48,7 @@
             for line in text.splitlines()
             if line.startswith("|")
         ][2:]
-        assert len(rows) == 14
+        assert len(rows) == 15
         named, checkers = set().union(*(row[3] for row in rows)), set().union(*(row[4] for row in rows))
         assert set() == named - set(platform_days.DAYS)
         assert set(platform_rules.RULES) == checkers
--- a/tests/test_split_days.py
+++ b/tests/test_split_days.py
@@ -10,6 +10,7 @@
 COLD_DAYS = (("cold_crash", 1), ("cold_return", 2), ("cold_burst", 2))
 TALLY_DAYS = (("tally_cut", 1), ("tally_kill", 1), ("tally_wipe", 1), ("tally_kill_all", 1))
 TALLY_RULES = ("tally_twice", "tally_stale", "tally_lost")
+EVACUATION_DAYS = (("evacuate", 1), ("evacuate_warm", 1), ("evacuate_closing", 1))
 ZONE_DAYS = (("zone_cut", 1), ("zone_one_way", 1), ("zone_bridge", 2), ("zone_power", 1))
 
 
@@ -24,6 +25,6 @@
     assert found == {day: [] for day in TALLY_DAYS}
 
 
-@pytest.mark.parametrize(("name", "seed"), [*COLD_DAYS, *ZONE_DAYS])
+@pytest.mark.parametrize(("name", "seed"), [*COLD_DAYS, *ZONE_DAYS, *EVACUATION_DAYS])
 def test_a_split_day_breaks_no_rule(name: str, seed: int) -> None:
     assert complaints(name, seed) == {}
