--- a/simulation/platform_rules.py
+++ b/simulation/platform_rules.py
@@ -18,7 +18,7 @@
 import defopt
 
 import simulation.rules.log as event_log
-from simulation.rules import answers, cold_workers, configuration, routing
+from simulation.rules import answers, cold_workers, configuration, evacuations, routing, tallies
 
 Rule = collections.abc.Callable[[event_log.Log], collections.abc.Iterator[str]]
 
@@ -38,6 +38,12 @@
     order=answers.order,
     recover=answers.recover,
     failback=cold_workers.failback,
+    tally_twice=tallies.twice,
+    tally_stale=tallies.stale,
+    tally_lost=tallies.lost,
+    evac=evacuations.evac,
+    evac_lost=evacuations.evac_lost,
+    evac_acks=evacuations.evac_acks,
 )
 
 
