Counters: tests for each guard; the aging of adds and the note of new origins go, which nothing needed

Each guard was taken out once by hand (durability by copies, the settling after a start, ticks instead of time, what counts as synced here and at others, broken and stalled disks, the least add of an id, incarnations, the gate of reads, leaving, forwarding, bounds of messages, newcomers, silence while unused). Seven of them no test noticed at first; five have tests now: adds count only once synced, a side with a broken disk goes on, a stalled disk at the accepting machine, adds of a restarted machine, nothing received is sent again. Two guarded nothing that the others don't, and are gone: adds were left to their origin for half a second before the rule for live origins did it better, and the first message of an incarnation asked for a comparison that the retry after a failed call begins within 0.2 s anyway.

--- a/iriswheel/replicated_counters/peer_replica.py
+++ b/iriswheel/replicated_counters/peer_replica.py
@@ -112,7 +112,7 @@
     def take(
         self,
         response: message.ReplicateAddsResponse,
-        held_for_long: counter_state.HeldAdds,
+        held: counter_state.HeldAdds,
         live_origins: collections.abc.Collection[str],
         now: int,
     ) -> None:
@@ -120,8 +120,7 @@
 
         Args:
             response: The answer.
-            held_for_long: What has been held here for so long that its origin should have brought it there: of this
-                the rest is sent from here.
+            held: What is held here; what of it is lacking there is sent from here.
             live_origins: The origins that can be reached from here, which bring their adds there themselves: unless
                 they turn out not to.
             now: The time.
@@ -140,7 +139,7 @@
         self.received.update(self._sent)
         self.received.update(self.synced)
         if response.complete:
-            self._choose_to_forward(self.received.lacks(held_for_long), live_origins, now)
+            self._choose_to_forward(self.received.lacks(held), live_origins, now)
 
     def _choose_to_forward(
         self, lacking: counter_state.HeldAdds, live_origins: collections.abc.Collection[str], now: int
--- a/iriswheel/replicated_counters/replicator.py
+++ b/iriswheel/replicated_counters/replicator.py
@@ -20,7 +20,6 @@
 CALL_TIMEOUT_US = 1 * units.SECOND_US
 SYNC_WAIT_US = 400 * units.MILLISECOND_US  # how long an answer waits for the disk; below a peer's patience
 RETRY_INTERVAL_US = 200 * units.MILLISECOND_US
-AGING_INTERVAL_US = 500 * units.MILLISECOND_US
 ADDRESS_INTERVAL_US = 250 * units.MILLISECOND_US
 
 log = loguru.logger.bind(part="counters")
@@ -60,9 +59,6 @@
         self.progress = disk_log.progress  # woken too whenever something was learnt of others, and at every tick
         self.active = False
         self._send_now = scheduler.Signal()
-        self._origins_seen: set[str] = set()
-        self._held_for_long = counters.held.copy()  # at least AGING_INTERVAL_US old
-        self._held_lately = counters.held.copy()
 
     def activate(self) -> None:
         """Start the tasks, where they don't run yet."""
@@ -70,7 +66,7 @@
             return
         self.active = True
         self._refresh()
-        for coroutine in (self._refresh_periodically(), self._tick_periodically(), self._age_periodically()):
+        for coroutine in (self._refresh_periodically(), self._tick_periodically()):
             self.runtime.spawn(coroutine, log)
 
     # ---- what is known -------------------------------------------------------------
@@ -109,9 +105,6 @@
     async def answer(self, request: message.ReplicateAdds) -> message.ReplicateAddsResponse:
         """Take adds, and say what is synced here of them, or of all where a digest is to be compared."""
         self.activate()
-        if request.sender not in self._origins_seen:
-            self._origins_seen.add(request.sender)
-            self.compare_now()
         if request.batches:
             wanted = self._insert(request.batches)
             self.progress.wake()
@@ -146,7 +139,7 @@
         self._send_now.wake()
 
     def compare_now(self) -> None:
-        """Compare with all other machines at once: one of them is new, or was heard again."""
+        """Compare with all other machines at once."""
         for replica in self.replicas.values():
             replica.compare_now = True
         self._send_now.wake()
@@ -176,11 +169,6 @@
                     log.warning("Counters: {}:{} can't be reached.", *replica.address)
             self.progress.wake()
 
-    async def _age_periodically(self) -> None:
-        while True:
-            await self.runtime.sleep(AGING_INTERVAL_US)
-            self._held_for_long, self._held_lately = self._held_lately, self.counters.held.copy()
-
     async def _replicate_to(self, replica: peer_replica.PeerReplica) -> None:
         """Send to one machine for as long as its address is known."""
         while self.replicas.get(replica.address) is replica:
@@ -200,6 +188,6 @@
         if not replica.reachable:
             log.info("Counters: {}:{} answers again.", *replica.address)
         answer = typing.cast("message.ReplicateAddsResponse", response)  # the only answer to ReplicateAdds
-        replica.take(answer, self._held_for_long, self._live_origins(), self.runtime.now())
+        replica.take(answer, self.counters.held, self._live_origins(), self.runtime.now())
         self.progress.wake()
         return answer.disk_ok
--- a/tests/test_counter_state.py
+++ b/tests/test_counter_state.py
@@ -183,6 +183,17 @@
         assert due is not None
         assert due.digest
 
+    def test_what_was_received_and_is_not_synced_yet_is_not_sent_again(self) -> None:
+        self.accept(2)
+        self.request()
+        self.answer({})
+        assert self.sequences() == {"own": [2, 1]}
+        self.answer({}, complete=False)
+        assert self.request() is None
+        again = self.request(2 + peer_replica.UNSYNCED_COMPARE_INTERVAL_US)
+        assert again is not None
+        assert (again.batches, again.digest) == ([], self.state.held.digest())
+
     def test_adds_of_other_origins_are_sent_after_a_comparison_only(self) -> None:
         self.request()
         self.answer({})
--- a/tests/test_replicated_counters.py
+++ b/tests/test_replicated_counters.py
@@ -72,11 +72,28 @@
     cluster.acknowledged("c1", "x", 4)
     cluster.acknowledged("c2", "x", 4)
     cluster.add("c3", "y", 7)
-    cluster.acknowledged("c5", "y", 7)
+    cluster.advance(0.005)
+    again = cluster.acknowledged("c5", "y", 7)
+    assert again.outcome[0][0] - again.started_at_us < AIM_US
     cluster.advance(1)
     assert cluster.sums() == {11}
 
 
+def test_a_repeat_is_acknowledged_no_sooner_than_a_new_add(cluster: counter_cluster.CounterCluster) -> None:
+    cluster.acknowledged("c1", "before")
+    for name in ("c1", "c2", "c3", "c4"):
+        host = cluster.cores[name].process.host
+        host.disk, host.slow_us = "slow", 450 * units.MILLISECOND_US
+    cluster.add("c3", "x", 7)
+    cluster.advance(0.05)
+    assert cluster.holders("x") == ["c5"]
+    again = cluster.add("c5", "x", 7)
+    while not again.outcome:
+        cluster.advance(0.0005)
+    assert again.acknowledged
+    assert len(cluster.holders("x")) >= counter_cluster.COPIES
+
+
 def test_both_sides_of_a_cut_go_on_and_agree_in_time_after_it(cluster: counter_cluster.CounterCluster) -> None:
     cluster.acknowledged("c1", "before", 100)
     cluster.cut("c1", "c2")
@@ -195,6 +212,18 @@
     assert cluster.read("c1") == 4
 
 
+def test_adds_of_a_machine_that_started_again_are_none_of_its_earlier_ones(
+    cluster: counter_cluster.CounterCluster,
+) -> None:
+    cluster.acknowledged("c1", "before", 1)
+    cluster.kill("c1")
+    cluster.start("c1")
+    cluster.advance(1)
+    cluster.acknowledged("c1", "after", 2)
+    cluster.advance(0.5)
+    assert cluster.sums() == {3}
+
+
 def test_a_machine_that_reaches_nobody_reads_what_it_has(cluster: counter_cluster.CounterCluster) -> None:
     cluster.acknowledged("c5", "x", 4)
     cluster.kill("c5")
@@ -263,6 +292,41 @@
     assert len(cluster.holders("x")) == len(cluster.holders("y")) == 5
 
 
+@pytest.mark.parametrize("slow", [["c1"], ["c2", "c3", "c4", "c5"], ["c1", "c4", "c5"]])
+def test_an_add_counts_as_held_only_once_it_is_synced(cluster: counter_cluster.CounterCluster, slow: list[str]) -> None:
+    cluster.acknowledged("c1", "before")
+    for name in slow:
+        host = cluster.cores[name].process.host
+        host.disk, host.slow_us = "slow", 450 * units.MILLISECOND_US
+    call = cluster.add("c1", "x", 2)
+    while not call.outcome:
+        cluster.advance(0.0005)
+    assert call.acknowledged
+    assert len(cluster.holders("x")) >= counter_cluster.COPIES
+
+
+@pytest.mark.parametrize("condition", ["full", "stalled"])
+def test_a_side_goes_on_where_one_of_its_disks_does_not_work(
+    cluster: counter_cluster.CounterCluster, condition: typing.Literal["full", "stalled"]
+) -> None:
+    cluster.cut("c1", "c2")
+    cluster.advance(2)
+    cluster.cores["c2"].process.host.disk = condition
+    cluster.acknowledged("c1", "x", 2)
+    assert cluster.holders("x") == ["c1"]
+    assert cluster.read("c2") == 2
+
+
+def test_the_other_machine_of_a_side_is_enough_where_the_own_disk_stalls(
+    cluster: counter_cluster.CounterCluster,
+) -> None:
+    cluster.cut("c4", "c5")
+    cluster.advance(2)
+    cluster.cores["c4"].process.host.disk = "stalled"
+    cluster.acknowledged("c4", "x", 2)
+    assert cluster.holders("x") == ["c5"]
+
+
 def test_a_refusal_promises_that_nothing_was_done(cluster: counter_cluster.CounterCluster) -> None:
     cluster.cut("c4", "c5")
     cluster.cores["c4"].process.host.disk = "full"
