Counters: an add acknowledged in a cut is on the own disk; a new disk reads nothing until it knows

What callers could see: an add acknowledged by the side of a cut whose machine had a stalled disk was on one other machine's disk only, and gone with that one; only the loss of the acknowledging machine's own disk is excused. And a machine on a new disk answered sums of 0 from 1.5 s after its start, alone or with another one on a new disk. Change: the fallback to fewer copies wants this machine among the holders; a machine without adds that does not found the fleet reads nothing until it has caught up with copies - 1 others, of which one kept its disk. Replaced: the test that one other disk is enough while the own one stalls.

--- a/iriswheel/control/core.py
+++ b/iriswheel/control/core.py
@@ -82,6 +82,7 @@
             peers=self.peers,
             machine=self.consensus.own_voter.id,
             copies=options.copies,
+            founding=options.found,
             addresses=self.consensus.addresses_heard,
         )
         self.operator_api = operator_api.OperatorApi(
--- a/iriswheel/replicated_counters/counters.py
+++ b/iriswheel/replicated_counters/counters.py
@@ -19,7 +19,8 @@
 SETTLE_US = 3 * units.SECOND_US  # after a start, for which silence is not taken for a cut
 READ_DELAY_US = 1_500 * units.MILLISECOND_US  # after a start, for which reads wait for comparisons
 ACKNOWLEDGE_TIMEOUT_US = 2 * units.SECOND_US
-MAX_UNSYNCED = 10_000  # adds; more are refused
+MAX_UNSYNCED = 10_000  # adds accepted here; more are refused
+MAX_ADDS = 300_000  # held in memory; more are refused
 OWN_MACHINE = ("", 0)  # stands for this machine among the addresses of the others
 
 
@@ -33,6 +34,7 @@
         peers: Calls to other machines.
         machine: This machine's identity.
         copies: How many machines hold an add before it is acknowledged, as long as so many can be reached.
+        founding: Whether the whole system starts for the first time; else a disk without adds may be a new one.
         addresses: Gives the addresses of the other core machines.
     """
 
@@ -45,6 +47,7 @@
         peers: peer_calls.PeerCalls,
         machine: str,
         copies: int,
+        founding: bool,
         addresses: collections.abc.Callable[[], set[peer_replica.Address]],
     ) -> None:
         self.runtime = runtime
@@ -58,6 +61,7 @@
         )
         self.stopping = False
         self.few_copies_count = 0  # adds acknowledged by fewer than `copies` machines
+        self._may_lack_all = not founding and not len(self.state.held)  # until enough others were compared with
         self._last_sequence = 0
         self._held_at_stop = counter_state.HeldAdds()
 
@@ -104,16 +108,28 @@
             errors.ServiceError: `not_ready`, where this machine has just started and may lack what others hold.
         """
         self.replicator.activate()
-        just_started = self.runtime.now() - self.started_at_us < READ_DELAY_US
-        if just_started and not self.replicator.holds_what_majority_had():
+        if self._may_lack_adds():
             raise errors.ServiceError("not_ready", "This machine has just started and compares its counters.")
         return self.state.sum_of(name)
 
+    def _may_lack_adds(self) -> bool:
+        """Whether what others hold may be missing here, since this machine has just started.
+
+        A machine without any adds may have a new disk. Of `copies` machines at least one kept its disk, so it waits
+        until it has caught up with so many others that they and itself are `copies`, however long that takes.
+        """
+        if self._may_lack_all:
+            self._may_lack_all = self.replicator.machines_caught_up_with() + 1 < self.copies
+        just_started = self.runtime.now() - self.started_at_us < READ_DELAY_US
+        return self._may_lack_all or (just_started and not self.replicator.holds_what_majority_had())
+
     def _refuse_if_unable(self) -> None:
         if self.stopping:
             raise errors.ServiceError("stopping", "This machine is leaving.")
-        if self.disk_log.unsynced_count >= MAX_UNSYNCED:
+        if self._last_sequence - len(self.disk_log.synced.of_origin(self.origin)) >= MAX_UNSYNCED:
             raise errors.ServiceError("busy", "Too many adds wait for the disk.")
+        if len(self.state.held) >= MAX_ADDS:
+            raise errors.ServiceError("busy", "This machine holds as many adds as it can.")
         if not self.disk_log.is_working() and len(self.replicator.writable()) < self.copies:
             raise errors.ServiceError("too_few_copies", "The disk does not work, nor do enough others.")
 
@@ -138,6 +154,7 @@
             self._holders(add_id),
             self.replicator.writable() | own,
             self.copies,
+            own=OWN_MACHINE,
             settled=self.runtime.now() - self.started_at_us >= SETTLE_US,
         )
 
--- a/iriswheel/replicated_counters/replicator.py
+++ b/iriswheel/replicated_counters/replicator.py
@@ -81,12 +81,13 @@
 
     def holds_what_majority_had(self) -> bool:
         """Whether this machine holds what a majority of the machines, itself included, held when it compared."""
-        compared = [
-            replica
-            for replica in self.replicas.values()
-            if replica.compared and self.counters.held.has_all_of(replica.synced)
-        ]
-        return len(compared) + 1 >= decisions.majority(len(self.replicas) + 1)
+        return self.machines_caught_up_with() + 1 >= decisions.majority(len(self.replicas) + 1)
+
+    def machines_caught_up_with(self) -> int:
+        """How many other machines this one has compared with, and holds all that they held then."""
+        return sum(
+            replica.compared and self.counters.held.has_all_of(replica.synced) for replica in self.replicas.values()
+        )
 
     def machines_with(self, adds: counter_state.HeldAdds) -> int:
         """How many other machines are known to have some adds synced."""
--- a/simulation/counter_cluster.py
+++ b/simulation/counter_cluster.py
@@ -44,15 +44,15 @@
         self.cores: dict[str, server_model.SimulatedCore] = {}
         self.hosts = {name: f"10.0.1.{number}" for number, name in enumerate(MACHINES, 1)}
         self.calls: list[Call] = []
-        self.start(*MACHINES)
+        self.start(*MACHINES, founding=True)
 
     def start_newcomer(self, name: str, host: str) -> None:
         """Start a core machine that the seeds of the others don't name."""
         self.hosts[name] = host
         self.start(name)
 
-    def start(self, *names: str) -> None:
-        """Start core machines on the disks that are there."""
+    def start(self, *names: str, founding: bool = False) -> None:
+        """Start core machines on the disks that are there; `founding` for the whole fleet's first start."""
         for name in names:
             process = process_model.SimulatedProcess(
                 self.world, name, self.powered_machine(self.hosts[name], MACHINES.get(name, "west"))
@@ -70,6 +70,7 @@
                 copies=COPIES,
                 seats=len(MACHINES),
                 grace_us=8 * units.SECOND_US,
+                found=founding,
             )
             core = self.cores[name] = server_model.SimulatedCore(process, runtime, core_options)
             process.reactor.listenTCP(addresses.PEER_PORT, wire.Listener(runtime, core.serve, simulated_cluster.log))
--- a/tests/test_counter_state.py
+++ b/tests/test_counter_state.py
@@ -269,13 +269,13 @@
     def test_enough_copies_or_all_that_there_can_be(
         self, holders: set[str], writable: set[str], copies: int, settled: bool
     ) -> None:
-        durable = durability.is_durable(holders, writable, copies, settled=settled)
+        durable = durability.is_durable(holders, writable, copies, own="a", settled=settled)
         if len(holders) >= copies:
             assert durable
         elif not settled or len(writable - holders) > 0:
             assert not durable
         else:
-            assert durable == bool(writable)
+            assert durable == ("a" in holders)
 
     def test_no_add_is_durable_that_no_machine_holds(self) -> None:
-        assert not durability.is_durable(set(), set(), 1, settled=True)
+        assert not durability.is_durable(set(), set(), 1, own="a", settled=True)
--- a/tests/test_replicated_counters.py
+++ b/tests/test_replicated_counters.py
@@ -4,7 +4,7 @@
 import json
 import typing
 
-import configuration_api
+import core_api
 import pytest
 
 from iriswheel.runtime import units
@@ -317,14 +317,19 @@
     assert cluster.read("c2") == 2
 
 
-def test_the_other_machine_of_a_side_is_enough_where_the_own_disk_stalls(
+def test_the_other_machine_of_a_side_is_not_enough_while_the_own_disk_stalls(
     cluster: counter_cluster.CounterCluster,
 ) -> None:
     cluster.cut("c4", "c5")
     cluster.advance(2)
     cluster.cores["c4"].process.host.disk = "stalled"
-    cluster.acknowledged("c4", "x", 2)
+    call = cluster.add("c4", "x", 2)
+    cluster.advance(1.5)
     assert cluster.holders("x") == ["c5"]
+    assert not call.acknowledged
+    cluster.cores["c4"].process.host.repair()
+    cluster.advance(0.4)
+    assert call.acknowledged
 
 
 def test_a_refusal_promises_that_nothing_was_done(cluster: counter_cluster.CounterCluster) -> None:
@@ -429,8 +434,8 @@
 def test_the_platforms_tallies_are_replicated_counters(cluster: counter_cluster.CounterCluster) -> None:
     core = cluster.cores["c1"]
     platform_port = addresses.HTTP_PORT + 1
-    handler = configuration_api.ConfigurationApi(core)
-    core.process.reactor.listenTCP(platform_port, http_server.Server(core.runtime, handler.handle))
+    handler = core_api.make_handler(core)
+    core.process.reactor.listenTCP(platform_port, http_server.Server(core.runtime, handler))
     caller = Caller(cluster)
     added = caller.call("POST", "/tallies/t3", '{"id": "5c0e7a21d94b36f8", "actor": 4}', platform_port)
     assert added == (200, {"id": "5c0e7a21d94b36f8"})
