--- a/iriswheel/dataplane/cold_workers.py
+++ b/iriswheel/dataplane/cold_workers.py
@@ -22,8 +22,8 @@
 SENDERS = 3
 """Nodes that send to one cold worker: where one is lost, the others go on."""
 
-RATE_SHARE = 0.5
-"""The part of a cold worker's rate that its senders use: nodes that disagree about the members may double it."""
+RATE_SHARE = 1 / 3
+"""The part of a cold worker's rate that its senders use: three groups of nodes may disagree about the members."""
 
 MAX_FIRST_PAUSE_US = 500 * units.MILLISECOND_US
 """A new sender waits one pause, and no longer than this, before its first request."""
@@ -90,7 +90,7 @@
     """The pause that each of the senders leaves between two requests to a worker that bears a rate while it is cold.
 
     >>> send_interval_us(16.0, 3)
-    375000
+    562500
     """
     return int(senders * units.SECOND_US / (cold_rate * RATE_SHARE))
 
--- a/iriswheel/dataplane/forwarding.py
+++ b/iriswheel/dataplane/forwarding.py
@@ -365,9 +365,12 @@
     ) -> attempt_outcome.AttemptOutcome:
         """Send a request over a connection and wait until its answer has ended or its time is over."""
         left_us = request.deadline_us - self.runtime.now()
-        if left_us <= 0 or not self._may_send_now(request, worker):
+        if left_us <= 0 or not self.node.follower.accepts_requests(worker.id):
             connection.drop()
             return attempt_outcome.AttemptOutcome.UNSENT
+        if not self._is_due(request, worker):
+            connection.release()
+            return attempt_outcome.AttemptOutcome.UNSENT
         head = self.protocol.head(
             request.http_request, len(request.raw), worker, left_us, request.urgency, request.last_event_id
         )
@@ -393,11 +396,10 @@
             request.may_have_run = may_have_run_before
         return outcome
 
-    def _may_send_now(self, request: forwarded_request.ForwardedRequest, worker: message.Worker) -> bool:
-        """Whether a worker may still be sent to, after the wait for a connection; a send to a cold one is noted."""
+    def _is_due(self, request: forwarded_request.ForwardedRequest, worker: message.Worker) -> bool:
+        """Whether a worker, if it is cold, may be sent to now, after the wait for a connection; notes the send."""
         listed = self.node.follower.states.get(worker.id, worker)
-        accepts_requests = self.node.follower.accepts_requests(worker.id)
-        return accepts_requests and self.cold_workers.start_send(listed, request.pool)
+        return self.cold_workers.start_send(listed, request.pool)
 
 
 def is_silent(stream: answer_stream.AnswerStream, overdue: bool, now: int) -> bool:
--- a/iriswheel/runtime/storage.py
+++ b/iriswheel/runtime/storage.py
@@ -142,7 +142,7 @@
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
             with contextlib.suppress(FileNotFoundError):  # it may have grown in an earlier incarnation
                 self.size = max(self.size, 2 * (self.database / "data.mdb").stat().st_size)
-            self._environment()
+            self._environment().sync(True)  # an earlier process may have been killed between a write and its sync
             sync_folders(absolute(self.database), top)
         except (OSError, lmdb.Error) as error:
             raise DiskError(f"The data folder can't be used: {error}") from error
