--- a/tests/test_split_days.py
+++ b/tests/test_split_days.py
@@ -1,9 +1,18 @@
-"""Days of split sites keep the rules: cold workers, cuts between zones, and zones that lose power."""
+"""Days of split sites keep the rules: cold workers, cuts, zones without power, evacuations, counters.
 
+Without a guard of the product its day breaks its rule.
+"""
+
+import contextlib
 import functools
+from typing import Any, NamedTuple
+from unittest import mock
 
 import pytest
 
+from iriswheel.dataplane import cold_workers
+from iriswheel.node import follower
+from iriswheel.replicated_counters import add_log, counter_state
 from simulation import platform_days, platform_rules
 
 SHAPE = "apart"
@@ -28,3 +37,37 @@
 @pytest.mark.parametrize(("name", "seed"), [*COLD_DAYS, *ZONE_DAYS, *EVACUATION_DAYS, *TALLY_DAYS])
 def test_a_split_day_breaks_no_rule(name: str, seed: int) -> None:
     assert complaints(name, seed) == {}
+
+
+class Guard(NamedTuple):
+    """What is taken out of the product, and the day and rule by which its absence shows."""
+
+    patches: list[tuple[Any, str, Any]]  # owner, attribute, what stands in its place
+    day: tuple[str, int]
+    rule: str
+
+
+GUARDS = {
+    "cold_rate": Guard(
+        [
+            (cold_workers.ColdWorkers, "_may_send", lambda *_: True),
+            (cold_workers.ColdWorkers, "start_send", lambda *_: True),
+        ],
+        ("cold_burst", 2),
+        "failback",
+    ),
+    "evacuated_zones": Guard([(follower.Follower, "_take_evacuations", lambda *_: None)], ("evacuate", 1), "evac"),
+    "adds_on_disk": Guard(
+        [(add_log, "load", lambda _state: counter_state.CounterState())], ("tally_kill_all", 1), "tally_lost"
+    ),
+}
+
+
+@pytest.mark.parametrize("name", GUARDS)
+def test_a_split_day_without_a_guard_breaks_its_rule(name: str) -> None:
+    guard = GUARDS[name]
+    with contextlib.ExitStack() as stack:
+        for owner, attribute, instead in guard.patches:
+            stack.enter_context(mock.patch.object(owner, attribute, instead))
+        played = platform_days.play(*guard.day, SHAPE)
+    assert guard.rule in platform_rules.examine(played.event_log.rows)
