One settled cluster serves both test files of the counters

The same fixture stood in tests/test_replicated_counters.py and tests/test_counters_on_lost_disks.py; it is counter_cluster.settled_cluster now.

--- a/simulation/counter_cluster.py
+++ b/simulation/counter_cluster.py
@@ -145,3 +145,12 @@
             for name, core in self.cores.items()
             if any(key.startswith(b"counter/") and raw in value for key, value in core.process.host.synced.items())
         ]
+
+
+def settled_cluster() -> CounterCluster:
+    """A cluster that has run for long enough for silence to count as a cut, and whose counters are in use."""
+    started = CounterCluster()
+    started.advance(5)
+    started.sums()
+    started.advance(0.5)
+    return started
--- a/tests/test_counters_on_lost_disks.py
+++ b/tests/test_counters_on_lost_disks.py
@@ -11,11 +11,7 @@
 @pytest.fixture
 def cluster() -> counter_cluster.CounterCluster:
     """A cluster that has run for long enough."""
-    started = counter_cluster.CounterCluster()
-    started.advance(5)
-    started.sums()
-    started.advance(0.5)
-    return started
+    return counter_cluster.settled_cluster()
 
 
 @pytest.mark.parametrize("started", [WIPED, WIPED[:1]])
--- a/tests/test_replicated_counters.py
+++ b/tests/test_replicated_counters.py
@@ -20,11 +20,7 @@
 @pytest.fixture
 def cluster() -> counter_cluster.CounterCluster:
     """A cluster that has run for long enough."""
-    started = counter_cluster.CounterCluster()
-    started.advance(5)
-    started.sums()
-    started.advance(0.5)
-    return started
+    return counter_cluster.settled_cluster()
 
 
 def test_an_add_is_acknowledged_in_time_once_three_disks_hold_it(cluster: counter_cluster.CounterCluster) -> None:
