--- a/review/2/test_lost_race.py
+++ b/review/3/test_lost_race.py
@@ -1,4 +1,4 @@
-"""Plays case 2 as a test, which fails as long as the fault is there; the default test run leaves it out."""
+"""Plays case 3 as a test, which fails as long as the fault is there; the default test run leaves it out."""
 
 from __future__ import annotations
 
