Send nodes that start only the configuration that is known to be committed

Cause: a core machine that has restarted can't tell which entries of its log were committed. It sent nodes without a configuration its newest state, entries included that the other machines had replaced while it was down; the first core machine that a node asked decided.

Ruled out: the entry was never committed on any core machine (view 3 has the other two in front, each with the other entry at index 2), and no serving core machine sent it.

Change: each replica records on disk, after the commit and beside the chain, how far its log is committed.

Why it works: a committed entry is part of every later view, so a node never has to go back.

Changed checks: disk.json and the set of known disk keys have the new record.

--- a/benchmarks/total_loss.py
+++ b/benchmarks/total_loss.py
@@ -5,8 +5,9 @@
 All core machines and nodes are lost at the same moment, and start again about a second later, at slightly different
 times. The following times are measured, all from the moment when a majority of the core machines runs again: until
 the tail holds its lease, until the first node holds a lease, until the first node is ready, until a client's request
-is answered for the first time, and until a change that was submitted after the loss is acknowledged for the first
-time.
+is answered for the first time, until a change that was submitted after the loss is acknowledged for the first time, and
+until the newest change that was acknowledged before the loss is in force on the first node and on all nodes. A node may
+have that change earlier, from a core machine that started before the majority did; such a time is negative.
 """
 
 from __future__ import annotations
@@ -36,6 +37,9 @@
 OK = 200  # HTTP status
 REQUEST_INTERVAL_US = 20 * units.MILLISECOND_US
 
+if typing.TYPE_CHECKING:
+    from simulation import server_model
+
 log = loguru.logger.bind(part="total_loss")
 
 
@@ -49,6 +53,8 @@
     ready: int | None = None
     served: int | None = None
     acknowledged: int | None = None
+    newest_first: int | None = None
+    newest_all: int | None = None
 
 
 MEASURES = tuple(field.name for field in dataclasses.fields(Recovery) if field.name != "fault")
@@ -108,18 +114,17 @@
 
 def measure(cluster: simulated_cluster.SimulatedCluster, operators: change_recovery.Operators, fault: str) -> Recovery:
     """End all processes, and wait until every measured event has happened or the limit is reached."""
-    lost_at = cluster.world.time
+    lost_at, newest = cluster.world.time, operators.current
     begins_at = fail_all_processes(cluster, fault)
     clients = Clients(cluster)
     cluster.operator_runtime.spawn(clients.run(), log)
-    cluster.advance((begins_at - lost_at) / units.SECOND_US)
     found: dict[str, int | None] = dict.fromkeys(MEASURES)
     while (
         None in found.values() and cluster.world.time < begins_at + change_recovery.RECOVERY_LIMIT_S * units.SECOND_US
     ):
         cluster.advance(change_recovery.STEP_S)
         now = cluster.world.time
-        for name, has_happened in _observe(cluster, operators, clients, lost_at).items():
+        for name, has_happened in _observe(cluster, operators, clients, lost_at, newest).items():
             if found[name] is None and has_happened:
                 found[name] = now - begins_at
     return Recovery(fault, **found)
@@ -130,17 +135,27 @@
     operators: change_recovery.Operators,
     clients: Clients,
     lost_at: int,
+    newest: int,
 ) -> dict[str, bool]:
     nodes = [node for node in cluster.nodes.values() if node.process.alive]
+    have_newest = [number_in_force(node) >= newest for node in nodes]
     return {
         "tail_lease": cluster.tail() is not None,
         "node_lease": any(node.follower.session.lease.is_valid(node.runtime.now()) for node in nodes),
         "ready": any(node.ready()[0] for node in nodes),
         "served": clients.first_served_at is not None,
         "acknowledged": any(done.sent >= lost_at for done in operators.acknowledged),
+        "newest_first": any(have_newest),
+        "newest_all": len(have_newest) == len(cluster.nodes) and all(have_newest),
     }
 
 
+def number_in_force(node: server_model.SimulatedNode) -> int:
+    """The number of the operators' change that is in force on a node; 0 for none."""
+    route = node.follower.routes.get("probe")
+    return 0 if route is None else int(route.path.rsplit("/", 1)[1])
+
+
 def measure_seed(start: change_recovery.StartSettings, faults: collections.abc.Sequence[str]) -> list[Recovery]:
     """Measure all kinds of loss with one seed, each on a new idle cluster with this seed."""
     loguru.logger.remove()
@@ -154,8 +169,8 @@
 def row(cores: int, fault: str, recoveries: list[Recovery]) -> str:
     """A row of the printed table: the median and the maximum of each time over all seeds, in seconds.
 
-    >>> row(3, "kill", [Recovery("kill", 100_000, 150_000, 200_000, 250_000, 400_000)])
-    '| 3 | kill | 1 | 0.10, 0.10 | 0.15, 0.15 | 0.20, 0.20 | 0.25, 0.25 | 0.40, 0.40 |'
+    >>> row(3, "kill", [Recovery("kill", 100_000, 150_000, 200_000, 250_000, 400_000, 90_000, 300_000)])
+    '| 3 | kill | 1 | 0.10, 0.10 | 0.15, 0.15 | 0.20, 0.20 | 0.25, 0.25 | 0.40, 0.40 | 0.09, 0.09 | 0.30, 0.30 |'
     """
     recoveries_of_fault = [recovery for recovery in recoveries if recovery.fault == fault]
     cells = [
--- a/iriswheel/control/core.py
+++ b/iriswheel/control/core.py
@@ -130,10 +130,12 @@
         identifier, view = self.consensus.own_voter.id, self.consensus.view
         if view is not None:
             log.info(
-                "Core machine {core} starts with view {view} and log index {log_index} from its disk.",
+                "Core machine {core} starts with view {view} and log index {log_index} from its disk, "
+                "of which index {committed_index} is known to be committed.",
                 core=identifier,
                 view=view.number,
                 log_index=self.chain.latest_state.index,
+                committed_index=self.chain.committed_state.index,
             )
         else:
             log.info("Core machine {core} starts without a stored view.", core=identifier)
@@ -230,7 +232,6 @@
         if self.stopping:
             self.node_sessions.redirect(connection)
             return
-        self.node_sessions.send_unconfirmed_configuration(connection, join)
         self.loads.reset_node(join.member.id)
         self.counters.joins += 1
         self.node_sessions.open(connection, join)
--- a/iriswheel/control/node_session.py
+++ b/iriswheel/control/node_session.py
@@ -7,7 +7,6 @@
 
 import loguru
 
-from iriswheel.configuration import configuration
 from iriswheel.control import slices
 from iriswheel.membership import assignments
 from iriswheel.runtime import scheduler, units
@@ -18,9 +17,9 @@
     from iriswheel.transport import wire
 
 HEARTBEAT_INTERVAL_US = 250 * units.MILLISECOND_US
-# Time after the start for which a core machine that does not serve sends nodes its unconfirmed configuration. Later it
-# counts as cut off, and its state may be out of date.
-UNCONFIRMED_AFTER_START_US = 15 * units.SECOND_US
+# Time after the start for which a core machine that does not serve sends a node without a configuration the newest one
+# that its disk shows to be committed. Later it counts as cut off, and its state may be out of date.
+RECOVERED_STATE_VALIDITY_US = 15 * units.SECOND_US
 NO_MEMBERSHIP = (0, 0)
 
 log = loguru.logger.bind(part="core")
@@ -103,7 +102,7 @@
         source = SliceSource(base.index, latest.version if latest is not None else None)
         if base.index < self.sent_index or source == self.slice_source:
             return
-        if self.sent_index < 0 and not self.is_serving():
+        if self.sent_index < 0 and not self.is_serving() and not self._may_send_recovered_state():
             return  # a node without any configuration must not start with one that may be out of date
         self.slice_source = source
         current = self._slice()
@@ -115,6 +114,16 @@
                 self.connection.tell(message.ConfigurationUpdate(base.index, changes))
         self.sent_slice, self.sent_index = current, base.index
 
+    def _may_send_recovered_state(self) -> bool:
+        """Whether a node may start with the configuration that this machine has recovered from its disk.
+
+        After a loss of all processes the core machines take some time to agree on a view. The committed state may miss
+        the newest changes, but holds none that other changes have replaced: nodes never go back behind it.
+        """
+        parts = self.parts
+        has_started_recently = parts.runtime.now() - parts.consensus.started_at_us < RECOVERED_STATE_VALIDITY_US
+        return has_started_recently and parts.chain.committed_state.index > 0
+
     def _send_membership(self) -> None:
         latest = self.parts.membership.latest
         if latest is not None and latest.version > self.sent_membership:
@@ -181,19 +190,6 @@
         self.parts.runtime.spawn(self._run(session), log)
         self.parts.node_reports.report_now.wake()
 
-    def send_unconfirmed_configuration(self, connection: wire.Connection, join: message.JoinRequest) -> None:
-        """Send the configuration from this machine's disk to a node that has none, shortly after the start.
-
-        This applies only while the machine does not serve yet, for example since it has no contact to the tail.
-        """
-        parts = self.parts
-        state = parts.chain.latest_state
-        started_recently = parts.runtime.now() - parts.consensus.started_at_us < UNCONFIRMED_AFTER_START_US
-        if self.is_serving() or join.applied_index >= 0 or not state.index or not started_recently:
-            return
-        items = configuration.slice_for_node(state.items, join.member.zone)
-        connection.tell(message.UnconfirmedConfiguration((state.view, state.index), items))
-
     def drop_broken(self) -> None:
         """Remove the sessions whose connection is down, and end their leases."""
         for node in [node for node, session in self.by_node.items() if not session.connection.up]:
--- a/iriswheel/node/core_session.py
+++ b/iriswheel/node/core_session.py
@@ -138,7 +138,7 @@
         """Return this node's heartbeat: the versions of its configuration and membership, and the time of sending."""
         follower = self.follower
         return message.SessionHeartbeat(
-            follower.confirmed_index(), follower.membership.version, None, self.runtime.now()
+            follower.reported_index(), follower.membership.version, None, self.runtime.now()
         )
 
     def receive(self, connection: wire.Connection, msg: message.Message) -> None:
--- a/iriswheel/node/follower.py
+++ b/iriswheel/node/follower.py
@@ -43,7 +43,7 @@
 reach a worker."""
 
 NO_CONFIGURATION = -1
-"""The applied log index that a node reports before its first confirmed configuration."""
+"""The applied log index that a node reports before its first configuration."""
 
 log = loguru.logger.bind(part="follower")
 
@@ -66,8 +66,6 @@
         self.session = core_session.CoreSession(self, options.seed_list())
         self.applied_index = 0
         self.items: configuration.Items | None = None  # the slice, unparsed
-        # (view, log index) of the unconfirmed configuration in use; None if a serving core sent the configuration
-        self.unconfirmed_position: tuple[int, int] | None = None
         self.route_index = route_index.RouteIndex()
         self.pools: dict[str, configuration.Pool] = {}
         self.terms: dict[str, configuration.Terms] = {}
@@ -156,9 +154,9 @@
         """Return the route for a host and a path, or None."""
         return self.route_index.find(host, path)
 
-    def confirmed_index(self) -> int:
-        """Return the log index of the confirmed configuration that this node has applied, or NO_CONFIGURATION."""
-        return NO_CONFIGURATION if self.items is None or self.unconfirmed_position else self.applied_index
+    def reported_index(self) -> int:
+        """Return the log index of the configuration that this node has applied, or NO_CONFIGURATION."""
+        return NO_CONFIGURATION if self.items is None else self.applied_index
 
     # ---- staleness and partitions -----------------------------------------------
 
@@ -257,10 +255,8 @@
             items: All items of a snapshot, or the changed items of an update; None removes an item.
             is_snapshot: Whether `items` replaces the whole slice.
         """
-        has_base = self.items is not None and not self.unconfirmed_position
-        if index < self.applied_index or not (has_base or is_snapshot):
+        if index < self.applied_index or (self.items is None and not is_snapshot):
             return
-        self.unconfirmed_position = None
         before = self.items or {}
         after, changes = _replace(before, items) if is_snapshot else _apply_changes(before, items)
         parsed = [_parse(key, value) for key, value in changes if key.split("/", 1)[0] in configuration.KINDS]
@@ -301,26 +297,6 @@
             case "limits":
                 self.limits = item or configuration.Limits()
 
-    def apply_unconfirmed(self, unconfirmed: message.UnconfirmedConfiguration) -> None:
-        """Use the configuration on a core machine's disk while this node has no other and no core serves.
-
-        After a loss of all processes the core takes some seconds to form a view, but everything
-        that it acknowledged is on its disks. The first snapshot of a serving core replaces the
-        unconfirmed configuration.
-        """
-        in_use = self.unconfirmed_position
-        is_newer = in_use is not None and in_use < unconfirmed.position
-        if self.items is not None and not is_newer:
-            return
-        self.apply_items(0, unconfirmed.items, is_snapshot=True)
-        self.unconfirmed_position = unconfirmed.position
-        view, log_index = unconfirmed.position
-        log.info(
-            "No core serves yet; the node uses the unconfirmed configuration of view {view}, log index {log_index}.",
-            view=view,
-            log_index=log_index,
-        )
-
     def apply_membership(self, membership: message.Membership | None) -> None:
         """Apply a membership and its worker list, unless this node has the same or a newer version."""
         if membership is None or membership.version <= self.membership.version:
@@ -354,8 +330,6 @@
         match update:
             case message.ConfigurationSnapshot(index=index, items=items):
                 self.apply_items(index, items, is_snapshot=True)
-            case message.UnconfirmedConfiguration():
-                self.apply_unconfirmed(update)
             case message.ConfigurationUpdate(index=index, items=items):
                 self.apply_items(index, items, is_snapshot=False)
             case message.MembershipUpdate(membership=membership):
@@ -374,7 +348,7 @@
     def join_request(self) -> message.JoinRequest:
         """Return the message that opens a session: this node, and the versions of its configuration and membership."""
         membership = self.membership if self.membership.version > (0, 0) else None
-        return message.JoinRequest(self.node.member, self.confirmed_index(), membership, self.runtime.now())
+        return message.JoinRequest(self.node.member, self.reported_index(), membership, self.runtime.now())
 
     async def watch_core_contact(self) -> None:
         """Detect freezes, and ask the peers about the core while this node has no contact with it; one task."""
--- a/iriswheel/replication/replicated_log.py
+++ b/iriswheel/replication/replicated_log.py
@@ -8,7 +8,7 @@
 import msgspec
 from twisted.internet import defer
 
-from iriswheel.replication import replicated_state, snapshot_format, snapshot_transfer
+from iriswheel.replication import commit_record, replicated_state, snapshot_format, snapshot_transfer
 from iriswheel.runtime import scheduler, storage
 from iriswheel.transport import message
 
@@ -57,24 +57,38 @@
         self.disk = disk
         self.lock = defer.DeferredLock()
         """Held from the decision on a write until the write is synced."""
+        self.commit_record = commit_record.CommitRecord(runtime, disk, records)
         raw = records.get(SNAPSHOT_KEY)
         self.committed_state = replicated_state.ReplicatedState() if raw is None else snapshot_format.decode(raw)
+        """The state after the newest entry that is known to be committed."""
+        self._snapshot_index = self.committed_state.index
         stored = [decode_entry(value) for key, value in sorted(records.items()) if key.startswith(ENTRY_KEY_PREFIX)]
         self.entries = {entry.index: entry for entry in stored}
         self.latest_state = self.committed_state
         """The committed state with the uncommitted entries applied."""
-        for entry in stored:
-            if entry.index > self.latest_state.index:
-                self.latest_state = self.latest_state.apply(entry)
         self.history = {self.committed_state.index: self.committed_state}
         """The most recent committed states, by log index."""
+        self._apply_recovered(stored)
         self.appended = scheduler.Signal()
         self.committed = scheduler.Signal()
         self.on_commit: collections.abc.Callable[[], object] = lambda: None
-        self._snapshot_index = self.committed_state.index
         self._bytes_since_snapshot = 0
         self._pinned_snapshot: snapshot_transfer.OutgoingSnapshot | None = None
 
+    def _apply_recovered(self, stored: list[message.LogEntry]) -> None:
+        """Apply the entries found on disk; those up to the recorded position count as committed.
+
+        The record is disregarded if the log does not hold the entry that it names.
+        """
+        recorded = self.commit_record.written
+        states = {}
+        for entry in stored:
+            if entry.index > self.latest_state.index:
+                self.latest_state = states[entry.index] = self.latest_state.apply(entry)
+        if recorded.index in states and states[recorded.index].position == recorded:
+            self.history |= {index: state for index, state in states.items() if index <= recorded.index}
+            self.committed_state = states[recorded.index]
+
     @property
     def last_index(self) -> int:
         """The index of the newest entry that this replica has synced."""
@@ -92,6 +106,7 @@
             self._bytes_since_snapshot += len(encode_entry(entry.changes)) if entry.changes else 0
             self.history[self.committed_state.index] = self.committed_state
         self._drop_old_history()
+        self.commit_record.advance(self.committed_state.position)
         self.committed.wake()
         self.on_commit()
         self._start_compaction_if_due()
--- a/iriswheel/transport/messages/node_session.py
+++ b/iriswheel/transport/messages/node_session.py
@@ -21,9 +21,9 @@
 
 
 class UnconfirmedConfiguration(message_base.Message, tag="Early", frozen=True):
-    """The configuration on one core machine's disk, for a node without any while no core machine serves.
+    """The configuration on one core machine's disk, as earlier versions sent it; nodes ignore it.
 
-    All of it is synced on that disk; its newest changes may not have been acknowledged to the operator.
+    Its newest changes may never have been committed, and may have been refused since.
     """
 
     position: tuple[int, int]  # view and index of its newest log entry
--- a/simulation/mutation_checks.py
+++ b/simulation/mutation_checks.py
@@ -38,6 +38,7 @@
 from iriswheel.membership import lease, membership_manager
 from iriswheel.node import follower, peer_status, platform_listing
 from iriswheel.pools import pool_owner, selection, worker_watch
+from iriswheel.replication import commit_record
 from iriswheel.transport import http_server, message
 from iriswheel.verification import replay
 from simulation import seed_runs
@@ -245,7 +246,15 @@
         "in_force",
     ),
     "whole_copies": Guard([Patch(view_formation, "next_chain", _order_unsynced_first)], "replace_all", 4, "kept"),
-    "tips": Guard([Patch(view_formation, "next_chain", _order_without_last_entries)], "disk_old", 1, "kept"),
+    "tips": Guard(
+        [
+            Patch(view_formation, "next_chain", _order_without_last_entries),
+            Patch(commit_record, "read", lambda _records: commit_record.NOTHING_COMMITTED),
+        ],
+        "disk_old",
+        1,
+        "kept",
+    ),
     "pools": Guard([Patch(follower.Follower, "apply_workers", _apply_as_one_pool)], "other_pool", 1, "allowed"),
     "pins": Guard([Patch(sessions.SessionTable, "affinity", lambda _self, _identifier: None)], "calm", 1, "pinned"),
     "cap": Guard([Patch(sessions.SessionTable, "count", lambda _self, _worker: 0)], "many_talks", 1, "capped"),
@@ -264,7 +273,7 @@
         [Patch(follower.Follower, "configuration_may_be_stale", lambda _self: False)], "cut_node", 3, "in_force"
     ),
     "places": Guard(
-        [Patch(follower.Follower, "is_partitioned", _partitioned_at_any_index)], "wake_without_core", 1, "in_force"
+        [Patch(follower.Follower, "is_partitioned", _partitioned_at_any_index)], "wake_without_core", 2, "in_force"
     ),
     "all_neighbours": Guard(
         [Patch(follower.Follower, "is_partitioned", _partitioned_by_half)], "cut_sides", 1, "in_force"
--- a/tests/outside.py
+++ b/tests/outside.py
@@ -277,7 +277,7 @@
 
 def event_rows() -> list[dict[str, typing.Any]]:
     """Return the event log of a short simulated run with changes and faults."""
-    cluster = simulated_cluster.SimulatedCluster(13, "small", long_rate=0.5, short_rate=3, conversations=2, seconds=24)
+    cluster = simulated_cluster.SimulatedCluster(9, "small", long_rate=0.5, short_rate=3, conversations=2, seconds=24)
     cluster.begin()
     actions.confirm_changes(cluster, 3, 3)
     cluster.advance(6)
--- a/tests/test_recorded_disk.py
+++ b/tests/test_recorded_disk.py
@@ -25,7 +25,12 @@
 from tests import deferreds, recorded
 
 RECORDS = recorded.load("disk.json")["records"]
-RECORD_TYPES = {"entry": message.LogEntry, "frame": snapshot_format.Snapshot, "council": decisions.Record}
+RECORD_TYPES = {
+    "committed": message.LogPosition,
+    "council": decisions.Record,
+    "entry": message.LogEntry,
+    "frame": snapshot_format.Snapshot,
+}
 FOLDERS = ("folder-e746a15", "folder-format-2")
 NAMES = ("c1", "c2", "c3")
 
@@ -235,7 +240,7 @@
     for machine in cluster.cores.values():
         synced = machine.process.host.synced
         keys = {re.sub(rb"^e[0-9]{16}$|^shelf/desk$", b"", key) for key in synced}
-        assert keys - {b"", b"identity", b"format", b"council", b"frame"} == set()
+        assert keys - {b"", b"identity", b"format", b"council", b"frame", b"committed"} == set()
         assert synced[b"format"] == b"3"
         assert synced[b"identity"] in [disk[b"identity"] for disk in recorded_disks(folder).values()]
 
