Send nodes each item that any state since the last update changed

Cause: an update was the difference of the first and the last state that a core machine had sent on one session. A node with two sessions may have got a state in between on the other one; a route that only this state had is in neither end, so the update did not remove it.

No message changes.

Why it works: a node is at one of these states, and what changed after it is in the update.

--- a/iriswheel/control/node_session.py
+++ b/iriswheel/control/node_session.py
@@ -14,6 +14,7 @@
 
 if typing.TYPE_CHECKING:
     from iriswheel.control import core_parts
+    from iriswheel.replication import replicated_state
     from iriswheel.transport import wire
 
 HEARTBEAT_INTERVAL_US = 250 * units.MILLISECOND_US
@@ -91,11 +92,11 @@
         if self.connection.up:
             self.connection.tell(message.Redirect(self.parts.voters()))
 
-    def _slice(self) -> slices.Slice:
-        """The configuration items that this node currently needs."""
+    def _slice_of(self, state: replicated_state.ReplicatedState) -> slices.Slice:
+        """The items of a state that this node currently needs."""
         latest = self.parts.membership.latest
         pools = assignments.owned_pools(latest.assignments, self.member.id) if latest is not None else ()
-        return self.slices.slice(self.parts.chain.committed_state, self.member.zone, pools)
+        return self.slices.slice(state, self.member.zone, pools)
 
     def _send_configuration(self) -> None:
         base, latest = self.parts.chain.committed_state, self.parts.membership.latest
@@ -105,15 +106,39 @@
         if self.sent_index < 0 and not self.is_serving() and not self._may_send_recovered_state():
             return  # a node without any configuration must not start with one that may be out of date
         self.slice_source = source
-        current = self._slice()
-        if self.sent_slice is None:
+        current = self._slice_of(base)
+        changes = self._changes_since_sent(base, current)
+        if changes is None:
             self.connection.tell(message.ConfigurationSnapshot(base.index, current))
-        else:
-            changes = self.slices.delta(self.sent_slice, current)
-            if changes or base.index > self.sent_index:
-                self.connection.tell(message.ConfigurationUpdate(base.index, changes))
+        elif changes or base.index > self.sent_index:
+            self.connection.tell(message.ConfigurationUpdate(base.index, changes))
         self.sent_slice, self.sent_index = current, base.index
 
+    def _changes_since_sent(
+        self, latest: replicated_state.ReplicatedState, current: slices.Slice
+    ) -> slices.SliceChanges | None:
+        """The update that turns the slice sent last, or that of any state since, into the current one.
+
+        The node may have got some of the states in between on a session with another core machine. So the update holds
+        each item that any of them changed, even if the first and the last state agree on it.
+
+        Returns:
+            The update; None if the node needs a snapshot, since a state in between is not kept any more.
+        """
+        if self.sent_slice is None:
+            return None
+        history = self.parts.chain.history
+        changes: slices.SliceChanges = {}
+        before = self.sent_slice
+        for index in range(self.sent_index + 1, latest.index):
+            if index not in history:
+                return None
+            following = self._slice_of(history[index])
+            changes |= self.slices.delta(before, following)
+            before = following
+        changes |= self.slices.delta(before, current)
+        return {key: current.get(key) for key in changes}
+
     def _may_send_recovered_state(self) -> bool:
         """Whether a node may start with the configuration that this machine has recovered from its disk.
 
