Take no lease from the tail's answer to an earlier life of a core machine

Found by asking by what right a machine believes what it is sent after a restart; seen by no caller.

Cause: until the next view the tail echoes the sending time of the last report that a core machine sent before it restarted. The restarted machine took it for an answer to itself. After a reboot its clock has begun anew, so its lease would have ended far in the future, and it would have granted nodes leases that the tail does not wait for.

Ruled out: a killed process keeps the machine's clock; there the lease was short, and no node is listed before the next view.

Change: an echo counts only for the incarnation that is in the chain. What the heartbeat says of committed entries holds for any incarnation.

--- a/iriswheel/consensus/decisions.py
+++ b/iriswheel/consensus/decisions.py
@@ -109,15 +109,23 @@
     return record.view is not None and record.synced_view == record.view.number
 
 
+def is_replica(record: Record, identifier: str, incarnation: str) -> bool:
+    """Whether this incarnation of a machine is a replica of the record's chain, whether or not the view is sealed.
+
+    >>> view = message.View(2, [], [message.ChainReplica("a", "1")])
+    >>> is_replica(Record(view), "a", "1"), is_replica(Record(view), "a", "2")
+    (True, False)
+    """
+    return record.view is not None and message.ChainReplica(identifier, incarnation) in record.view.chain
+
+
 def is_serving(record: Record, identifier: str, incarnation: str) -> bool:
     """Whether this incarnation of a machine is a replica of the record's chain, and the view is not sealed.
 
     >>> is_serving(Record(message.View(2, [], [message.ChainReplica("a", "1")])), "a", "2")
     False
     """
-    if record.view is None or is_sealed(record):
-        return False
-    return message.ChainReplica(identifier, incarnation) in record.view.chain
+    return not is_sealed(record) and is_replica(record, identifier, incarnation)
 
 
 def is_tail(record: Record, identifier: str, incarnation: str) -> bool:
--- a/iriswheel/consensus/view_consensus.py
+++ b/iriswheel/consensus/view_consensus.py
@@ -113,6 +113,10 @@
         """Whether this machine votes in the newest view."""
         return self.acceptor.is_voter()
 
+    def is_replica(self) -> bool:
+        """Whether this incarnation is a replica of the newest view's chain, whether or not the view is sealed here."""
+        return decisions.is_replica(self.record, self.own_voter.id, self.runtime.incarnation)
+
     def is_serving(self, number: int | None = None) -> bool:
         """Whether this incarnation is a replica of the newest view's chain, and the view is not sealed here.
 
--- a/iriswheel/control/tail_contact.py
+++ b/iriswheel/control/tail_contact.py
@@ -53,14 +53,18 @@
         return latest is not None and bool(latest.members) and not self.session_count
 
     def receive(self, heartbeat: message.TailHeartbeat) -> None:
-        """Handle a heartbeat; one from another view than the current one is ignored."""
+        """Handle a heartbeat; one from another view than the current one is ignored.
+
+        Its echo counts only for the incarnation that is in the chain: until the next view the tail repeats the time of
+        a report that this machine sent before it restarted, maybe on a clock that has begun anew since.
+        """
         if self.parts.consensus.view is None or heartbeat.view != self.parts.consensus.view.number:
             return
-        self.parts.lease.renew(heartbeat.echo)
-        if heartbeat.echo:
+        if heartbeat.echo and self.parts.consensus.is_replica():
+            self.parts.lease.renew(heartbeat.echo)
             sent_at = max(heartbeat.echo, self.answered_report.sent_at)
             self.answered_report = AnsweredReport(sent_at, heartbeat.view)
-        else:  # the tail has no report of this machine in this view yet
+        else:  # the tail has no report of this incarnation in this view yet
             self.parts.node_reports.report_now.wake()
         self.parts.membership.keep_newest(heartbeat.membership)
         if self.parts.chain.is_synced():
