--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -77,6 +77,19 @@
         return 0, {}
 
 
+def post_status(port: int, path: str, timeout_s: float) -> int:
+    """Send an empty POST; returns the status of the answer, 0 without one."""
+    request = urllib.request.Request(f"http://{HOST}:{port}{path}", b"", method="POST")
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as response:
+            response.read()
+            return int(response.status)
+    except urllib.error.HTTPError as e:
+        return e.code
+    except (OSError, ValueError):
+        return 0
+
+
 def free_port() -> int:
     """A free port for a core machine, whose port must be known before it starts.
 
--- a/simulation/fingerprint.py
+++ b/simulation/fingerprint.py
@@ -3,6 +3,7 @@
     python -m simulation.fingerprint record tests/data/behaviour.json
     python -m simulation.fingerprint check tests/data/behaviour.json --jobs 8
     python -m simulation.fingerprint check tests/data/behaviour.json --only day
+    python -m simulation.fingerprint renew tests/data/behaviour.json --only second_loss
     python -m simulation.fingerprint show tests/data/behaviour.json "scene calm magnolia 1"
 
 The key of a run is a line of words: its part (scene, day or second_loss), its name, and its parameters. Its
@@ -188,6 +189,11 @@
         return job[0].run, [f"raised {error!r}"]
 
 
+def _renew_one(job: tuple[str, Names]) -> Fingerprint:
+    run, names = job
+    return fingerprint(run, observed_runs.observe(run, names), names)
+
+
 @contextlib.contextmanager
 def _pool(jobs: int) -> collections.abc.Iterator[typing.Any]:
     count = jobs or max(1, (os.cpu_count() or 2) // 2)
@@ -231,6 +237,28 @@
     sys.exit(1 if failed else 0)
 
 
+def renew(file: str, *, only: str = "", jobs: int = 0) -> None:
+    """Play recorded runs again, after an intended change of behaviour, and store their present fingerprints.
+
+    All other runs and the table of renames stay as they are. The file is written after each run, so that the command
+    may be stopped at any time.
+
+    :param file: the file of recorded fingerprints
+    :param only: renew only the runs whose keys begin with these words, such as a part: scene, day or second_loss
+    :param jobs: number of processes; 0 for half of the processor cores
+    """
+    recorded = read(file)
+    runs = {run.run: run for run in recorded.runs}
+    chosen = [(run.run, recorded.names) for run in recorded.runs if f"{run.run} ".startswith(only)]
+    changed = 0
+    with _pool(jobs) as pool:
+        for run in pool.imap_unordered(_renew_one, chosen):
+            changed += runs[run.run] != run
+            runs[run.run] = run
+            pathlib.Path(file).write_text(encode_record(Record(recorded.names, list(runs.values()))))
+    print(f"{len(chosen)} runs played, {changed} changed")
+
+
 def show(file: str, run: str) -> None:
     """Print the event log of a run in the form that is digested, to compare it with that of another version.
 
@@ -251,4 +279,4 @@
 
 if __name__ == "__main__":
     fix_hash_seed()
-    defopt.run([record, check, show])
+    defopt.run([record, check, renew, show])
