--- a/simulation/refused_changes.py
+++ b/simulation/refused_changes.py
@@ -2,11 +2,13 @@
 
     python -m simulation.refused_changes --seeds 50
     python -m simulation.refused_changes --first-seed 7 --seeds 1
+    python -m simulation.refused_changes --seeds 50 --wide
 
 In each round two operators submit different changes of the same base. Faults of core machines are timed so that one
 change is stored by a part of the machines only and the other one wins. Then processes of the fleet are lost and start
 again, in an order drawn from the seed, and every node is watched: a change that is refused, now or later, must never be
 in force anywhere, no node may go back to an older change, and the newest acknowledged change must come into force.
+With the option `wide` core machines are also stopped in order, and nodes that live are frozen over a restart.
 """
 
 from __future__ import annotations
@@ -38,6 +40,7 @@
 
 ACCEPTED, REFUSED, NO_ANSWER = 200, 409, 504  # HTTP statuses
 FAULTS = ("kill", "power", "freeze", "cut", "cut from cores")
+WIDE_FAULTS = (*FAULTS, "stop")
 RESTARTS = ("all by kill", "all by power", "cores and some nodes", "nodes only")
 
 log = loguru.logger.bind(part="races")
@@ -104,7 +107,9 @@
 class RaceRun:
     """One simulated run: some rounds, each with a race of two changes and a restart of processes."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, wide: bool = False) -> None:
+        self.wide = wide
+        self.fault_kinds = WIDE_FAULTS if wide else FAULTS
         self.cluster = simulated_cluster.SimulatedCluster(
             seed,
             "magnolia",
@@ -190,10 +195,10 @@
         blocked = self.rng.sample(others, (len(others) + 1) // 2 if self.rng.random() < 0.3 else 1)
         first, second = self._new_change(), self._new_change()
         for name in blocked:
-            self._fail(name, self.rng.choice(FAULTS))
+            self._fail(name, self.rng.choice(self.fault_kinds))
         self.cluster.operator_runtime.spawn(self._call(first, head_name), log)
         self.observer.advance(self.rng.random() * MAX_FAULT_DELAY_S)
-        self._fail(head_name, self.rng.choice(FAULTS))
+        self._fail(head_name, self.rng.choice(self.fault_kinds))
         self.observer.advance(self.rng.uniform(*DOWN_S))
         for name in blocked:
             self._repair(name)
@@ -232,14 +237,23 @@
                 process.host.fail()
             case "freeze":
                 process.freeze()
+            case "stop":
+                self._stop(name)
             case "cut":
                 actions.cut_off(self.cluster, name)
             case "cut from cores":
                 self.cluster.world.cut([self.cluster.places[name].host], self.cluster.hosts("cores"))
 
+    def _stop(self, name: str) -> None:
+        """Stop a core machine in order, and kill it where it stays on because it is needed."""
+        core = self.cluster.cores[name]
+        core.runtime.spawn(core.stop(), log).addBoth(lambda _: core.process.kill())
+
     def _repair(self, name: str) -> None:
         fault = self.failed.pop(name, "")
-        if fault in ("kill", "power"):
+        if fault == "stop":
+            self.cluster.cores[name].process.kill()
+        if fault in ("kill", "power", "stop"):
             self._start(name)
         elif fault == "freeze":
             self.cluster.cores[name].process.wake()
@@ -269,6 +283,8 @@
         """
         kind = self.rng.choice(RESTARTS)
         names = self._processes_to_restart(kind)
+        if self.wide:
+            self._freeze_nodes([name for name in self.cluster.nodes if name not in names])
         for name in names:
             process = self.cluster.servers()[name].process
             if name in self.cluster.cores:
@@ -291,6 +307,14 @@
             self.observer.advance(self.rng.random())
             self._repair(name)
 
+    def _freeze_nodes(self, names: list[str]) -> None:
+        """Freeze some nodes that live on, each for a time of its own."""
+        for name in names:
+            process = self.cluster.nodes[name].process
+            process.freeze()
+            wake_at = self.cluster.world.time + int(self.rng.random() * SETTLE_S * units.SECOND_US)
+            self.cluster.world.push(wake_at, process.wake)
+
     def _processes_to_restart(self, kind: str) -> list[str]:
         cores, nodes = sorted(self.cluster.cores), sorted(self.cluster.nodes)
         match kind:
@@ -324,26 +348,29 @@
         return True
 
 
-def play(seed: int) -> seed_runs.Outcome[int]:
+def play(seed: int, *, wide: bool = False) -> seed_runs.Outcome[int]:
     """Play one seed in this process."""
     loguru.logger.remove()
-    complaints = RaceRun(seed).play()
+    complaints = RaceRun(seed, wide=wide).play()
     return seed_runs.Outcome(seed, {"races": complaints} if complaints else {}, {}, 0.0)
 
 
-def main(*, seeds: int = 50, first_seed: int = 1, processes: int = 2) -> typing.NoReturn:
+def main(*, seeds: int = 50, first_seed: int = 1, wide: bool = False, processes: int = 2) -> typing.NoReturn:
     """Play the seeds, and print the complaints of each failed one with the command that repeats it.
 
     :param seeds: number of seeds
     :param first_seed: the first seed
+    :param wide: stop core machines in order too, and freeze nodes over a restart
     :param processes: number of processes that play runs
     """
     outcomes = list(
         seed_runs.play_all(
-            play,
+            functools.partial(play, wide=wide),
             range(first_seed, first_seed + seeds),
             lambda seed: f"seed {seed}",
-            lambda seed: f"python -m simulation.refused_changes --first-seed {seed} --seeds 1",
+            lambda seed: (
+                f"python -m simulation.refused_changes --first-seed {seed} --seeds 1{' --wide' if wide else ''}"
+            ),
             processes,
         )
     )
