--- a/simulation/refused_changes.py
+++ b/simulation/refused_changes.py
@@ -279,7 +279,7 @@
         """Lose a part or all of the processes, and start them again one by one.
 
         The old head, whose disk may hold the refused change, comes back first, last or in between. At most one disk is
-        lost, and not where the old head's own machine counts as lost in a fleet that bears the loss of one machine.
+        lost: of three core machines the old head's, which counts as lost already, and of five any.
         """
         kind = self.rng.choice(RESTARTS)
         names = self._processes_to_restart(kind)
