--- a/iriswheel/control/node_session.py
+++ b/iriswheel/control/node_session.py
@@ -14,7 +14,7 @@
 
 if typing.TYPE_CHECKING:
     from iriswheel.control import core_parts
-    from iriswheel.replication import replicated_state
+    from iriswheel.replication import replicated_state, state_history
     from iriswheel.transport import wire
 
 HEARTBEAT_INTERVAL_US = 250 * units.MILLISECOND_US
@@ -51,10 +51,8 @@
         self.member = join.member
         self.sent_index = join.applied_index
         self.applied_index = join.applied_index
-        known_state = parts.chain.history.get(join.applied_index)
-        self.sent_slice: slices.Slice | None = (
-            None if known_state is None else slice_cache.slice(known_state, self.member.zone, ())
-        )
+        self.sent_pools: tuple[str, ...] | None = () if join.applied_index in parts.chain.history else None
+        """The pools for which the slice sent last was computed; None if it is unknown what the node has."""
         self.sent_membership = join.membership.version if join.membership is not None else NO_MEMBERSHIP
         self.heartbeat_sent_at = 0
         self.has_lease = False  # whether the last heartbeat granted the node a lease
@@ -92,10 +90,15 @@
         if self.connection.up:
             self.connection.tell(message.Redirect(self.parts.voters()))
 
-    def _slice_of(self, state: replicated_state.ReplicatedState) -> slices.Slice:
-        """The items of a state that this node currently needs."""
+    def _owned_pools(self) -> tuple[str, ...]:
+        """The pools that this node currently owns."""
         latest = self.parts.membership.latest
-        pools = assignments.owned_pools(latest.assignments, self.member.id) if latest is not None else ()
+        return assignments.owned_pools(latest.assignments, self.member.id) if latest is not None else ()
+
+    def _slice(
+        self, state: replicated_state.ReplicatedState | state_history.PublishedState, pools: tuple[str, ...]
+    ) -> slices.Slice:
+        """The items of a state that this node needs as the owner of some pools."""
         return self.slices.slice(state, self.member.zone, pools)
 
     def _send_configuration(self) -> None:
@@ -106,38 +109,37 @@
         if self.sent_index < 0 and not self.is_serving() and not self._may_send_recovered_state():
             return  # a node without any configuration must not start with one that may be out of date
         self.slice_source = source
-        current = self._slice_of(base)
-        changes = self._changes_since_sent(base, current)
+        pools = self._owned_pools()
+        current = self._slice(base, pools)
+        changes = self._changes_since_sent(current, pools)
         if changes is None:
-            self.connection.tell(message.ConfigurationSnapshot(base.index, current))
+            self.connection.tell(message.ConfigurationSnapshot(base.index, current.items))
         elif changes or base.index > self.sent_index:
             self.connection.tell(message.ConfigurationUpdate(base.index, changes))
-        self.sent_slice, self.sent_index = current, base.index
+        self.sent_pools, self.sent_index = pools, base.index
 
-    def _changes_since_sent(
-        self, latest: replicated_state.ReplicatedState, current: slices.Slice
-    ) -> slices.SliceChanges | None:
+    def _changes_since_sent(self, current: slices.Slice, pools: tuple[str, ...]) -> slices.SliceChanges | None:
         """The update that turns the slice sent last, or that of any state since, into the current one.
 
         The node may have got some of the states in between on a session with another core machine. So the update holds
         each item that any of them changed, even if the first and the last state agree on it.
 
         Returns:
-            The update; None if the node needs a snapshot, since a state in between is not kept any more.
+            The update; None if the node needs a snapshot, since not all states from the one sent last on are kept.
         """
-        if self.sent_slice is None:
-            return None
         history = self.parts.chain.history
+        if self.sent_pools is None or self.sent_index not in history:
+            return None
         changes: slices.SliceChanges = {}
-        before = self.sent_slice
-        for index in range(self.sent_index + 1, latest.index):
+        before = self._slice(history[self.sent_index], self.sent_pools)
+        for index in range(self.sent_index + 1, current.key.log_index):
             if index not in history:
                 return None
-            following = self._slice_of(history[index])
+            following = self._slice(history[index], pools)
             changes |= self.slices.delta(before, following)
             before = following
         changes |= self.slices.delta(before, current)
-        return {key: current.get(key) for key in changes}
+        return {key: current.items.get(key) for key in changes}
 
     def _may_send_recovered_state(self) -> bool:
         """Whether a node may start with the configuration that this machine has recovered from its disk.
@@ -188,6 +190,7 @@
 
     def wake_all(self) -> None:
         """Wake every session, so that it sends its node new configuration and membership."""
+        self._slices.forget_before(self.parts.chain.history.oldest_index)
         for session in list(self.by_node.values()):
             session.changed.wake()
 
--- a/iriswheel/control/slices.py
+++ b/iriswheel/control/slices.py
@@ -11,15 +11,18 @@
 from iriswheel.configuration import configuration
 
 if typing.TYPE_CHECKING:
-    from iriswheel.replication import replicated_state
+    import collections.abc
+
+    from iriswheel.replication import replicated_state, state_history
 
 CACHE_CAPACITY = 256  # entries in each cache
+MAX_CACHED_ITEMS = 1 << 16  # items in all slices or changes of one cache; a cached item takes some 100 bytes
 
-Slice: typing.TypeAlias = dict[str, configuration.Item]
+Items: typing.TypeAlias = dict[str, configuration.Item]
 SliceChanges: typing.TypeAlias = dict[str, configuration.Item | None]  # None removes an item
 
 Key = typing.TypeVar("Key")
-Value = typing.TypeVar("Value")
+Value = typing.TypeVar("Value", bound="typing.Sized")
 
 
 class SliceKey(typing.NamedTuple):
@@ -31,15 +34,56 @@
     pools: tuple[str, ...]
 
 
-class CachedChanges(typing.NamedTuple):
-    """The changes between two slices, which are cached under the `id()` of both slices.
+class Slice(typing.NamedTuple):
+    """The items that a node needs of one state."""
+
+    key: SliceKey
+    items: Items
+
+
+class ChangesKey(typing.NamedTuple):
+    """The two slices between which changes are computed."""
+
+    old: SliceKey
+    new: SliceKey
+
 
-    The entry keeps both slices alive, so that no other object can get the same `id()`.
+class Cache(typing.Generic[Key, Value]):
+    """A cache that drops its oldest entries beyond a bound on their count and on the items in them.
+
+    >>> cache = Cache[str, list[int]](capacity=3, max_items=4)
+    >>> for key, value in (("a", [1]), ("b", [1, 2]), ("c", [1, 2, 3])):
+    ...     _ = cache.put(key, value)
+    >>> cache.get("b"), cache.get("c")
+    (None, [1, 2, 3])
     """
 
-    old: Slice
-    new: Slice
-    changes: SliceChanges
+    def __init__(self, capacity: int = CACHE_CAPACITY, max_items: int = MAX_CACHED_ITEMS) -> None:
+        self._capacity = capacity
+        self._max_items = max_items
+        self._entries: dict[Key, Value] = {}
+        self._items = 0
+
+    def get(self, key: Key) -> Value | None:
+        """The value under a key; None if it is not cached."""
+        return self._entries.get(key)
+
+    def put(self, key: Key, value: Value) -> Value:
+        """Add a value under a new key, and return it; it is kept whatever its size is."""
+        self._entries[key] = value
+        self._items += len(value)
+        while len(self._entries) > 1 and (len(self._entries) > self._capacity or self._items > self._max_items):
+            self.drop(next(iter(self._entries)))
+        return value
+
+    def drop(self, key: Key) -> None:
+        """Remove the value under a key."""
+        self._items -= len(self._entries.pop(key))
+
+    def drop_where(self, is_outdated: collections.abc.Callable[[Key], bool]) -> None:
+        """Remove all values whose key is outdated."""
+        for key in [key for key in self._entries if is_outdated(key)]:
+            self.drop(key)
 
 
 class Slices:
@@ -49,35 +93,40 @@
     >>> one, two = [replicated_state.ReplicatedState(n).with_changes([("limits/door", {"head_us": n})]) for n in (1, 2)]
     >>> slices = Slices()
     >>> a, b = slices.slice(one, "north", ()), slices.slice(two, "north", ())
-    >>> slices.slice(one, "north", ()) is a, slices.delta(a, b)
+    >>> slices.slice(one, "north", ()).items is a.items, slices.delta(a, b)
     (True, {'limits/door': {'head_us': 2}})
+    >>> slices.forget_before(2); slices.slice(one, "north", ()).items is a.items
+    False
     """
 
     def __init__(self) -> None:
-        self._slices: dict[SliceKey, Slice] = {}
-        self._changes: dict[tuple[int, int], CachedChanges] = {}
-
-    def slice(self, state: replicated_state.ReplicatedState, zone: str, pools: tuple[str, ...]) -> Slice:
+        self._items: Cache[SliceKey, Items] = Cache()
+        self._changes: Cache[ChangesKey, SliceChanges] = Cache()
+
+    def slice(
+        self,
+        state: replicated_state.ReplicatedState | state_history.PublishedState,
+        zone: str,
+        pools: tuple[str, ...],
+    ) -> Slice:
         """The slice of a state for a node in a zone; `pools` are the pools that the node owns."""
         key = SliceKey(state.index, state.view, zone, pools)
-        return self._slices.get(key) or _store(
-            self._slices, key, configuration.slice_for_node(state.published, zone, pools)
-        )
+        items = self._items.get(key)
+        if items is None:
+            items = self._items.put(key, configuration.slice_for_node(state.published, zone, pools))
+        return Slice(key, items)
 
     def delta(self, old: Slice, new: Slice) -> SliceChanges:
         """The changes that turn one slice into another."""
-        if old is new:
+        if old.key == new.key:
             return {}
-        key = (id(old), id(new))
-        cached = self._changes.get(key)
-        if cached is None:
-            cached = _store(self._changes, key, CachedChanges(old, new, dict(configuration.difference(old, new))))
-        return cached.changes
-
-
-def _store(cache: dict[Key, Value], key: Key, value: Value) -> Value:
-    """Add a value to a cache; a full cache first drops its oldest entry."""
-    if len(cache) >= CACHE_CAPACITY:
-        del cache[next(iter(cache))]
-    cache[key] = value
-    return value
+        key = ChangesKey(old.key, new.key)
+        changes = self._changes.get(key)
+        if changes is None:
+            changes = self._changes.put(key, dict(configuration.difference(old.items, new.items)))
+        return changes
+
+    def forget_before(self, log_index: int) -> None:
+        """Drop what is cached of states before a log index, so that the cache does not keep their items in memory."""
+        self._items.drop_where(lambda key: key.log_index < log_index)
+        self._changes.drop_where(lambda key: key.old.log_index < log_index)
--- a/iriswheel/replication/chain.py
+++ b/iriswheel/replication/chain.py
@@ -18,7 +18,7 @@
     import collections.abc
 
     from iriswheel.consensus import view_consensus
-    from iriswheel.replication import replicated_state
+    from iriswheel.replication import replicated_state, state_history
     from iriswheel.runtime import scheduler, storage
     from iriswheel.transport import peer_calls
 
@@ -95,8 +95,8 @@
         return self.log.latest_state
 
     @property
-    def history(self) -> collections.abc.Mapping[int, replicated_state.ReplicatedState]:
-        """The most recent committed states, by log index."""
+    def history(self) -> state_history.StateHistory:
+        """The most recent committed states as nodes receive them, by log index."""
         return self.log.history
 
     def is_synced(self) -> bool:
@@ -117,6 +117,7 @@
         """Begin work in a new view: the tail commits, any other replica sends entries to its successor."""
         async with self.log.lock:
             pass  # waits for a write that was started in an earlier view
+        self.log.compact_recovered()
         if self.position.is_tail_of(view.number):
             self.tail.commit_synced(view.number)
             return
--- a/iriswheel/replication/proposals.py
+++ b/iriswheel/replication/proposals.py
@@ -11,6 +11,8 @@
 if typing.TYPE_CHECKING:
     from iriswheel.replication import chain_position, replicated_log, replicated_state, tail
 
+MAX_UNCOMMITTED_BYTES = 4 << 20  # size of the entries that wait to be committed, from which on no change is taken
+
 
 def refuse(code: str, text: str) -> message.ProposeChangeResponse:
     """A refusal: the change has not run, and this request will not cause it to run later."""
@@ -78,7 +80,7 @@
                 return refused
             index = index_of_accepted(self.log.latest_state, request)
             if index is None:
-                refused = refusal_of_new_change(self.log.latest_state, request)
+                refused = self._refusal_while_backlogged() or refusal_of_new_change(self.log.latest_state, request)
                 if refused is not None:
                     return refused
                 try:
@@ -102,6 +104,12 @@
             return refuse("no_chain", "The head's disk does not work.")
         return None
 
+    def _refusal_while_backlogged(self) -> message.ProposeChangeResponse | None:
+        """The refusal while more changes wait to be committed than this machine keeps in memory."""
+        if self.log.uncommitted_bytes > MAX_UNCOMMITTED_BYTES:
+            return refuse("no_chain", "Too many changes wait for the other machines of the chain.")
+        return None
+
     async def _append(self, request: message.ProposeChange) -> int:
         index = self.log.last_index + 1
         entry = message.LogEntry(index, request.view, request.kind, request.plan, request.base, request.changes)
--- a/iriswheel/replication/receiver.py
+++ b/iriswheel/replication/receiver.py
@@ -5,7 +5,7 @@
 import typing
 
 from iriswheel.consensus import decisions
-from iriswheel.replication import snapshot_format, snapshot_transfer
+from iriswheel.replication import snapshot_format, snapshot_transfer, stored_entries
 from iriswheel.runtime import storage
 from iriswheel.transport import message
 
@@ -83,9 +83,9 @@
             Whether the message was stored; False if it does not continue what this replica holds.
         """
         if request.whole_snapshot is not None:
-            return await self._restore(
-                request.whole_snapshot, snapshot_format.decode(request.whole_snapshot), request.entries
-            )
+            state = snapshot_format.decode(request.whole_snapshot)
+            entries = [stored_entries.StoredEntry.of(entry) for entry in request.entries]
+            return await self._restore(request.whole_snapshot, state, entries)
         if request.snapshot:
             return await self._stage_entries(request)
         if request.after is not None and request.after != self.log.latest_state.position:
@@ -106,7 +106,10 @@
         return not request.last or await self._restore(bytes(incoming.content), state, incoming.entries)
 
     async def _restore(
-        self, snapshot: bytes, state: replicated_state.ReplicatedState, entries: list[message.LogEntry]
+        self,
+        snapshot: bytes,
+        state: replicated_state.ReplicatedState,
+        entries: list[stored_entries.StoredEntry],
     ) -> bool:
         """Replace this replica's log by a snapshot and all entries after it, unless the snapshot arrived late.
 
--- a/iriswheel/replication/replicated_log.py
+++ b/iriswheel/replication/replicated_log.py
@@ -5,28 +5,36 @@
 import typing
 
 import loguru
-import msgspec
 from twisted.internet import defer
 
-from iriswheel.replication import commit_record, replicated_state, snapshot_format, snapshot_transfer
+from iriswheel.replication import (
+    applied_entries,
+    commit_record,
+    replicated_state,
+    snapshot_format,
+    snapshot_transfer,
+    state_history,
+    stored_entries,
+)
 from iriswheel.runtime import scheduler, storage
-from iriswheel.transport import message
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from iriswheel.transport import message
+
 SNAPSHOT_KEY = b"frame"
 ENTRY_KEY_PREFIX = b"e"
 
 MAX_BATCH_ENTRIES = 64
-# Number of entries between two snapshots, number of newest committed entries kept on disk, and number of newest states
-# kept for nodes that rejoin.
+# Number of entries between two snapshots, and number of newest committed entries kept.
 KEPT_ENTRIES = 512
-MAX_BYTES_SINCE_SNAPSHOT = 32 << 20  # most bytes of changes between two snapshots, and of entries on disk
+# Most bytes of entries between two snapshots, and of committed entries kept after a snapshot.
+MAX_BYTES_SINCE_SNAPSHOT = 4 << 20
 
 log = loguru.logger.bind(part="chain")
-encode_entry = msgspec.msgpack.encode
-decode_entry = msgspec.msgpack.Decoder(message.LogEntry).decode
+encode_entry = stored_entries.encode_entry
+decode_entry = stored_entries.decode_entry
 
 
 def entry_key(index: int) -> bytes:
@@ -62,32 +70,42 @@
         self.committed_state = replicated_state.ReplicatedState() if raw is None else snapshot_format.decode(raw)
         """The state after the newest entry that is known to be committed."""
         self._snapshot_index = self.committed_state.index
-        stored = [decode_entry(value) for key, value in sorted(records.items()) if key.startswith(ENTRY_KEY_PREFIX)]
-        self.entries = {entry.index: entry for entry in stored}
+        stored = [
+            stored_entries.StoredEntry.read(value)
+            for key, value in sorted(records.items())
+            if key.startswith(ENTRY_KEY_PREFIX)
+        ]
+        self.entries = stored_entries.StoredEntries(stored)
         self.latest_state = self.committed_state
         """The committed state with the uncommitted entries applied."""
-        self.history = {self.committed_state.index: self.committed_state}
+        self._uncommitted = applied_entries.AppliedEntries()
+        self.history = state_history.StateHistory(self.committed_state)
         """The most recent committed states, by log index."""
         self._apply_recovered(stored)
         self.appended = scheduler.Signal()
         self.committed = scheduler.Signal()
         self.on_commit: collections.abc.Callable[[], object] = lambda: None
-        self._bytes_since_snapshot = 0
+        self._bytes_since_snapshot = self.entries.bytes_after(self._snapshot_index)
         self._pinned_snapshot: snapshot_transfer.OutgoingSnapshot | None = None
 
-    def _apply_recovered(self, stored: list[message.LogEntry]) -> None:
+    def _apply_recovered(self, stored: list[stored_entries.StoredEntry]) -> None:
         """Apply the entries found on disk; those up to the recorded position count as committed.
 
         The record is disregarded if the log does not hold the entry that it names.
         """
         recorded = self.commit_record.written
-        states = {}
-        for entry in stored:
-            if entry.index > self.latest_state.index:
-                self.latest_state = states[entry.index] = self.latest_state.apply(entry)
-        if recorded.index in states and states[recorded.index].position == recorded:
-            self.history |= {index: state for index, state in states.items() if index <= recorded.index}
-            self.committed_state = states[recorded.index]
+        new = [entry for entry in stored if entry.index > self.latest_state.index]
+        has_recorded = any(entry.position == recorded for entry in new)
+        for entry in new:
+            self._apply(entry, entry.decode())
+            if has_recorded and entry.index <= recorded.index:
+                self._commit_next()
+
+    def _apply(self, stored: stored_entries.StoredEntry, entry: message.LogEntry) -> None:
+        """Apply a stored entry to the latest state; `entry` is its decoded form."""
+        applied = applied_entries.AppliedEntry.to(self.latest_state, entry, len(stored.encoded))
+        self.latest_state = applied.state
+        self._uncommitted.add(applied)
 
     @property
     def last_index(self) -> int:
@@ -101,19 +119,32 @@
         if index <= self.committed_state.index:
             return
         while self.committed_state.index < min(index, self.last_index):
-            entry = self.entries[self.committed_state.index + 1]
-            self.committed_state = self.committed_state.apply(entry)
-            self._bytes_since_snapshot += len(encode_entry(entry.changes)) if entry.changes else 0
-            self.history[self.committed_state.index] = self.committed_state
-        self._drop_old_history()
+            self._bytes_since_snapshot += self._commit_next()
         self.commit_record.advance(self.committed_state.position)
         self.committed.wake()
         self.on_commit()
         self._start_compaction_if_due()
 
-    def _drop_old_history(self) -> None:
-        for old in [key for key in self.history if key <= self.committed_state.index - KEPT_ENTRIES]:
-            del self.history[old]
+    def _commit_next(self) -> int:
+        """Commit the entry after the newest committed one; returns the size of its encoded form."""
+        index = self.committed_state.index + 1
+        applied = self._uncommitted.take(index)
+        if applied is None:  # dropped, since more was uncommitted than is kept in decoded form
+            entry = self.entries[index]
+            applied = applied_entries.AppliedEntry.to(self.committed_state, entry.decode(), len(entry.encoded))
+        self.committed_state = self.latest_state if index == self.last_index else applied.state
+        self.history.add(self.committed_state, applied.superseded_bytes)
+        return applied.encoded_bytes
+
+    @property
+    def uncommitted_bytes(self) -> int:
+        """The size of the entries that are not known to be committed, in encoded form."""
+        return self.entries.bytes_after(self.committed_state.index)
+
+    def compact_recovered(self) -> None:
+        """Compact a log that exceeds its bounds at the start, as one that an earlier version wrote may."""
+        if self.committed_state.index > self._snapshot_index:
+            self._start_compaction_if_due()
 
     def _start_compaction_if_due(self) -> None:
         entries_since_snapshot = self.committed_state.index - self._snapshot_index
@@ -131,10 +162,11 @@
             try:
                 await self.disk.commit([snapshot, *removals])
             except storage.DiskError:
-                self._snapshot_index -= KEPT_ENTRIES // 2  # retry after half the usual number of entries
+                self._snapshot_index -= KEPT_ENTRIES // 2  # retry after half the usual number of entries or bytes
+                self._bytes_since_snapshot += MAX_BYTES_SINCE_SNAPSHOT // 2
                 return
             for index in old:
-                del self.entries[index]
+                self.entries.remove(index)
             if self._pinned_snapshot is not None and not self.has_all_entries_after(
                 self._pinned_snapshot.position.index
             ):
@@ -145,7 +177,7 @@
         old: list[int] = []
         kept_bytes = 0
         for index in sorted(self.entries, reverse=True):
-            kept_bytes += len(encode_entry(self.entries[index]))
+            kept_bytes += len(self.entries[index].encoded)
             is_far_behind = index <= self.committed_state.index - KEPT_ENTRIES
             is_too_much = index <= self.committed_state.index and kept_bytes > MAX_BYTES_SINCE_SNAPSHOT
             if is_far_behind or is_too_much:
@@ -171,16 +203,18 @@
         entries: list[message.LogEntry] = []
         size = 0
         for index in range(first, min(self.last_index, first + MAX_BATCH_ENTRIES - 1) + 1):
-            entry = self.entries[index]
-            size += len(encode_entry(entry))
+            size += len(self.entries[index].encoded)
             if entries and size > snapshot_transfer.BATCH_BYTES:
                 break
-            entries.append(entry)
+            entries.append(self._decoded(index))
         return entries
 
+    def _decoded(self, index: int) -> message.LogEntry:
+        return self._uncommitted.find(index) or self.entries[index].decode()
+
     def entries_after(self, index: int) -> list[message.LogEntry]:
         """All entries after an index."""
-        return [self.entries[key] for key in range(index + 1, self.last_index + 1)]
+        return [self._decoded(key) for key in range(index + 1, self.last_index + 1)]
 
     def pin_snapshot(self) -> snapshot_transfer.OutgoingSnapshot:
         """The snapshot to send.
@@ -202,10 +236,11 @@
         Raises:
             storage.DiskError: The write failed, and none of the entries was appended.
         """
-        await self.disk.commit([(entry_key(entry.index), encode_entry(entry)) for entry in entries])
-        for entry in entries:
-            self.entries[entry.index] = entry
-            self.latest_state = self.latest_state.apply(entry)
+        stored = [stored_entries.StoredEntry.of(entry) for entry in entries]
+        await self.disk.commit([(entry_key(entry.index), entry.encoded) for entry in stored])
+        for stored_entry, entry in zip(stored, entries, strict=True):
+            self.entries.add(stored_entry)
+            self._apply(stored_entry, entry)
 
     async def extend(self, entries: list[message.LogEntry]) -> bool:
         """Append those entries that the log does not hold yet; False if they would leave a gap.
@@ -221,7 +256,10 @@
         return True
 
     async def replace(
-        self, snapshot: bytes, state: replicated_state.ReplicatedState, entries: list[message.LogEntry]
+        self,
+        snapshot: bytes,
+        state: replicated_state.ReplicatedState,
+        entries: list[stored_entries.StoredEntry],
     ) -> None:
         """Replace the whole log by a snapshot and the entries after it, in one synced write.
 
@@ -238,15 +276,18 @@
         """
         writes: list[storage.Write] = [(entry_key(index), None) for index in self.entries]
         writes.append((SNAPSHOT_KEY, snapshot))
-        writes += [(entry_key(entry.index), encode_entry(entry)) for entry in entries]
+        writes += [(entry_key(entry.index), entry.encoded) for entry in entries]
         await self.disk.commit(writes)
-        self.entries = {entry.index: entry for entry in entries}
-        self.latest_state = state
-        for entry in entries:
-            self.latest_state = self.latest_state.apply(entry)
+        self.entries = stored_entries.StoredEntries(entries)
+        self._bytes_since_snapshot = self.entries.bytes
         self._pinned_snapshot = None
+        self._uncommitted.clear()
+        self.latest_state = state
         if state.index >= self.committed_state.index:
             self.committed_state = state
             self._snapshot_index = state.index
-            self.history[state.index] = state
+            self.history.restart(state)
+        for entry in entries:
+            self._apply(entry, entry.decode())
+        if state.index >= self.committed_state.index:
             self.committed.wake()
--- a/iriswheel/replication/replicated_state.py
+++ b/iriswheel/replication/replicated_state.py
@@ -21,24 +21,39 @@
 Item: typing.TypeAlias = dict[str, typing.Any]  # one item of the configuration, as JSON
 Change: typing.TypeAlias = tuple[str, Item | None]  # an item's key and its new value; None removes the item
 
+NO_CHANGES = msgspec.Raw(msgspec.msgpack.encode([]))
+
+_decode_changes = msgspec.msgpack.Decoder(list[tuple[str, dict[str, typing.Any] | None]]).decode
+
 
 class Plan(typing.NamedTuple):
     """A plan in the replicated state; snapshots store it as an array.
 
+    The changes are kept encoded, since they would take several times as much memory otherwise.
+
     Attributes:
         index: The log index of the entry that created the plan or, later, of the one that confirmed it.
         base: The configuration version that the plan's changes were computed against.
-        changes: The changes of items that the plan would make; empty once it is confirmed.
+        encoded_changes: The changes of items that the plan would make; none once it is confirmed.
         version: The configuration version that resulted from confirming the plan; 0 until then.
         size: The encoded size of the changes, in bytes.
     """
 
     index: int  # type: ignore[assignment]  # hides tuple.index, which has no use here
     base: int
-    changes: list[Change]
+    encoded_changes: msgspec.Raw = NO_CHANGES
     version: int = 0
     size: int = 0
 
+    @property
+    def changes(self) -> list[Change]:
+        """The changes of items that the plan would make; empty once it is confirmed.
+
+        >>> Plan(1, 0, msgspec.Raw(msgspec.msgpack.encode([("pools/p", {})]))).changes
+        [('pools/p', {})]
+        """
+        return _decode_changes(self.encoded_changes)
+
 
 class ReplicatedState(typing.NamedTuple):
     """The state after a log entry.
@@ -82,14 +97,15 @@
         state = self._replace(index=entry.index, view=entry.view)
         match entry.kind:
             case message.ChangeKind.PLAN:
-                size = len(msgspec.msgpack.encode(entry.changes))
-                return state._with_plan(entry.plan, Plan(entry.index, entry.base, entry.changes, 0, size))
+                encoded = msgspec.msgpack.encode(entry.changes)
+                plan = Plan(entry.index, entry.base, msgspec.Raw(encoded), 0, len(encoded))
+                return state._with_plan(entry.plan, plan)
             case message.ChangeKind.CONFIRM:
                 plan = self.plans[entry.plan]
-                confirmed = Plan(entry.index, plan.base, [], entry.index)
+                confirmed = Plan(entry.index, plan.base, NO_CHANGES, entry.index)
                 return state._with_plan(entry.plan, confirmed).with_accepted_change(entry).with_changes(plan.changes)
             case message.ChangeKind.APPLY:
-                applied = Plan(entry.index, entry.base, [], entry.index)
+                applied = Plan(entry.index, entry.base, NO_CHANGES, entry.index)
                 return state._with_plan(entry.plan, applied).with_accepted_change(entry).with_changes(entry.changes)
             case _:
                 raise ValueError(f"a log entry has the unknown kind {entry.kind!r}")
@@ -130,17 +146,19 @@
                 published.pop(key, None)
             else:
                 items[key] = value
-                published[key] = slices.without_label(value)
+                published_item = slices.without_label(value)
+                if published.get(key) != published_item:  # an equal item stays, so that older states share it
+                    published[key] = published_item
         return self._replace(items=items.finish(), published=published.finish())
 
 
 def retain_plans(plans: immutables.Map[str, Plan]) -> immutables.Map[str, Plan]:
     """Drop the oldest open and the oldest confirmed plans that exceed the bounds on count and bytes.
 
-    >>> sorted(retain_plans(immutables.Map({str(i): Plan(i, 0, [], 0, 7 << 20) for i in range(4)})))
+    >>> sorted(retain_plans(immutables.Map({str(i): Plan(i, 0, NO_CHANGES, 0, 7 << 20) for i in range(4)})))
     ['2', '3']
 
-    >>> len(retain_plans(immutables.Map({str(i): Plan(i, 0, []) for i in range(MAX_PLANS + 3)})))
+    >>> len(retain_plans(immutables.Map({str(i): Plan(i, 0) for i in range(MAX_PLANS + 3)})))
     512
     """
     return _within_plan_count(_within_plan_bytes(plans))
--- a/iriswheel/replication/snapshot_format.py
+++ b/iriswheel/replication/snapshot_format.py
@@ -57,7 +57,10 @@
     2
     """
     snapshot = _decoder.decode(raw)
-    plans = immutables.Map(snapshot.plans)
+    # each plan gets its own copy of its changes: one that refers to `raw` would keep all of it in memory
+    plans = immutables.Map(
+        {identifier: plan._replace(encoded_changes=plan.encoded_changes.copy()) for identifier, plan in snapshot.plans}
+    )
     accepted_changes, highest_dropped_number = snapshot.accepted_changes, snapshot.highest_dropped_number
     if accepted_changes is None:
         accepted_changes, highest_dropped_number = accepted_changes_in_format_2(plans)
@@ -82,7 +85,7 @@
     Then every number below the lowest remaining one counts as dropped.
 
     >>> Plan = replicated_state.Plan
-    >>> accepted_changes_in_format_2({"c0-4-0a": Plan(9, 0, [], 9), "9-0b": Plan(10, 9, [])})
+    >>> accepted_changes_in_format_2({"c0-4-0a": Plan(9, 0, version=9), "9-0b": Plan(10, 9)})
     ({'c0-4-0a': 9}, 0)
     """
     accepted_changes = {identifier: plan.version for identifier, plan in plans.items() if plan.version}
--- a/iriswheel/replication/snapshot_transfer.py
+++ b/iriswheel/replication/snapshot_transfer.py
@@ -10,9 +10,12 @@
 import hashlib
 import typing
 
+from iriswheel.replication import stored_entries
 from iriswheel.transport import message
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from iriswheel.replication import replicated_state
 
 CHUNK_BYTES = 256 << 10
@@ -63,7 +66,7 @@
         self.complete = False
         self.state: replicated_state.ReplicatedState | None = None  # the decoded snapshot, once it is complete
         self.position: message.LogPosition | None = None  # of the snapshot's last entry
-        self.entries: list[message.LogEntry] = []  # received entries that follow the snapshot
+        self.entries: list[stored_entries.StoredEntry] = []  # received entries that follow the snapshot
 
     def add_chunk(self, chunk: message.SnapshotChunk) -> int:
         """Add one chunk, ignored if out of order; returns how many bytes of its snapshot have been received."""
@@ -101,11 +104,13 @@
         newest = message.LogPosition(self.entries[-1].index, self.entries[-1].view) if self.entries else self.position
         if after is None or after != newest or not is_consecutive(after.index, entries):
             return False
-        self.entries += entries
+        self.entries += [stored_entries.StoredEntry.of(entry) for entry in entries]
         return True
 
 
-def is_consecutive(after: int, entries: list[message.LogEntry]) -> bool:
+def is_consecutive(
+    after: int, entries: collections.abc.Sequence[message.LogEntry | stored_entries.StoredEntry]
+) -> bool:
     """Whether the indexes of the entries follow an index without a gap.
 
     >>> is_consecutive(7, [message.LogEntry(8, 3, "plan", "0-a")])
--- a/tests/recorded.py
+++ b/tests/recorded.py
@@ -86,7 +86,12 @@
 
 
 def build(cls: type[Struct], values: list[typing.Any]) -> Struct:
-    """Build a struct from plain values by position; the fields after the last value get their defaults."""
+    """Build a struct from plain values by position; the fields after the last value get their defaults.
+
+    A struct without a tag is encoded as the array of its values, which a field of type `Raw` can only be decoded from.
+    """
+    if cls.__struct_config__.array_like and cls.__struct_config__.tag is None:
+        return msgspec.msgpack.decode(msgspec.msgpack.encode(values), type=cls)
     hints = [field.type for field in msgspec.structs.fields(cls)]
     return cls(*(msgspec.convert(value, hint) for value, hint in zip(values, hints, strict=False)))
 
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -10,7 +10,7 @@
 from twisted.internet import defer
 
 from iriswheel.consensus import decisions, view_consensus
-from iriswheel.replication import chain, replicated_log, replicated_state, snapshot_format
+from iriswheel.replication import chain, replicated_log, replicated_state, snapshot_format, stored_entries
 from iriswheel.runtime import storage, units
 from iriswheel.transport import message, wire
 from simulation import disk_model, host_model, process_model, server_model, simulated_cluster, world
@@ -224,7 +224,7 @@
     def large_pair(self) -> tuple[Member, Member]:
         head, tail = self.pair([large_change(1)], [])
         head.chain.commit(1)
-        head.chain.log.entries.clear()  # as after compaction
+        head.chain.log.entries = stored_entries.StoredEntries()  # as after compaction
         return head, tail
 
     def encoded_size(self, msg: ChainMessage) -> int:
@@ -233,10 +233,9 @@
     def test_catch_up_messages_have_a_bounded_size(self) -> None:
         head, tail = self.large_pair()
         for k in range(2, 9):
-            head.chain.log.entries[k] = entry(
-                k, 1, [("routes/big", {"path": "/", "pool": "p", "label": {"note": "x" * 400_000}})]
-            )
-            head.chain.log.latest_state = head.chain.latest_state.apply(head.chain.log.entries[k])
+            added = entry(k, 1, [("routes/big", {"path": "/", "pool": "p", "label": {"note": "x" * 400_000}})])
+            head.chain.log.entries.add(stored_entries.StoredEntry.of(added))
+            head.chain.log.latest_state = head.chain.latest_state.apply(added)
         self.install(2, head, tail)
         self.advance_until(tail.chain.is_synced, 10)
         self.assert_equal_logs(head, tail)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -78,7 +78,7 @@
             ]
         )
         node_slice = slices.Slices().slice(snapshot_format.decode(snapshot_format.encode(state)), "north", ())
-        assert set(node_slice) == {"routes/r", "pools/p", "pools/q", "terms/default", "limits/door"}
+        assert set(node_slice.items) == {"routes/r", "pools/p", "pools/q", "terms/default", "limits/door"}
         assert "label" not in str(node_slice)
         assert state.items["routes/r"]["label"] == {"a": 1}
 
--- a/tests/test_refused_changes.py
+++ b/tests/test_refused_changes.py
@@ -8,7 +8,7 @@
 import pytest
 from twisted.internet import defer
 
-from iriswheel.replication import commit_record, replicated_log
+from iriswheel.replication import commit_record, replicated_log, stored_entries
 from iriswheel.runtime import scheduler, storage
 from iriswheel.transport import message
 from simulation import refused_changes
@@ -121,10 +121,11 @@
 
 
 def test_the_races_notice_a_log_that_takes_all_its_entries_for_committed(monkeypatch: pytest.MonkeyPatch) -> None:
-    def apply_all(log: replicated_log.ReplicatedLog, stored: list[message.LogEntry]) -> None:
+    def apply_all(log: replicated_log.ReplicatedLog, stored: list[stored_entries.StoredEntry]) -> None:
         for each in stored:
             if each.index > log.latest_state.index:
-                log.latest_state = log.history[each.index] = log.committed_state = log.latest_state.apply(each)
+                log._apply(each, each.decode())
+                log._commit_next()
 
     monkeypatch.setattr(replicated_log.ReplicatedLog, "_apply_recovered", apply_all)
     complaints = [complaint for seed in (7, 11) for complaint in refused_changes.RaceRun(seed).play()]
