--- a/iriswheel/replication/replicated_log.py
+++ b/iriswheel/replication/replicated_log.py
@@ -29,8 +29,8 @@
 MAX_BATCH_ENTRIES = 64
 # Number of entries between two snapshots, and number of newest committed entries kept.
 KEPT_ENTRIES = 512
-# Most bytes of entries between two snapshots, and of committed entries kept after a snapshot.
-MAX_BYTES_SINCE_SNAPSHOT = 4 << 20
+MAX_BYTES_SINCE_SNAPSHOT = 8 << 20  # most bytes of entries between two snapshots
+MAX_KEPT_BYTES = 4 << 20  # most bytes of committed entries that a snapshot leaves in the log
 
 log = loguru.logger.bind(part="chain")
 encode_entry = stored_entries.encode_entry
@@ -179,7 +179,7 @@
         for index in sorted(self.entries, reverse=True):
             kept_bytes += len(self.entries[index].encoded)
             is_far_behind = index <= self.committed_state.index - KEPT_ENTRIES
-            is_too_much = index <= self.committed_state.index and kept_bytes > MAX_BYTES_SINCE_SNAPSHOT
+            is_too_much = index <= self.committed_state.index and kept_bytes > MAX_KEPT_BYTES
             if is_far_behind or is_too_much:
                 old.append(index)
         return old
--- a/iriswheel/replication/state_history.py
+++ b/iriswheel/replication/state_history.py
@@ -6,7 +6,7 @@
 import collections.abc
 import typing
 
-from iriswheel.runtime import memory_size
+import msgspec
 
 if typing.TYPE_CHECKING:
     import immutables
@@ -15,7 +15,9 @@
     from iriswheel.replication import replicated_state
 
 MAX_STATES = 512
-MAX_BYTES = 8 << 20  # most memory of what older states hold and the newest does not
+MAX_BYTES = 16 << 20  # most memory, as estimated, of what older states hold and the newest does not
+# Memory that an item takes for each byte of its encoded form; lists of very short texts may take three times as much.
+MEMORY_PER_ENCODED_BYTE = 8
 MAP_BYTES_PER_ITEM = 256  # memory that a changed item takes in the nodes of an immutable map, at most
 
 
@@ -43,7 +45,7 @@
     after: replicated_state.ReplicatedState,
     keys: collections.abc.Iterable[str],
 ) -> int:
-    """The memory that a state takes beside the one that follows it, both as published.
+    """An estimate of the memory that a state takes beside the one that follows it, both as published.
 
     Args:
         before: The state.
@@ -52,15 +54,10 @@
     """
     if before.published is after.published:
         return 0
-    total = 0
-    for key in keys:
-        item = before.published.get(key)
-        if item is after.published.get(key):
-            continue
-        total += MAP_BYTES_PER_ITEM
-        if item is not None:
-            total += memory_size.size_in_memory(key) + memory_size.size_in_memory(item)
-    return total
+    items_before = [(key, before.published.get(key)) for key in keys]
+    superseded = [(key, item) for key, item in items_before if item is not after.published.get(key)]
+    encoded_bytes = len(msgspec.msgpack.encode(superseded))
+    return MEMORY_PER_ENCODED_BYTE * encoded_bytes + MAP_BYTES_PER_ITEM * len(superseded)
 
 
 class StateHistory(collections.abc.Mapping[int, PublishedState]):
