--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -203,7 +203,7 @@
         process_options: The options, already checked.
         path: The path of the options file, which is watched for changes.
         read_options: Reads the options again.
-        ready: Makes the HTTP handler of the address for readiness polls; by default the handler of the HTTP port.
+        ready: Makes the HTTP handler of the address for readiness polls; by default one that answers status calls.
         formats: The edge protocol towards clients, workers and the platform; by default iriswheel's own.
     """
     from iriswheel.node import node
@@ -220,7 +220,7 @@
         limits=lambda: process.follower.limits,
     )
     runtime.spawn(server.close_overdue_heads(), log)
-    handle_ready = process.gateway.handle if ready is None else ready(process)
+    handle_ready = process.gateway.status_calls.handle if ready is None else ready(process)
     front = bind(
         reactor,
         process_options,
--- a/iriswheel/dataplane/edge_protocol.py
+++ b/iriswheel/dataplane/edge_protocol.py
@@ -61,6 +61,7 @@
 WORKERS_PATH = "/workers"
 LOAD_PATH = "/load"
 READY_PATH = "/ready"
+STATE_PATH = "/state"
 
 NOT_RUN_STATUSES = (421, 429, 503)  # HTTP statuses by which a worker reports that it did not run a request
 MILLISECOND_US = 1_000
--- a/iriswheel/dataplane/gateway.py
+++ b/iriswheel/dataplane/gateway.py
@@ -22,6 +22,7 @@
     request_counts,
     request_router,
     routed_request,
+    status_calls,
     work_queue,
     worker_selection,
 )
@@ -54,6 +55,7 @@
         self.selector = worker_selection.WorkerSelector(node, self.router, self.owners, self.counts)
         self.attempts = attempt_registry.AttemptRegistry(node)
         self.relays = relay.RelayServer(node)
+        self.status_calls = status_calls.StatusCalls(node)
         self.forwarder = forwarding.Forwarder(node)
         self.short_requests = work_queue.WorkQueue(self.runtime, SHORT_BACKLOG, SHORT_CONCURRENCY, self.run_queued)
         self.long_requests = work_queue.WorkQueue(self.runtime, LONG_BACKLOG, LONG_CONCURRENCY, self.run_queued)
@@ -67,15 +69,10 @@
         Raises:
             errors.ServiceError: The request is refused; the HTTP server answers with this error.
         """
-        match (request.method, request.path.decode("latin-1")):
-            case (b"GET", edge_protocol.READY_PATH) if not self._is_routed(request):
-                if self.node.draining:
-                    self.node.drain_noticed_at_us = self.node.drain_noticed_at_us or self.runtime.now()
-                request.answer_json(*self.node.edge_protocol.readiness_answer(*self.node.ready()))
-                return
-            case (b"GET", "/state") if not self._is_routed(request):
-                request.answer_json(200, self.node.state())
-                return
+        # Where clients may send any method, each request here is a client's: the node has another address for status
+        # calls, and never answers a client itself, whether or not it knows a route for the path.
+        if not self.node.edge_protocol.accepts_any_method and self.status_calls.answer(request):
+            return
         if request.requestHeaders.hasHeader(edge_protocol.RELAY_HEADER):
             await self.relay_for_peer(request)
             return
@@ -241,13 +238,6 @@
                 self.attempts.end(attempt_id)
         self.relays.answer(request, outcome)
 
-    def _is_routed(self, request: http_server.Request) -> bool:
-        """Whether a configured route covers the path of a status call, so that the request goes to a worker instead."""
-        if not self.node.edge_protocol.accepts_any_method:
-            return False  # clients send POST only, so a GET is a status call
-        host = self.node.edge_protocol.parse_request(request).host
-        return self.node.follower.find_route(host, request.path.decode("latin-1")) is not None
-
     def _next_id(self) -> str:
         self.received_requests += 1
         return f"{local_member.member_id(self.node)}-{self.received_requests}"
