Core: bound the history by the size of changes, and collect garbage less often

Change: what counts of a history's state is the size of the changes that led to it, which is known: 4 MiB. A change that leaves all published items equal costs nothing. Core processes search for garbage after 20,000 new objects instead of 700.

--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -8,6 +8,7 @@
 
 import collections.abc
 import enum
+import gc
 import signal
 import sys
 import typing
@@ -31,6 +32,8 @@
 HTTP_BACKLOG = 1024  # TCP listen backlog of the HTTP port
 READY_BACKLOG = 128  # TCP listen backlog of the port for readiness polls
 READY_CONNECTION_LIMIT = 64  # open connections on the port for readiness polls
+# New objects of a core machine between two searches for garbage: one change of the configuration makes ten thousands.
+GARBAGE_THRESHOLD = 20_000
 
 ReadOptions: typing.TypeAlias = collections.abc.Callable[[], options.Options]
 
@@ -173,6 +176,7 @@
     from iriswheel.runtime import storage
 
     set_logs(process_options.log_level)
+    gc.set_threshold(GARBAGE_THRESHOLD)
     reactor = install_reactor()
     disk = storage.Disk(process_options.data, reactor)
     try:
--- a/iriswheel/replication/applied_entries.py
+++ b/iriswheel/replication/applied_entries.py
@@ -5,9 +5,11 @@
 import collections
 import typing
 
-from iriswheel.replication import replicated_state, state_history
 from iriswheel.transport import message
 
+if typing.TYPE_CHECKING:
+    from iriswheel.replication import replicated_state
+
 MAX_BYTES = 4 << 20  # largest size of the encoded entries that are kept in decoded form
 
 
@@ -18,32 +20,22 @@
         entry: The entry.
         encoded_bytes: The size of its encoded form.
         state: The state after it.
-        superseded_bytes: The memory that the state before it takes beside this one; see `state_history`.
+        published_bytes: A bound on the size of the changes of published items, in encoded form; 0 if there are none.
     """
 
     entry: message.LogEntry
     encoded_bytes: int
     state: replicated_state.ReplicatedState
-    superseded_bytes: int
+    published_bytes: int
 
     @classmethod
     def to(cls, before: replicated_state.ReplicatedState, entry: message.LogEntry, encoded_bytes: int) -> AppliedEntry:
         """Apply an entry to the state before it."""
         after = before.apply(entry)
-        keys = changed_keys(before, entry)
-        return cls(entry, encoded_bytes, after, state_history.superseded_bytes(before, after, keys))
-
-
-def changed_keys(before: replicated_state.ReplicatedState, entry: message.LogEntry) -> list[str]:
-    """The keys of the items that an entry changes; a confirmation changes those of its plan.
-
-    >>> changed_keys(replicated_state.ReplicatedState(), message.LogEntry(2, 1, "apply", "c0-1-0a", 0, [("a/b", {})]))
-    ['a/b']
-    """
-    changes = entry.changes
-    if entry.plan in before.plans and not changes:
-        changes = before.plans[entry.plan].changes
-    return [key for key, _ in changes]
+        changes_bytes = encoded_bytes
+        if entry.kind == message.ChangeKind.CONFIRM:
+            changes_bytes += before.plans[entry.plan].size
+        return cls(entry, encoded_bytes, after, 0 if after.published is before.published else changes_bytes)
 
 
 class AppliedEntries:
--- a/iriswheel/replication/replicated_log.py
+++ b/iriswheel/replication/replicated_log.py
@@ -133,7 +133,7 @@
             entry = self.entries[index]
             applied = applied_entries.AppliedEntry.to(self.committed_state, entry.decode(), len(entry.encoded))
         self.committed_state = self.latest_state if index == self.last_index else applied.state
-        self.history.add(self.committed_state, applied.superseded_bytes)
+        self.history.add(self.committed_state, applied.published_bytes)
         return applied.encoded_bytes
 
     @property
--- a/iriswheel/replication/replicated_state.py
+++ b/iriswheel/replication/replicated_state.py
@@ -139,17 +139,35 @@
         >>> ReplicatedState().with_changes([("pools/p", {"label": {"a": 1}})]).published["pools/p"]
         {}
         """
-        items, published = self.items.mutate(), self.published.mutate()
+        items = self.items.mutate()
+        published: dict[str, Item | None] = {}
         for key, value in changes:
             if value is None:
                 items.pop(key, None)
-                published.pop(key, None)
+                published[key] = None
             else:
                 items[key] = value
-                published_item = slices.without_label(value)
-                if published.get(key) != published_item:  # an equal item stays, so that older states share it
-                    published[key] = published_item
-        return self._replace(items=items.finish(), published=published.finish())
+                published[key] = slices.without_label(value)
+        return self._replace(items=items.finish(), published=with_items(self.published, published))
+
+
+def with_items(items: immutables.Map[str, Item], new: dict[str, Item | None]) -> immutables.Map[str, Item]:
+    """The items with some replaced, or removed by None; those that stay equal are shared with the given ones.
+
+    >>> items = immutables.Map({"a": {}})
+    >>> with_items(items, {"a": {}}) is items, dict(with_items(items, {"a": None, "b": {"c": 1}}))
+    (True, {'b': {'c': 1}})
+    """
+    differing = [(key, value) for key, value in new.items() if items.get(key) != value]
+    if not differing:
+        return items
+    changed = items.mutate()
+    for key, value in differing:
+        if value is None:
+            changed.pop(key, None)
+        else:
+            changed[key] = value
+    return changed.finish()
 
 
 def retain_plans(plans: immutables.Map[str, Plan]) -> immutables.Map[str, Plan]:
--- a/iriswheel/replication/state_history.py
+++ b/iriswheel/replication/state_history.py
@@ -6,8 +6,6 @@
 import collections.abc
 import typing
 
-import msgspec
-
 if typing.TYPE_CHECKING:
     import immutables
 
@@ -15,10 +13,7 @@
     from iriswheel.replication import replicated_state
 
 MAX_STATES = 512
-MAX_BYTES = 16 << 20  # most memory, as estimated, of what older states hold and the newest does not
-# Memory that an item takes for each byte of its encoded form; lists of very short texts may take three times as much.
-MEMORY_PER_ENCODED_BYTE = 8
-MAP_BYTES_PER_ITEM = 256  # memory that a changed item takes in the nodes of an immutable map, at most
+MAX_BYTES = 4 << 20  # most bytes, in encoded form, of the changes that led to the states after the oldest
 
 
 class PublishedState(typing.NamedTuple):
@@ -40,37 +35,18 @@
         return cls(state.index, state.view, state.published)
 
 
-def superseded_bytes(
-    before: replicated_state.ReplicatedState,
-    after: replicated_state.ReplicatedState,
-    keys: collections.abc.Iterable[str],
-) -> int:
-    """An estimate of the memory that a state takes beside the one that follows it, both as published.
-
-    Args:
-        before: The state.
-        after: The state that follows it.
-        keys: The keys of all items in which they may differ.
-    """
-    if before.published is after.published:
-        return 0
-    items_before = [(key, before.published.get(key)) for key in keys]
-    superseded = [(key, item) for key, item in items_before if item is not after.published.get(key)]
-    encoded_bytes = len(msgspec.msgpack.encode(superseded))
-    return MEMORY_PER_ENCODED_BYTE * encoded_bytes + MAP_BYTES_PER_ITEM * len(superseded)
-
-
 class StateHistory(collections.abc.Mapping[int, PublishedState]):
-    """The newest committed states by log index, bounded by their count and their memory; never empty.
+    """The newest committed states by log index, bounded by their count and the size of their changes; never empty.
 
-    States share their unchanged items, so what counts of a state is what its successor no longer holds.
+    States share their unchanged items. So beside the items of its oldest state the history keeps in memory no more
+    than the items that the changes after it brought.
     """
 
     def __init__(self, first: replicated_state.ReplicatedState) -> None:
         self._states = {first.index: PublishedState.of(first)}
-        self._superseded: collections.deque[int] = collections.deque()  # bytes of each state but the newest
+        self._change_sizes: collections.deque[int] = collections.deque()  # of each state but the oldest
         self.bytes = 0
-        """The memory of what older states hold and the newest does not."""
+        """The size of all changes after the oldest state, in encoded form."""
 
     def __getitem__(self, index: int) -> PublishedState:
         """The state at a log index."""
@@ -93,17 +69,22 @@
         """The log index of the oldest state that is kept."""
         return next(iter(self._states))
 
-    def add(self, state: replicated_state.ReplicatedState, superseded: int) -> None:
-        """Add the state that follows the newest one; `superseded` is the result of `superseded_bytes` for both."""
+    def add(self, state: replicated_state.ReplicatedState, change_bytes: int) -> None:
+        """Add the state that follows the newest one.
+
+        Args:
+            state: The state.
+            change_bytes: The size of the changes of published items that led to it, in encoded form.
+        """
         self._states[state.index] = PublishedState.of(state)
-        self._superseded.append(superseded)
-        self.bytes += superseded
-        while len(self._states) > MAX_STATES or (self.bytes > MAX_BYTES and self._superseded):
+        self._change_sizes.append(change_bytes)
+        self.bytes += change_bytes
+        while len(self._states) > MAX_STATES or (self.bytes > MAX_BYTES and self._change_sizes):
             del self._states[self.oldest_index]
-            self.bytes -= self._superseded.popleft()
+            self.bytes -= self._change_sizes.popleft()
 
     def restart(self, state: replicated_state.ReplicatedState) -> None:
         """Keep this state alone, which shares nothing with those before it."""
         self._states = {state.index: PublishedState.of(state)}
-        self._superseded.clear()
+        self._change_sizes.clear()
         self.bytes = 0
