Soak: changes that rewrite many routes, and a bound on each process's memory

Half of its changes now rewrite 350 further routes, in races and beside the series of signals and restarts, and each process is held against the memory of the users' smallest machines: 256 MiB for a core machine, 160 MiB for a node.

--- a/benchmarks/soak/operators.py
+++ b/benchmarks/soak/operators.py
@@ -14,6 +14,8 @@
 RACE_SHARE = 0.4  # of the changes that meet another one with the same base
 CALL_TIMEOUT_S = 2
 RETRY_DELAY_S = 0.2
+WIDE_SHARE = 0.5  # of the changes that rewrite all further routes
+BASE_CUTOFF_US = 10_000_000
 ACCEPTED, REFUSED = 200, 409  # HTTP statuses
 
 
@@ -24,12 +26,14 @@
         deployment: The fleet.
         run: The records of the run.
         rng: Random numbers.
+        routes: The number of further routes, which wide changes rewrite.
     """
 
-    def __init__(self, deployment: fleet.Fleet, run: records.Records, rng: random.Random) -> None:
+    def __init__(self, deployment: fleet.Fleet, run: records.Records, rng: random.Random, routes: int = 0) -> None:
         self.fleet = deployment
         self.records = run
         self.rng = rng
+        self.routes = routes
         self.current = 0  # number of the newest acknowledged change
         self.is_stopping = False
         self._last_number = 0
@@ -52,7 +56,8 @@
     async def _submit(self, change: records.Change) -> None:
         """Submit a change to one core machine after the other until one acknowledges or refuses it."""
         route = {"path": change.path, "pool": self.fleet.pool}
-        document = {"number": change.number, "built_on": change.built_on, "upsert": {"routes": {"soak": route}}}
+        routes = {"soak": route, **self._further_routes(change.number)}
+        document = {"number": change.number, "built_on": change.built_on, "upsert": {"routes": routes}}
         names = self.rng.sample(sorted(self.fleet.cores), len(self.fleet.cores))
         for name in itertools.cycle(names):
             status, _ = await self._call(name, "POST", "/changes", document)
@@ -65,6 +70,13 @@
                 return
             await asyncio.sleep(RETRY_DELAY_S)
 
+    def _further_routes(self, number: int) -> dict[str, dict[str, typing.Any]]:
+        """The further routes with a new time limit and a new label, if the change is a wide one."""
+        if not self.routes or self.rng.random() >= WIDE_SHARE:
+            return {}
+        changed = {"pool": self.fleet.pool, "cutoff_us": BASE_CUTOFF_US + number, "label": {"change": number}}
+        return {f"wide-{count}": {"path": f"/wide/{count}", **changed} for count in range(self.routes)}
+
     async def _read_current(self) -> None:
         """Read the configuration at some core machine; it must not be older than what was acknowledged."""
         acknowledged = self.current
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -9,7 +9,7 @@
 import typing
 
 from benchmarks import fleet
-from benchmarks.soak import clients, faults, judgement, operators, records
+from benchmarks.soak import clients, faults, judgement, memory, operators, records
 
 RECOVERY_S = 12.0  # the users' bound, after which all nodes must serve by the newest configuration
 POLL_S = 0.1
@@ -25,6 +25,7 @@
     nodes: int
     clients: int  # for each node
     seconds: float  # of faults
+    routes: int = 0  # further routes, all of which many changes rewrite
 
 
 class SoakFleet(fleet.Fleet):
@@ -46,8 +47,9 @@
         self.fleet = deployment
         self.records = records.Records()
         self.rng = random.Random(settings.seed)
-        self.operators = operators.Operators(deployment, self.records, self._new_rng())
+        self.operators = operators.Operators(deployment, self.records, self._new_rng(), settings.routes)
         self.faults = faults.Faults(deployment, self.records, self._new_rng())
+        self.memory = memory.MemoryWatch(deployment)
 
     def _new_rng(self) -> random.Random:
         return random.Random(self.rng.random())
@@ -59,6 +61,7 @@
             for name in sorted(self.fleet.nodes)
             for number in range(self.settings.clients)
         ]
+        watching = asyncio.create_task(self.memory.run())
         using = [asyncio.create_task(user.run()) for user in users]
         disturbing = [asyncio.create_task(self.operators.run()), asyncio.create_task(self.faults.run())]
         await asyncio.sleep(self.settings.seconds)
@@ -68,6 +71,8 @@
         for user in users:
             user.is_stopping = True
         await asyncio.gather(*using)
+        watching.cancel()
+        self.records.complaints += self.memory.complaints()
 
     def _choose_path(self) -> str:
         """The base route, or the route of one of the newest changes, whatever came of it."""
@@ -121,6 +126,8 @@
     acknowledged: int
     refused: int
     actions: list[str]
+    core_mb: float = 0.0  # largest memory of a core machine
+    node_mb: float = 0.0  # largest memory of a node
 
 
 def play(settings: Settings, keep: pathlib.Path | None = None) -> Report:
@@ -134,7 +141,10 @@
         complaints = judgement.judge(soak.records, judgement.read_runs(logs))
         if complaints and keep is not None:
             _keep(deployment, soak, complaints, keep / f"soak-{settings.seed}")
-    return _report(settings, soak.records, complaints)
+        report = _report(settings, soak.records, complaints)
+        return report._replace(
+            core_mb=soak.memory.largest_mb(deployment.cores), node_mb=soak.memory.largest_mb(deployment.nodes)
+        )
 
 
 def _keep(deployment: fleet.Fleet, soak: Soak, complaints: list[str], folder: pathlib.Path) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,14 @@
 """A short soak of real processes, and the rules that soaks check; `python -m benchmarks.soak` plays longer ones."""
 
+from types import SimpleNamespace
+from typing import Any
+
 import pytest
 
-from benchmarks.soak import judgement, records, soak
+from benchmarks.soak import judgement, memory, records, soak
 
 WHOLE = b'data: {"exchange": "a-1", "k": 0}\n\ndata: [DONE]\n\n'
-SHORT_SOAK = soak.Settings(seed=1, nodes=4, clients=3, seconds=30)
+SHORT_SOAK = soak.Settings(seed=1, nodes=4, clients=3, seconds=30, routes=350)
 
 
 def test_overlapping_signals_restarts_and_changes_break_no_rule() -> None:
@@ -13,6 +16,8 @@
     assert report.complaints == []
     assert report.answered > 100
     assert report.acknowledged > 0
+    assert 0 < report.node_mb < memory.NODE_LIMIT_MB
+    assert 0 < report.core_mb < memory.CORE_LIMIT_MB
 
 
 @pytest.mark.large
@@ -85,3 +90,10 @@
     def test_a_process_that_ends_by_itself_is_a_complaint(self) -> None:
         self.run.own_ends.append("n1 ended with status 1")
         assert self.rules({}) == ["OWN END"]
+
+
+def test_a_process_that_exceeds_its_memory_is_a_complaint() -> None:
+    deployment: Any = SimpleNamespace(cores={"c1": None}, nodes={"n1": None}, processes={})
+    watch = memory.MemoryWatch(deployment)
+    watch.peaks_mb = {"c1": memory.CORE_LIMIT_MB + 1.0, "n1": memory.NODE_LIMIT_MB - 1.0}
+    assert watch.complaints() == ["MEMORY: c1 used 257 MiB, its limit is 256"]
