--- a/iriswheel/control/core.py
+++ b/iriswheel/control/core.py
@@ -49,7 +49,7 @@
         self.runtime = runtime
         self.options = options
         self.counters = counters.Counters()
-        state = persistent_state.load(runtime, disk)
+        state = persistent_state.load(runtime, disk, options.seed_list() if options.found else [])
         self.disk = storage.MonitoredDisk(runtime, disk)
         self.peers = peers.Peers(runtime, self.serve, log)
         self.chain = chain.Chain(runtime, self.disk, state, self.peers)
@@ -97,12 +97,16 @@
     def _make_consensus(self, state: dict[bytes, bytes]) -> view_consensus.ViewConsensus:
         options = self.options
         voter = message.Voter(persistent_state.identity(state), options.host, options.port, options.zone)
+        record = persistent_state.consensus_record(state)
+        initial_addresses = options.seed_list() if options.found else []
+        if record.view is None:
+            initial_addresses = initial_addresses or persistent_state.initial_addresses(state)
         consensus = view_consensus.ViewConsensus(
             self.runtime,
             self.disk,
-            persistent_state.consensus_record(state),
+            record,
             voter,
-            seeds=options.seed_list() if options.found else [],
+            seeds=initial_addresses,
             peers=self.peers,
             on_view=self._on_view,
             voter_count=options.seats,
--- /dev/null
+++ b/tests/test_first_start.py
@@ -0,0 +1,65 @@
+"""Processes that end during the first start of the whole system."""
+
+import pytest
+
+from simulation import counter_cluster
+
+MOMENTS_S = (0.0, 0.001, 0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0)
+FIRST, OTHERS = "c1", ("c2", "c3", "c4", "c5")
+KILLED = {
+    "the first machine": (FIRST,),
+    "another machine": ("c3",),
+    "two machines": (FIRST, "c4"),
+    "all other machines": OTHERS,
+    "all machines": (FIRST, *OTHERS),
+}
+DOWN_S = 0.5
+RECOVERY_S = 12.0  # the users' bound
+
+
+def is_serving(cluster: counter_cluster.CounterCluster) -> bool:
+    """Whether all machines serve under one view."""
+    views = [core.consensus.view for core in cluster.cores.values()]
+    return all(view is not None and view == views[0] for view in views) and all(
+        core.is_serving() for core in cluster.cores.values()
+    )
+
+
+# Review case 8: a core process was killed during the first start, and no view was ever made.
+@pytest.mark.parametrize("names", KILLED.values(), ids=KILLED)
+@pytest.mark.parametrize("moment_s", MOMENTS_S)
+def test_a_kill_during_the_first_start_does_not_keep_the_system_from_starting(
+    names: tuple[str, ...], moment_s: float
+) -> None:
+    cluster = counter_cluster.CounterCluster()
+    cluster.advance(moment_s)
+    cluster.kill(*names)
+    cluster.advance(DOWN_S)
+    cluster.start(*names)  # as the platform starts them: no longer as a part of the first start
+    cluster.advance_until(lambda: is_serving(cluster), RECOVERY_S)
+    assert is_serving(cluster)
+
+
+# Review case 8, again and again: each start ends before a view is made.
+def test_kills_of_the_first_machine_in_a_row_do_not_keep_the_system_from_starting() -> None:
+    cluster = counter_cluster.CounterCluster()
+    for _ in range(5):
+        cluster.advance(0.001)
+        cluster.kill(FIRST)
+        cluster.advance(DOWN_S)
+        cluster.start(FIRST)
+    cluster.advance_until(lambda: is_serving(cluster), RECOVERY_S)
+    assert is_serving(cluster)
+
+
+def test_a_machine_with_a_new_disk_joins_the_others_and_makes_no_view_of_its_own() -> None:
+    cluster = counter_cluster.CounterCluster()
+    cluster.advance_until(lambda: is_serving(cluster), RECOVERY_S)
+    cluster.kill(FIRST)
+    cluster.cores[FIRST].process.host.synced.clear()
+    cluster.advance(DOWN_S)
+    cluster.start(FIRST)
+    cluster.advance_until(lambda: is_serving(cluster), RECOVERY_S)
+    views = [core.consensus.view for core in cluster.cores.values()]
+    assert all(view is not None and view.number > 1 for view in views)
+    assert is_serving(cluster)
