Core: tell the machine of the first view of the first start, if its disk is new

Ruled out: a view made by another machine instead, as two machines could then make different ones.

Change: machines with the initial addresses and without a view for a second tell them to the first one, which takes them over if it has neither a view nor addresses.

tests/test_first_start.py: the test of this form fails with the message put off, and passes now; a machine that is not the first makes no view when told.

--- a/iriswheel/consensus/timing.py
+++ b/iriswheel/consensus/timing.py
@@ -29,6 +29,9 @@
 VIEW_CHECK_JITTER_US = 50 * units.MILLISECOND_US
 """Upper limit of the random time that is added to VIEW_CHECK_INTERVAL_US."""
 
+FIRST_VIEW_TIMEOUT_US = 1 * units.SECOND_US
+"""Time without a first view after which the machine that makes it is told of the first start, again and again."""
+
 CALL_TIMEOUT_US = 1 * units.SECOND_US
 
 LEASE_CALL_TIMEOUT_US = 500 * units.MILLISECOND_US
--- a/iriswheel/consensus/view_change.py
+++ b/iriswheel/consensus/view_change.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import typing
 
 import loguru
 
 from iriswheel.consensus import decisions, timing, view_formation
-from iriswheel.transport import message
+from iriswheel.runtime import scheduler
+from iriswheel.transport import message, wire
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -48,6 +50,7 @@
         self.started_at_us = runtime.now()
         self._initial_addresses = list(initial_addresses)
         self._voter_count = max(voter_count, len(self._initial_addresses))
+        self._first_machine_told_at_us = runtime.now()  # the start counts as the first time
         self._change_due_since_us: int | None = None  # since when the newest view should be replaced
         self._highest_ballot_round = 0
 
@@ -63,6 +66,7 @@
             view = self.acceptor.view
             if view is None:
                 await self._bootstrap()
+                self._tell_first_machine_if_due()
             elif self.acceptor.is_voter() and self.is_due(view):
                 await self._propose_after(view)
 
@@ -138,6 +142,37 @@
         chain = [message.ChainReplica(member.id, member.incarnation) for member in members]
         await self.acceptor.adopt(message.View(1, voters, chain))
 
+    def learn_first_start(self, addresses: list[peer_heartbeats.Address]) -> None:
+        """Take over the initial addresses from another machine, if this one has the first of them.
+
+        A machine whose process ended before it had made its data folder is started anew with an empty disk, and does
+        not know that it takes part in the first start. View 1 is made as ever, only while all initial machines are
+        heard without a view. Had this machine made an earlier view 1 and lost its disk, then no other machine has that
+        view, so that nothing was acknowledged in it.
+        """
+        own_address = (self.own_voter.host, self.own_voter.port)
+        if self.acceptor.view is None and not self._initial_addresses and addresses[:1] == [own_address]:
+            log.info("This machine makes the first view, as another machine of the first start tells it.")
+            self._initial_addresses = list(addresses)
+            self._voter_count = max(self._voter_count, len(addresses))
+
+    def _tell_first_machine_if_due(self) -> None:
+        """Tell the machine that makes view 1 the initial addresses, if that view has not come for some time."""
+        now = self.runtime.now()
+        own_address = (self.own_voter.host, self.own_voter.port)
+        if self.acceptor.view is not None or self._initial_addresses[:1] in ([], [own_address]):
+            return
+        if now - self._first_machine_told_at_us < timing.FIRST_VIEW_TIMEOUT_US:
+            return
+        self._first_machine_told_at_us = now
+        self.runtime.spawn(self._tell_first_machine(), log)
+
+    async def _tell_first_machine(self) -> None:
+        host, port = self._initial_addresses[0]
+        request = message.FirstStart(self._initial_addresses)
+        with contextlib.suppress(wire.ConnectionBrokenError, scheduler.DeadlineError):  # it is told again
+            await self.calls.peers.call(host, port, request, timing.CALL_TIMEOUT_US)
+
     async def _propose_after(self, old: message.View) -> None:
         """Run one ballot of single-decree Paxos among the voters of view `old`, to get the next view agreed."""
         self._highest_ballot_round = max(self._highest_ballot_round, self.acceptor.record.promised[0]) + 1
--- a/iriswheel/consensus/view_consensus.py
+++ b/iriswheel/consensus/view_consensus.py
@@ -32,7 +32,7 @@
 DEFAULT_VOTER_COUNT = 3
 DEFAULT_COPIES = 2
 
-ConsensusRequest: typing.TypeAlias = message.Heartbeat | acceptor.VoterRequest
+ConsensusRequest: typing.TypeAlias = message.Heartbeat | message.FirstStart | acceptor.VoterRequest
 ConsensusResponse: typing.TypeAlias = message.Heartbeat | acceptor.VoterResponse
 
 
@@ -156,6 +156,9 @@
         if isinstance(request, message.Heartbeat):
             self.peer_heartbeats.receive(request)
             return self.peer_heartbeats.own_heartbeat()
+        if isinstance(request, message.FirstStart):
+            self.view_change.learn_first_start(request.addresses)
+            return self.peer_heartbeats.own_heartbeat()
         return await self.acceptor.answer(request)
 
     def receive_heartbeat(self, heartbeat: message.Heartbeat) -> None:
--- a/iriswheel/control/core.py
+++ b/iriswheel/control/core.py
@@ -178,7 +178,12 @@
         """Answer one message from another process."""
         match received:
             case (
-                message.Heartbeat() | message.Prepare() | message.Accept() | message.Decided() | message.LeaseRequest()
+                message.Heartbeat()
+                | message.FirstStart()
+                | message.Prepare()
+                | message.Accept()
+                | message.Decided()
+                | message.LeaseRequest()
             ):
                 return self.consensus.answer(received)
             case (
--- a/iriswheel/transport/message.py
+++ b/iriswheel/transport/message.py
@@ -16,6 +16,7 @@
 from iriswheel.transport.messages.consensus import Accepted as Accepted
 from iriswheel.transport.messages.consensus import ChainReplica as ChainReplica
 from iriswheel.transport.messages.consensus import Decided as Decided
+from iriswheel.transport.messages.consensus import FirstStart as FirstStart
 from iriswheel.transport.messages.consensus import Heartbeat as Heartbeat
 from iriswheel.transport.messages.consensus import Prepare as Prepare
 from iriswheel.transport.messages.consensus import Promise as Promise
@@ -163,4 +164,5 @@
     | ChargeRefund
     | ReplicateAdds
     | ReplicateAddsResponse
+    | FirstStart
 )
--- a/iriswheel/transport/messages/consensus.py
+++ b/iriswheel/transport/messages/consensus.py
@@ -42,6 +42,12 @@
     sealed: bool = False  # whether the sender made a promise that ends the view, so it acknowledges nothing in it
 
 
+class FirstStart(message_base.Message, tag="FirstStart", frozen=True):
+    """Tell the machine at the first of these addresses that it makes view 1; the answer is its heartbeat."""
+
+    addresses: list[tuple[str, int]]  # host and port of each core machine of the first start, in order
+
+
 class Prepare(message_base.Message, tag="Prepare", frozen=True):
     """Ask a voter to promise that it will accept nothing under an older ballot for view `number`."""
 
--- a/tests/test_first_start.py
+++ b/tests/test_first_start.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from simulation import addresses as addresses_module
 from simulation import counter_cluster
 
 MOMENTS_S = (0.0, 0.001, 0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0)
@@ -63,3 +64,27 @@
     views = [core.consensus.view for core in cluster.cores.values()]
     assert all(view is not None and view.number > 1 for view in views)
     assert is_serving(cluster)
+
+
+# Review case 8, a little earlier: the process was killed before it had made its data folder.
+def test_a_kill_of_the_first_machine_before_it_has_a_data_folder_does_not_keep_the_system_from_starting() -> None:
+    cluster = counter_cluster.CounterCluster()
+    cluster.kill(FIRST)
+    cluster.cores[FIRST].process.host.synced.clear()
+    cluster.advance(DOWN_S)
+    cluster.start(FIRST)
+    cluster.advance_until(lambda: is_serving(cluster), RECOVERY_S)
+    assert is_serving(cluster)
+
+
+def test_a_machine_that_is_not_the_first_makes_no_view_when_told_of_the_first_start() -> None:
+    cluster = counter_cluster.CounterCluster()
+    cluster.kill(*cluster.cores)
+    for name in OTHERS:
+        cluster.cores[name].process.host.synced.clear()
+    cluster.start(*OTHERS)
+    addresses = [(cluster.hosts[name], addresses_module.PEER_PORT) for name in (FIRST, *OTHERS)]
+    for name in OTHERS:
+        cluster.cores[name].consensus.view_change.learn_first_start(addresses)
+    cluster.advance(RECOVERY_S)
+    assert [cluster.cores[name].consensus.view for name in OTHERS] == [None] * len(OTHERS)
