--- a/iriswheel/dataplane/answer_stream.py
+++ b/iriswheel/dataplane/answer_stream.py
@@ -7,10 +7,10 @@
 
 from twisted.internet import defer
 
-from iriswheel.dataplane import attempt_outcome
+from iriswheel.dataplane import attempt_outcome, worker_connections
 
 if typing.TYPE_CHECKING:
-    from iriswheel.dataplane import forwarded_request, interfaces, request_counts, worker_connections
+    from iriswheel.dataplane import forwarded_request, interfaces, request_counts
 
 # Added to a worker's suspicion (0 to 1) by a connection that broke or could not be made, or by a misdirected request.
 BROKEN_SUSPICION = 0.5
@@ -105,6 +105,8 @@
             self._finish(attempt_outcome.AttemptOutcome.REFUSED if refused else attempt_outcome.AttemptOutcome.FAILED)
         elif not self.protocol.is_from_worker(self.status, self.lowercase_headers):
             self._finish(attempt_outcome.AttemptOutcome.BROKE)
+        elif self.partial_event and worker_connections.ends_with_connection(self.status, self.lowercase_headers):
+            self.answer_lost()  # the worker's process ended in the middle of an event
         else:
             if self.partial_event:
                 self._write(self.partial_event)
--- a/iriswheel/dataplane/worker_connections.py
+++ b/iriswheel/dataplane/worker_connections.py
@@ -31,6 +31,7 @@
 IDLE_LIMIT_VALIDITY_US = 30 * units.SECOND_US  # lifetime of the idle limit learned for a worker
 MIN_IDLE_LIMIT_US = 100 * units.MILLISECOND_US  # smallest idle limit that is learned for a worker
 NO_IDLE_LIMIT_US = 10**12  # idle limit of a worker for which none is learned
+BODYLESS_STATUSES = (204, 304)  # of answers that never have a body
 MAX_FOREIGN_ANSWERS = 3  # answers to other requests that are discarded while one request waits for its own
 
 
@@ -90,6 +91,19 @@
     """Do nothing; the default of each callback until the pool sets its own."""
 
 
+def ends_with_connection(status: int, headers: dict[str, str]) -> bool:
+    """Whether an answer's body ends with the connection: RFC 9112, section 6.3.
+
+    Args:
+        status: The HTTP status of the answer.
+        headers: The answer's headers, with their names in lower case.
+
+    >>> ends_with_connection(200, {}), ends_with_connection(200, {"content-length": "5"}), ends_with_connection(204, {})
+    (True, False, False)
+    """
+    return status not in BODYLESS_STATUSES and "content-length" not in headers and "transfer-encoding" not in headers
+
+
 class WorkerConnection(protocol.Protocol):
     """One HTTP connection to a worker, with at most one request under way."""
 
@@ -106,6 +120,7 @@
         self.uses = 0  # number of requests sent on it, with the one under way
         self.foreign_answers = 0  # answers to other requests that were discarded during the request under way
         self.skipping_answer = False  # whether the answer that is being received is discarded
+        self.ends_with_connection = False  # whether the end of the connection is the end of the answer's body
         self.must_close = False  # whether it must not carry another request
         self.keep_alive_us = KEEP_ALIVE_US
         self.expires_at_us = 0  # time at which it is dropped if it is still idle
@@ -134,6 +149,7 @@
         self.uses += 1
         self.foreign_answers = 0
         self.skipping_answer = False
+        self.ends_with_connection = False
         self.transport.write(raw)
 
     def pause(self) -> None:
@@ -164,16 +180,23 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail()
 
-    def connectionLost(self, _reason: failure.Failure = protocol.connectionDone) -> None:
-        """End the request under way, if there is one, as lost."""
+    def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:
+        """End the request under way, if there is one.
+
+        It is lost, unless the worker has closed the connection in order after an answer that has no other end.
+        """
         self.is_connected = False
         self.must_close = True
         receiver, self.receiver = self.receiver, None
         self.on_closed(self)
-        if receiver is not None:
-            if self.idle_us and not self.received_any:
-                self.on_stale(self)
-            receiver.answer_lost()
+        if receiver is None:
+            return
+        if self.ends_with_connection and reason.check(error.ConnectionDone):
+            receiver.answer_complete()
+            return
+        if self.idle_us and not self.received_any:
+            self.on_stale(self)
+        receiver.answer_lost()
 
     # ---- callbacks of the parser; where one raises, the parser's `feed_data` raises an HttpParserError -----
 
@@ -204,6 +227,7 @@
             case True:
                 self.skipping_answer = False
                 self._note_keep_alive(lowercase)
+                self.ends_with_connection = ends_with_connection(status, lowercase)
                 receiver.head_received(status, self.headers, lowercase)
                 if receiver.bodyless:
                     self._end_without_body()
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -4,12 +4,15 @@
 reuse only connections that were idle for a shorter time.
 """
 
+from typing import Any, cast
+
 import pytest
-from twisted.internet import defer
+from twisted.internet import defer, error
+from twisted.python import failure
 
 import simulation.workers.worker as workers
 from iriswheel.dataplane import worker_connections
-from iriswheel.runtime import units
+from iriswheel.runtime import scheduler, units
 from iriswheel.transport import message
 from simulation import event_log, host_model, inference_engine, platform_names, process_model, world
 
@@ -125,3 +128,48 @@
         self.go(500)
         assert self.send() == "whole"
         assert self.opened() - before == 0
+
+
+class Transport:
+    """A transport that only takes calls."""
+
+    def write(self, _data: bytes) -> None:
+        pass
+
+    def abortConnection(self) -> None:
+        pass
+
+    def setTcpNoDelay(self, _enabled: bool) -> None:
+        pass
+
+
+LENGTHLESS = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwh"
+
+
+# Review case 5: a worker's whole answer without a length never reached the client.
+@pytest.mark.parametrize(
+    ("received", "reason", "outcome"),
+    [
+        (LENGTHLESS, error.ConnectionDone(), "whole"),
+        (LENGTHLESS.replace(b"\r\nwhole", b"\r\n"), error.ConnectionDone(), "whole"),
+        (LENGTHLESS, error.ConnectionLost(), "lost"),
+        (LENGTHLESS, error.ConnectionAborted(), "lost"),
+        (LENGTHLESS[:30], error.ConnectionDone(), "lost"),
+        (LENGTHLESS.replace(b"Connection: close", b"Content-Length: 6"), error.ConnectionDone(), "lost"),
+        (CHUNKED, error.ConnectionDone(), "lost"),
+        (b"", error.ConnectionDone(), "lost"),
+        (b"HTTP/1.1 100 Continue\r\n\r\n", error.ConnectionDone(), "lost"),
+    ],
+)
+def test_an_answer_without_a_length_ends_with_an_orderly_close(
+    received: bytes, reason: Exception, outcome: str
+) -> None:
+    connection = worker_connections.WorkerConnection(scheduler.Runtime(None, now=lambda: 0), "w1")
+    connection.makeConnection(cast("Any", Transport()))
+    receiver = RecordingReceiver()
+    connection.start(b"", receiver)
+    if received:
+        connection.dataReceived(received)
+    connection.connectionLost(failure.Failure(reason))
+    assert receiver.outcome == outcome
