--- a/iriswheel/replication/replicated_log.py
+++ b/iriswheel/replication/replicated_log.py
@@ -85,7 +85,7 @@
         self.appended = scheduler.Signal()
         self.committed = scheduler.Signal()
         self.on_commit: collections.abc.Callable[[], object] = lambda: None
-        self._bytes_since_snapshot = self.entries.bytes_after(self._snapshot_index)
+        self._bytes_since_snapshot = self._committed_bytes_after(self._snapshot_index)
         self._pinned_snapshot: snapshot_transfer.OutgoingSnapshot | None = None
 
     def _apply_recovered(self, stored: list[stored_entries.StoredEntry]) -> None:
@@ -141,6 +141,10 @@
         """The size of the entries that are not known to be committed, in encoded form."""
         return self.entries.bytes_after(self.committed_state.index)
 
+    def _committed_bytes_after(self, index: int) -> int:
+        """The size of the committed entries after an index, in encoded form; `commit` adds those that follow."""
+        return self.entries.bytes_after(index) - self.uncommitted_bytes
+
     def compact_recovered(self) -> None:
         """Compact a log that exceeds its bounds at the start, as one that an earlier version wrote may."""
         if self.committed_state.index > self._snapshot_index:
@@ -279,7 +283,6 @@
         writes += [(entry_key(entry.index), entry.encoded) for entry in entries]
         await self.disk.commit(writes)
         self.entries = stored_entries.StoredEntries(entries)
-        self._bytes_since_snapshot = self.entries.bytes
         self._pinned_snapshot = None
         self._uncommitted.clear()
         self.latest_state = state
@@ -289,5 +292,6 @@
             self.history.restart(state)
         for entry in entries:
             self._apply(entry, entry.decode())
+        self._bytes_since_snapshot = self._committed_bytes_after(state.index)
         if state.index >= self.committed_state.index:
             self.committed.wake()
--- a/tests/test_log_memory.py
+++ b/tests/test_log_memory.py
@@ -194,3 +194,14 @@
     assert (refusal.code, refusal.execution) == ("no_chain", "not_run")
     log.commit(log.last_index)
     assert head._refusal_while_backlogged() is None
+
+
+def test_the_bytes_of_an_entry_count_once_toward_the_next_snapshot() -> None:
+    disk = Disk()
+    log = disk.log()
+    run(play(log, moved, 3, ROUTES))
+    run(log.append([received(moved(3, ROUTES), 4)]))
+    disk.records[b"committed"] = replicated_log.encode_entry(message.LogPosition(3, 1))
+    restarted = disk.log()
+    restarted.commit(4)
+    assert restarted._bytes_since_snapshot == restarted.entries.bytes
