--- a/iriswheel/consensus/view_change.py
+++ b/iriswheel/consensus/view_change.py
@@ -47,6 +47,7 @@
         self.heartbeats = heartbeats
         self.calls = calls
         self.own_voter = view_acceptor.own_voter
+        self._own_address = (self.own_voter.host, self.own_voter.port)
         self.started_at_us = runtime.now()
         self._initial_addresses = list(initial_addresses)
         self._voter_count = max(voter_count, len(self._initial_addresses))
@@ -131,12 +132,11 @@
 
     async def _bootstrap(self) -> None:
         """Make view 1, if this machine has its first address and all machines of view 1 are live without a view."""
-        own_address = (self.own_voter.host, self.own_voter.port)
-        without_view = self.heartbeats.recent_without_view() | {own_address}
-        if self._initial_addresses[:1] != [own_address] or not set(self._initial_addresses) <= without_view:
+        without_view = self.heartbeats.recent_without_view() | {self._own_address}
+        if self._initial_addresses[:1] != [self._own_address] or not set(self._initial_addresses) <= without_view:
             return
         by_address = {(heartbeat.host, heartbeat.port): heartbeat for heartbeat in self.heartbeats.recent()}
-        by_address[own_address] = self.heartbeats.own_heartbeat()
+        by_address[self._own_address] = self.heartbeats.own_heartbeat()
         members = [by_address[address] for address in self._initial_addresses]
         voters = [message.Voter(member.id, member.host, member.port, member.zone) for member in members]
         chain = [message.ChainReplica(member.id, member.incarnation) for member in members]
@@ -150,8 +150,7 @@
         heard without a view. Had this machine made an earlier view 1 and lost its disk, then no other machine has that
         view, so that nothing was acknowledged in it.
         """
-        own_address = (self.own_voter.host, self.own_voter.port)
-        if self.acceptor.view is None and not self._initial_addresses and addresses[:1] == [own_address]:
+        if self.acceptor.view is None and not self._initial_addresses and addresses[:1] == [self._own_address]:
             log.info("This machine makes the first view, as another machine of the first start tells it.")
             self._initial_addresses = list(addresses)
             self._voter_count = max(self._voter_count, len(addresses))
@@ -159,8 +158,7 @@
     def _tell_first_machine_if_due(self) -> None:
         """Tell the machine that makes view 1 the initial addresses, if that view has not come for some time."""
         now = self.runtime.now()
-        own_address = (self.own_voter.host, self.own_voter.port)
-        if self.acceptor.view is not None or self._initial_addresses[:1] in ([], [own_address]):
+        if self.acceptor.view is not None or self._initial_addresses[:1] in ([], [self._own_address]):
             return
         if now - self._first_machine_told_at_us < timing.FIRST_VIEW_TIMEOUT_US:
             return
--- a/iriswheel/control/core.py
+++ b/iriswheel/control/core.py
@@ -49,11 +49,12 @@
         self.runtime = runtime
         self.options = options
         self.counters = counters.Counters()
-        state = persistent_state.load(runtime, disk, options.seed_list() if options.found else [])
+        initial_addresses = options.seed_list() if options.found else []
+        state = persistent_state.load(runtime, disk, initial_addresses)
         self.disk = storage.MonitoredDisk(runtime, disk)
         self.peers = peers.Peers(runtime, self.serve, log)
         self.chain = chain.Chain(runtime, self.disk, state, self.peers)
-        self.consensus = self._make_consensus(state)
+        self.consensus = self._make_consensus(state, initial_addresses)
         self.chain.consensus = self.consensus
         self.chain.on_commit = self._wake_senders
         self.membership = membership_manager.MembershipManager(
@@ -94,11 +95,12 @@
             counters=self.counters,
         )
 
-    def _make_consensus(self, state: dict[bytes, bytes]) -> view_consensus.ViewConsensus:
+    def _make_consensus(
+        self, state: dict[bytes, bytes], initial_addresses: list[peers.Address]
+    ) -> view_consensus.ViewConsensus:
         options = self.options
         voter = message.Voter(persistent_state.identity(state), options.host, options.port, options.zone)
         record = persistent_state.consensus_record(state)
-        initial_addresses = options.seed_list() if options.found else []
         if record.view is None:
             initial_addresses = initial_addresses or persistent_state.initial_addresses(state)
         consensus = view_consensus.ViewConsensus(
--- a/iriswheel/replication/proposals.py
+++ b/iriswheel/replication/proposals.py
@@ -5,13 +5,15 @@
 import typing
 
 from iriswheel import errors
+from iriswheel.replication import applied_entries
 from iriswheel.runtime import storage
 from iriswheel.transport import message
 
 if typing.TYPE_CHECKING:
     from iriswheel.replication import chain_position, replicated_log, replicated_state, tail
 
-MAX_UNCOMMITTED_BYTES = 4 << 20  # size of the entries that wait to be committed, from which on no change is taken
+# Size of the entries that wait to be committed, from which on no change is taken.
+MAX_UNCOMMITTED_BYTES = applied_entries.MAX_BYTES
 
 
 def refuse(code: str, text: str) -> message.ProposeChangeResponse:
--- a/tests/test_first_start.py
+++ b/tests/test_first_start.py
@@ -1,5 +1,7 @@
 """Processes that end during the first start of the whole system."""
 
+from collections.abc import Iterable
+
 import pytest
 
 from simulation import addresses as addresses_module
@@ -26,6 +28,21 @@
     )
 
 
+def restart(cluster: counter_cluster.CounterCluster, names: Iterable[str], *, wiped: bool = False) -> None:
+    """Kill machines and start them as the platform does: no longer as a part of the first start."""
+    cluster.kill(*names)
+    for name in names if wiped else ():
+        cluster.cores[name].process.host.synced.clear()
+    cluster.advance(DOWN_S)
+    cluster.start(*names)
+
+
+def assert_recovers(cluster: counter_cluster.CounterCluster) -> None:
+    """Check that all machines serve under one view within the users' bound."""
+    cluster.advance_until(lambda: is_serving(cluster), RECOVERY_S)
+    assert is_serving(cluster)
+
+
 # Review case 8: a core process was killed during the first start, and no view was ever made.
 @pytest.mark.parametrize("names", KILLED.values(), ids=KILLED)
 @pytest.mark.parametrize("moment_s", MOMENTS_S)
@@ -34,11 +51,8 @@
 ) -> None:
     cluster = counter_cluster.CounterCluster()
     cluster.advance(moment_s)
-    cluster.kill(*names)
-    cluster.advance(DOWN_S)
-    cluster.start(*names)  # as the platform starts them: no longer as a part of the first start
-    cluster.advance_until(lambda: is_serving(cluster), RECOVERY_S)
-    assert is_serving(cluster)
+    restart(cluster, names)
+    assert_recovers(cluster)
 
 
 # Review case 8, again and again: each start ends before a view is made.
@@ -46,20 +60,14 @@
     cluster = counter_cluster.CounterCluster()
     for _ in range(5):
         cluster.advance(0.001)
-        cluster.kill(FIRST)
-        cluster.advance(DOWN_S)
-        cluster.start(FIRST)
-    cluster.advance_until(lambda: is_serving(cluster), RECOVERY_S)
-    assert is_serving(cluster)
+        restart(cluster, [FIRST])
+    assert_recovers(cluster)
 
 
 def test_a_machine_with_a_new_disk_joins_the_others_and_makes_no_view_of_its_own() -> None:
     cluster = counter_cluster.CounterCluster()
     cluster.advance_until(lambda: is_serving(cluster), RECOVERY_S)
-    cluster.kill(FIRST)
-    cluster.cores[FIRST].process.host.synced.clear()
-    cluster.advance(DOWN_S)
-    cluster.start(FIRST)
+    restart(cluster, [FIRST], wiped=True)
     cluster.advance_until(lambda: is_serving(cluster), RECOVERY_S)
     views = [core.consensus.view for core in cluster.cores.values()]
     assert all(view is not None and view.number > 1 for view in views)
@@ -69,12 +77,8 @@
 # Review case 8, a little earlier: the process was killed before it had made its data folder.
 def test_a_kill_of_the_first_machine_before_it_has_a_data_folder_does_not_keep_the_system_from_starting() -> None:
     cluster = counter_cluster.CounterCluster()
-    cluster.kill(FIRST)
-    cluster.cores[FIRST].process.host.synced.clear()
-    cluster.advance(DOWN_S)
-    cluster.start(FIRST)
-    cluster.advance_until(lambda: is_serving(cluster), RECOVERY_S)
-    assert is_serving(cluster)
+    restart(cluster, [FIRST], wiped=True)
+    assert_recovers(cluster)
 
 
 def test_a_machine_that_is_not_the_first_makes_no_view_when_told_of_the_first_start() -> None:
