Processes: wait at the start for ports, the data folder and whole settings

What callers saw: a process started while its predecessor still held a port or the lock of the data folder, while the disk refused writes, or while its settings file was being written, ended with code 3 or 2, again at each start.

Cause: a start took whatever was missing for a moment as final. Class: start-up order, a dependency that is late is treated as one that is wrong. Ruled out: the same while a process serves (a reload keeps the last good settings).

SIGTERM ends a start that waits at once, with 0. The exit codes 2 and 3 stay for what is still missing then.

The test of two processes on one data folder sets start_wait_us to 0 for the second one and checks what it did.

--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -15,7 +15,7 @@
 import loguru
 from twisted.internet import defer, error
 
-from iriswheel.runtime import options, scheduler, units
+from iriswheel.runtime import options, scheduler, start_wait, units
 from iriswheel.runtime.process_signals import process_signals
 from iriswheel.transport import http_server, wire
 
@@ -135,25 +135,54 @@
     http: http_server.Server,
     ready: http_server.Server | None = None,
 ) -> tcp.Port:
-    """Bind the ports, and write their numbers into the options; exit if a port can't be bound.
+    """Bind the ports, and write their numbers into the options.
+
+    A port that is taken, for example by a predecessor that still drains, is waited for; the process exits where it
+    can't be bound within the option `start_wait_us`.
 
     Returns:
         The HTTP port.
     """
-    host = process_options.host
-    process_signals.begin_serving()
     try:
-        peer_port = reactor.listenTCP(process_options.port, peers, interface=host, backlog=PEER_BACKLOG)
-        process_options.port = peer_port.getHost().port
-        front_host, front_port = process_options.front_address()
-        front: tcp.Port = reactor.listenTCP(front_port, http, interface=front_host, backlog=HTTP_BACKLOG)
-        if not process_options.front:
-            process_options.http_port = front.getHost().port
-        if process_options.ready and ready is not None:
-            ready_host, ready_port = options.parse_address(process_options.ready)
-            reactor.listenTCP(ready_port, ready, interface=ready_host, backlog=READY_BACKLOG)
+        return start_wait.wait_for(
+            lambda: _bind_all(reactor, process_options, peers, http, ready),
+            error.CannotListenError,
+            process_options.start_wait_us,
+        )
     except error.CannotListenError as cause:
         fail(ExitCode.NO_START, [f"The process can't listen on a port and does not start: {cause}"])
+
+
+def _bind_all(
+    reactor: epollreactor.EPollReactor,
+    process_options: options.Options,
+    peers: wire.ConnectionFactory,
+    http: http_server.Server,
+    ready: http_server.Server | None,
+) -> tcp.Port:
+    """Bind all ports, or none if one of them can't be bound."""
+    bound: list[tcp.Port] = []
+
+    def listen(port: int, factory: wire.ConnectionFactory | http_server.Server, host: str, backlog: int) -> tcp.Port:
+        bound.append(reactor.listenTCP(port, factory, interface=host, backlog=backlog))
+        return bound[-1]
+
+    front_host, front_port = process_options.front_address()
+    try:
+        peer_port = listen(process_options.port, peers, process_options.host, PEER_BACKLOG)
+        front = listen(front_port, http, front_host, HTTP_BACKLOG)
+        if process_options.ready and ready is not None:
+            ready_host, ready_port = options.parse_address(process_options.ready)
+            listen(ready_port, ready, ready_host, READY_BACKLOG)
+    except error.CannotListenError:
+        for port in bound:
+            port.stopListening()
+        reactor.runUntilCurrent()  # closes them, which the reactor would do only once it runs
+        raise
+    process_signals.begin_serving()
+    process_options.port = peer_port.getHost().port
+    if not process_options.front:
+        process_options.http_port = front.getHost().port
     return front
 
 
@@ -182,10 +211,18 @@
     gc.set_threshold(GARBAGE_THRESHOLD)
     reactor = install_reactor()
     disk = storage.Disk(process_options.data, reactor)
-    try:
+    runtime = scheduler.Runtime(reactor)
+
+    def load() -> core.Core:
         disk.open()
-        runtime = scheduler.Runtime(reactor)
-        process = core.Core(runtime, disk, process_options)
+        try:
+            return core.Core(runtime, disk, process_options)
+        except storage.DiskError:
+            disk.close()
+            raise
+
+    try:
+        process = start_wait.wait_for(load, storage.DiskError, process_options.start_wait_us)
     except storage.DiskError as cause:
         fail(ExitCode.NO_START, [str(cause)])
     http = http_server.Server(runtime, make_handler(process), connection_limit=process_options.connections)
--- a/iriswheel/runtime/options.py
+++ b/iriswheel/runtime/options.py
@@ -38,6 +38,7 @@
     "notice_us",
     "revocation_us",
     "rate_overshoot",
+    "start_wait_us",
 )
 
 log = loguru.logger.bind(part="options")
@@ -109,6 +110,7 @@
             that is cut off, accepts a request with it; with 0 there is no such bound on a node that serves on without
             the core machines.
         rate_window_us: Time over which tenants' rate limits count; the same on all nodes.
+        start_wait_us: Time for which a start waits for ports and a data folder that are taken or not available yet.
         rate_overshoot: Fraction of its rate limit by which a tenant may exceed it in that time, over all nodes.
 
     >>> options = Options(role="node", name="n1", host="127.0.0.1", zone="north",
@@ -147,6 +149,7 @@
     revocation_us: int = 0
     rate_window_us: int = 10_000_000
     rate_overshoot: float = 0.1
+    start_wait_us: int = 30_000_000
 
     def front_address(self) -> tuple[str, int]:
         """Return the host and port at which HTTP is served.
--- a/iriswheel/runtime/storage.py
+++ b/iriswheel/runtime/storage.py
@@ -118,8 +118,9 @@
         self.database = self.folder / "state"
         self.reactor = reactor
         self.size = size
-        self.pool = threadpool.ThreadPool(0, 1, name="disk")
+        self.pool: threadpool.ThreadPool | None = None  # of one thread, which writes; None before `open`
         self.env: lmdb.Environment | None = None
+        self.lock: typing.TextIO | None = None  # open, and locked, while the folder is in use
 
     def open(self) -> None:
         """Open the folder, and create it if it is missing; a lock keeps a second process out.
@@ -136,19 +137,24 @@
         iriswheel.runtime.storage.DiskError: The data folder can't be used: ...
         """
         try:
-            top = nearest_existing_folder(absolute(self.folder))
-            self.folder.mkdir(parents=True, exist_ok=True)
-            self.lock = (self.folder / "lock").open("w")  # stays open while the process runs
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            with contextlib.suppress(FileNotFoundError):  # the map may have grown in an earlier incarnation
-                self.size = max(self.size, 2 * (self.database / "data.mdb").stat().st_size)
-            self._environment().sync(True)  # an earlier process may have been killed between a write and its sync
-            sync_folders(absolute(self.database), top)
+            self._open()
         except (OSError, lmdb.Error) as error:
+            self._release()
             raise DiskError(f"The data folder can't be used: {error}") from error
         if self.reactor is not None:
+            self.pool = threadpool.ThreadPool(0, 1, name="disk")
             self.pool.start()
 
+    def _open(self) -> None:
+        top = nearest_existing_folder(absolute(self.folder))
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.lock = (self.folder / "lock").open("w")  # stays open while the process runs
+        fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        with contextlib.suppress(FileNotFoundError):  # the map may have grown in an earlier incarnation
+            self.size = max(self.size, 2 * (self.database / "data.mdb").stat().st_size)
+        self._environment().sync(True)  # an earlier process may have been killed between a write and its sync
+        sync_folders(absolute(self.database), top)
+
     def _environment(self) -> lmdb.Environment:
         if self.env is None:
             self.env = lmdb.open(str(self.database), map_size=self.size, sync=True)
@@ -204,14 +210,21 @@
 
     def commit(self, writes: list[Write]) -> defer.Deferred[None]:
         """Write the pairs in the disk's own thread; the Deferred fires once they are synced."""
+        assert self.pool is not None, "the folder is open"
         return threads.deferToThreadPool(self.reactor, self.pool, self.write, writes)
 
     def close(self) -> None:
-        """Finish the pending writes and release the folder."""
-        if self.pool.started:
+        """Finish the pending writes and release the folder, which can be opened again."""
+        if self.pool is not None:
             self.pool.stop()
+            self.pool = None
+        self._release()
+
+    def _release(self) -> None:
         self._close_environment()
-        self.lock.close()
+        if self.lock is not None:
+            self.lock.close()
+            self.lock = None
 
 
 class MonitoredDisk:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -102,8 +102,10 @@
             "--seeds",
             "127.0.0.1:1",
             "--data",
-            str(tmp_path),
+            str(tmp_path / "data"),
         ]
+        no_wait = tmp_path / "core.toml"
+        no_wait.write_text("start_wait_us = 0\n")
         first = subprocess.Popen(
             [sys.executable, "-m", "iriswheel", "core", *options, "--port", str(fleet.free_port())],
             stderr=subprocess.PIPE,
@@ -112,7 +114,7 @@
         assert first.stderr is not None
         while "listens" not in first.stderr.readline():
             assert first.poll() is None
-        code, _, err = program("core", *options, "--port", str(fleet.free_port()))
+        code, _, err = program("core", *options, "--port", str(fleet.free_port()), "--options", str(no_wait))
         first.terminate()
         assert (code, "data folder" in err) == (3, True)
         first.communicate()
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -1,7 +1,10 @@
 """Real processes from their first import to their end: signals at each moment, and what a start needs."""
 
+import contextlib
+import fcntl
 import pathlib
 import signal
+import socket
 from collections.abc import Callable, Iterator
 
 import pytest
@@ -81,3 +84,76 @@
             process.send_signal(number)
         assert process.returncode == 0
         assert "Traceback" not in machine.output()
+
+
+WAITS = "The process waits to start"
+PORTS = {
+    "node": ("peer", "front", "ready"),
+    "core": ("peer", "control"),
+}
+
+
+def take_port(machine: platform_process.PlatformProcess, name: str) -> socket.socket:
+    """Listen on one of the ports of a machine, as a predecessor does that still drains."""
+    network = machine.network
+    port = {
+        "peer": network.first_port + (1 if machine.role == "node" else 0),
+        "front": network.front_port,
+        "ready": network.ready_port,
+        "control": network.control_port,
+    }[name]
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind((machine.host, port))
+    holder.listen()
+    return holder
+
+
+class TestWhatAStartNeeds:
+    @pytest.mark.parametrize(("role", "port"), [(role, port) for role in ROLES for port in PORTS[role]])
+    def test_a_start_waits_for_a_port_that_is_taken(self, new_machine: NewMachine, role: str, port: str) -> None:
+        machine = new_machine(role)
+        with contextlib.closing(take_port(machine, port)):
+            machine.start()
+            machine.wait_until_written(WAITS)
+            assert machine.is_running()
+        machine.wait_until_listening()
+
+    def test_a_start_waits_for_the_lock_of_a_predecessor(self, new_machine: NewMachine) -> None:
+        machine = new_machine("core")
+        machine.data_folder.mkdir()
+        with (machine.data_folder / "lock").open("w") as lock:
+            fcntl.flock(lock, fcntl.LOCK_EX)
+            machine.start()
+            machine.wait_until_written(WAITS)
+            assert machine.is_running()
+        machine.wait_until_listening()
+
+    def test_a_start_waits_for_its_data_folder(self, new_machine: NewMachine) -> None:
+        machine = new_machine("core")
+        machine.data_folder.write_text("not a folder yet")
+        machine.start()
+        machine.wait_until_written(WAITS)
+        machine.data_folder.unlink()
+        machine.wait_until_listening()
+
+    @pytest.mark.parametrize("kept", [None, 0, 40, 400])
+    @pytest.mark.parametrize("role", ROLES)
+    def test_a_start_waits_for_settings_that_are_missing_or_cut_short(
+        self, new_machine: NewMachine, role: str, kept: int | None
+    ) -> None:
+        machine = new_machine(role)
+        if kept is not None:
+            machine.settings_path.write_text(machine.settings()[:kept])
+        machine.start_with_settings_as_they_are()
+        machine.wait_until_written(WAITS)
+        machine.write_settings()
+        machine.wait_until_listening()
+
+    def test_a_start_that_waits_ends_at_once_when_it_is_told_to_stop(self, new_machine: NewMachine) -> None:
+        machine = new_machine("node")
+        with contextlib.closing(take_port(machine, "front")):
+            process = machine.start()
+            machine.wait_until_written(WAITS)
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(platform_process.TIMEOUT_S) == 0
