Disk: make the database whole under its name, and set a damaged one aside

What callers saw: a core machine whose database a loss of power had torn while it was being made (4,096 bytes, or zeros) ended with code 3 at each start; with half of the file it ended by SIGBUS as it read behind the end.

Cause: lmdb makes its file under the final name, so a start could meet a part of it, and nothing told a part from a database. Class: a file that is used under its name before it is whole. Ruled out: torn or missing lock files, an empty file, a second page that no commit uses; these opened before.

Change: an empty database is made and synced as new.mdb and then renamed. One that lmdb can't open, or that is shorter than its last page, is kept as damaged.mdb, and the machine starts as with a new disk, which the agreement and the chain bear. A database of a newer lmdb is not set aside.

--- a/iriswheel/runtime/storage.py
+++ b/iriswheel/runtime/storage.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import fcntl
 import os
 import pathlib
@@ -30,6 +29,9 @@
 STALL_TIMEOUT_US = 1 * units.SECOND_US  # duration of a write from which the disk counts as failed
 WATCH_INTERVAL_US = 250 * units.MILLISECOND_US  # time between two checks for a stalled write
 RETRY_INTERVAL_US = units.SECOND_US  # wait before the test write to a failed disk
+DATABASE_FILE = "data.mdb"  # lmdb's name for it
+NEW_DATABASE_FILE = "new.mdb"  # a database that is being made
+DAMAGED_DATABASE_FILE = "damaged.mdb"  # the last database that could not be opened
 PROBE_KEY = b"probe"  # key of the test write
 
 log = loguru.logger.bind(part="disk")
@@ -91,6 +93,20 @@
     return path
 
 
+def is_damaged(database: pathlib.Path) -> bool:
+    """Whether the file in a database's folder is no lmdb database, or is shorter than its last page.
+
+    Reading behind the end of the file would end the process by SIGBUS.
+    """
+    try:
+        environment = lmdb.open(str(database), readonly=True, lock=False, create=False)
+    except lmdb.InvalidError:
+        return True
+    with environment:
+        page_count = environment.info()["last_pgno"] + 1
+        return (database / DATABASE_FILE).stat().st_size < page_count * environment.stat()["psize"]
+
+
 class Disk:
     """A data folder on a real disk.
 
@@ -150,11 +166,34 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.lock = (self.folder / "lock").open("w")  # stays open while the process runs
         fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        with contextlib.suppress(FileNotFoundError):  # the map may have grown in an earlier incarnation
-            self.size = max(self.size, 2 * (self.database / "data.mdb").stat().st_size)
+        self.database.mkdir(exist_ok=True)
+        self._prepare_database()
+        file_bytes = (self.database / DATABASE_FILE).stat().st_size
+        self.size = max(self.size, 2 * file_bytes)  # the map may have grown in an earlier incarnation
         self._environment().sync(True)  # an earlier process may have been killed between a write and its sync
         sync_folders(absolute(self.database), top)
 
+    def _prepare_database(self) -> None:
+        """Make the database if there is none, and set aside a damaged one, as if the disk had been lost."""
+        file = self.database / DATABASE_FILE
+        if file.exists() and file.stat().st_size > 0:
+            if not is_damaged(self.database):
+                return
+            log.error(
+                "The database is damaged; it is kept as {}, and this machine starts as with a new disk.",
+                DAMAGED_DATABASE_FILE,
+            )
+            file.replace(self.folder / DAMAGED_DATABASE_FILE)
+        self._make_database(file)
+
+    def _make_database(self, file: pathlib.Path) -> None:
+        """Make an empty database that is either there as a whole or not at all, also after a loss of power."""
+        new = self.folder / NEW_DATABASE_FILE
+        new.unlink(missing_ok=True)
+        with lmdb.open(str(new), subdir=False, lock=False, map_size=self.size) as environment:
+            environment.sync(True)
+        new.replace(file)
+
     def _environment(self) -> lmdb.Environment:
         if self.env is None:
             self.env = lmdb.open(str(self.database), map_size=self.size, sync=True)
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -157,3 +157,16 @@
             machine.wait_until_written(WAITS)
             process.send_signal(signal.SIGTERM)
             assert process.wait(platform_process.TIMEOUT_S) == 0
+
+    @pytest.mark.parametrize("kept", [4096, -4096])
+    def test_a_core_machine_starts_with_a_database_that_a_loss_of_power_tore(
+        self, new_machine: NewMachine, kept: int
+    ) -> None:
+        machine = new_machine("core")
+        machine.start()
+        machine.wait_until_written("View 1 is adopted")
+        machine.kill()
+        database = machine.data_folder / "state" / "data.mdb"
+        database.write_bytes(database.read_bytes()[:kept])
+        machine.start()
+        machine.wait_until_listening(count=2)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,6 +1,8 @@
-"""The data folder on lmdb is usable again after a commit that failed."""
+"""The data folder on lmdb is usable again after a commit that failed, and with a database that a loss of power tore."""
 
+import os
 import pathlib
+from collections.abc import Callable
 from typing import Any
 
 import lmdb
@@ -33,3 +35,74 @@
         disk.write([(b"c", b"3")])
         assert disk.read() == {b"a": b"1", b"c": b"3"}
         disk.close()
+
+
+DAMAGES: dict[str, Callable[[bytes], bytes]] = {
+    "empty": lambda whole: whole[:0],
+    "one byte": lambda whole: whole[:1],
+    "one page": lambda whole: whole[:4096],
+    "a byte short of two pages": lambda whole: whole[:8191],
+    "half": lambda whole: whole[: len(whole) // 2],
+    "zeros": lambda whole: bytes(len(whole)),
+    "second page of zeros": lambda whole: whole[:4096] + bytes(4096) + whole[8192:],
+    "no database": lambda whole: b"x" * len(whole),
+}
+
+
+class TestTornDatabase:
+    @pytest.fixture(autouse=True)
+    def make(self, tmp_path: pathlib.Path) -> None:
+        self.file = tmp_path / "state" / "data.mdb"
+        self.disk = storage.Disk(str(tmp_path))
+        self.disk.open()
+
+    def write(self) -> None:
+        """Store enough that the database has many pages, and close it."""
+        for number in range(20):
+            self.disk.write([(b"%d" % number, bytes(5_000))])
+        self.disk.close()
+
+    @pytest.mark.parametrize("damage", DAMAGES.values(), ids=DAMAGES)
+    def test_a_damaged_database_counts_as_a_lost_disk(
+        self, damage: Callable[[bytes], bytes], tmp_path: pathlib.Path
+    ) -> None:
+        self.write()
+        whole = self.file.read_bytes()
+        self.file.write_bytes(damage(whole))
+        self.disk.open()
+        assert self.disk.read() == {}
+        self.disk.write([(b"a", b"1")])
+        self.disk.close()
+        self.disk.open()
+        assert self.disk.read() == {b"a": b"1"}
+        self.disk.close()
+        if damage(whole):
+            assert (tmp_path / "damaged.mdb").read_bytes() == damage(whole)
+
+    def test_a_whole_database_is_never_set_aside(self, tmp_path: pathlib.Path) -> None:
+        self.write()
+        self.disk.open()
+        assert len(self.disk.read()) == 20
+        self.disk.close()
+        assert not (tmp_path / "damaged.mdb").exists()
+
+    def test_a_database_gets_its_name_only_once_it_is_whole(
+        self, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        self.disk.close()
+        self.file.unlink()
+
+        def refuse(*_: object) -> None:
+            raise OSError("the power is lost before the rename")
+
+        with monkeypatch.context() as patched:
+            patched.setattr(os, "replace", refuse)
+            patched.setattr(pathlib.Path, "replace", refuse)
+            with pytest.raises(storage.DiskError):
+                self.disk.open()
+        assert not self.file.exists()
+        new = tmp_path / "new.mdb"
+        new.write_bytes(new.read_bytes()[:4096])
+        self.disk.open()
+        assert self.disk.read() == {}
+        self.disk.close()
