Disk: begin with a memory map of 32 MiB

What callers saw: where the platform limits a process's address space to its memory (296 MiB), a core machine ended with code 3 at each start: "Cannot allocate memory". Nodes started.

Cause: lmdb's map was 256 MiB of address space from the first start on. Class: a reservation sized for the worst case counts against a limit at once.

Before: 1 of 2 tests failed (core machine). After: both passed.

--- a/iriswheel/runtime/storage.py
+++ b/iriswheel/runtime/storage.py
@@ -25,7 +25,7 @@
 
 Write: typing.TypeAlias = tuple[bytes, bytes | None]  # a key and its value; None removes the key
 
-INITIAL_MAP_BYTES = 1 << 28
+INITIAL_MAP_BYTES = 1 << 25  # address space, which a limit on the process may count as memory
 STALL_TIMEOUT_US = 1 * units.SECOND_US  # duration of a write from which the disk counts as failed
 WATCH_INTERVAL_US = 250 * units.MILLISECOND_US  # time between two checks for a stalled write
 RETRY_INTERVAL_US = units.SECOND_US  # wait before the test write to a failed disk
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -3,6 +3,7 @@
 import contextlib
 import fcntl
 import pathlib
+import resource
 import signal
 import socket
 from collections.abc import Callable, Iterator
@@ -170,3 +171,12 @@
         database.write_bytes(database.read_bytes()[:kept])
         machine.start()
         machine.wait_until_listening(count=2)
+
+    @pytest.mark.parametrize("role", ROLES)
+    def test_a_process_starts_where_its_address_space_is_limited_to_its_memory(
+        self, new_machine: NewMachine, role: str
+    ) -> None:
+        machine = new_machine(role)
+        limit = 296 * 2**20
+        machine.start(prepare=lambda: resource.setrlimit(resource.RLIMIT_AS, (limit, limit)))
+        machine.wait_until_listening()
