Logs: start also where standard error is closed

What callers saw: a process that was started without standard streams ended with code 1 before it listened (a trace that nobody could read).

Cause: the log sink was added without a look whether there is a stream. Class: a start that needs what only its reader needs. A full stream and a pipe without a reader were tried and end nothing.

--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -52,11 +52,15 @@
 
 
 def set_logs(level: str) -> None:
-    """Write log lines of this level and above to standard error: time, level, part of the program, message."""
+    """Write log lines of this level and above to standard error: time, level, part of the program, message.
+
+    A process that was started with its standard error closed writes none.
+    """
     loguru.logger.remove()
     loguru.logger.configure(extra={"part": "main"})
     line_format = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level:<7} {extra[part]}: {message}"
-    loguru.logger.add(sys.stderr, level=level, format=line_format)
+    if sys.stderr is not None:
+        loguru.logger.add(sys.stderr, level=level, format=line_format)
 
 
 def fail(code: ExitCode, lines: collections.abc.Iterable[str]) -> typing.NoReturn:
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import fcntl
+import os
 import pathlib
 import resource
 import signal
@@ -180,3 +181,16 @@
         limit = 296 * 2**20
         machine.start(prepare=lambda: resource.setrlimit(resource.RLIMIT_AS, (limit, limit)))
         machine.wait_until_listening()
+
+    @pytest.mark.parametrize("role", ROLES)
+    def test_a_process_starts_where_its_standard_streams_are_closed(self, new_machine: NewMachine, role: str) -> None:
+        machine = new_machine(role)
+        process = machine.start(prepare=lambda: os.closerange(0, 3))
+        address = (machine.host, machine.network.control_port if role == "core" else machine.network.ready_port)
+
+        def is_listening() -> bool:
+            assert process.poll() is None
+            with socket.socket() as probe:
+                return probe.connect_ex(address) == 0
+
+        platform_process.wait_until(is_listening)
