Soak: SIGHUP again and again while a process starts and while it ends

The soak signalled processes that serve only, so it never met the moments of the incident. Half of the starts, from the moment that the new process handles SIGHUP, and half of the ends now come with a series of them. These draw from random numbers of their own: a seed plays the same faults as before.

--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import collections.abc
+import contextlib
+import pathlib
 import random
 import signal
+import subprocess
 import time
 
 from benchmarks import fleet
@@ -17,6 +20,23 @@
 SETTLE_S = 4.0  # after which a core machine that came back no longer counts as lost
 SERIES_GAPS_S = (0.05, 0.3, 1.5)  # between the actions of a series; one is drawn for each series
 MAX_NODES_IN_SERIES = 6
+SIGNAL_GAP_S = 0.02  # between further signals to a process that starts or ends
+MAX_START_SIGNALS = 20
+HANGUP_SHARE = 0.5  # of the starts and of the ends of processes during which SIGHUP comes again and again
+CAUGHT_SIGNALS_LINE = "SigCgt:"  # of a process's status file: a mask in hexadecimal
+
+
+def handles_hangup(process_id: int) -> bool:
+    """Whether a process has set its handler of SIGHUP; False where there is no such process.
+
+    >>> handles_hangup(0)
+    False
+    """
+    with contextlib.suppress(OSError):
+        for line in pathlib.Path(f"/proc/{process_id}/status").read_text(encoding="ascii").splitlines():
+            if line.startswith(CAUGHT_SIGNALS_LINE):
+                return bool(int(line.split()[1], 16) >> (signal.SIGHUP - 1) & 1)
+    return False
 
 
 class Faults:
@@ -35,6 +55,8 @@
         self.records = run
         self.rng = rng
         self.is_stopping = False
+        self._signal_rng = random.Random()  # for the further signals, so that a seed plays the same faults as without
+        self._signal_rng.setstate(rng.getstate())
         self._core_slot = asyncio.Lock()  # held by the series whose core machine counts as lost
         self._busy: set[str] = set()  # processes that some series stops, freezes or restarts now
 
@@ -106,8 +128,11 @@
         self.fleet.signal(name, signal.SIGTERM)
         process = self.fleet.processes[name]
         ended_by = time.monotonic() + STOP_TIMEOUT_S
+        with_hangups = self._signal_rng.random() < HANGUP_SHARE
         while process.poll() is None and time.monotonic() < ended_by:
-            await asyncio.sleep(0.02)
+            if with_hangups:
+                process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(SIGNAL_GAP_S)
         if process.poll() is None:
             self.records.complaints.append(f"{name} did not end within {STOP_TIMEOUT_S} s of SIGTERM")
             await asyncio.to_thread(self.fleet.kill, name)
@@ -134,4 +159,21 @@
     async def _start_later(self, name: str) -> None:
         await asyncio.sleep(self.rng.uniform(*DOWN_S))
         self.records.note(f"start {name}")
-        await asyncio.to_thread(self.fleet.restart, name)
+        predecessor = self.fleet.processes[name]
+        start = asyncio.create_task(asyncio.to_thread(self.fleet.restart, name))
+        if self._signal_rng.random() < HANGUP_SHARE:
+            await self._hang_up_while_starting(name, predecessor, start)
+        await start
+
+    async def _hang_up_while_starting(
+        self, name: str, predecessor: subprocess.Popen[bytes], start: asyncio.Task[None]
+    ) -> None:
+        """Send SIGHUP again and again, from the moment that a new process handles it."""
+        while not start.done():
+            process = self.fleet.processes[name]
+            if process is not predecessor and (process.poll() is not None or handles_hangup(process.pid)):
+                break
+            await asyncio.sleep(SIGNAL_GAP_S / 4)
+        for _ in range(MAX_START_SIGNALS):
+            self.fleet.processes[name].send_signal(signal.SIGHUP)
+            await asyncio.sleep(self._signal_rng.uniform(0, SIGNAL_GAP_S))
