HTTP: decode the very small chunks of one read in one step

What callers saw: clients that send bodies in chunks of a few bytes took most of a process's time; others waited behind them.

Ruled out: memory; the decoder keeps only what is not decoded yet.

--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -17,6 +17,7 @@
 from iriswheel import errors
 from iriswheel.configuration import configuration
 from iriswheel.runtime import scheduler, units
+from iriswheel.transport import chunked_body
 
 if typing.TYPE_CHECKING:
     from twisted.internet import interfaces
@@ -214,6 +215,14 @@
         self.idle_since = self.factory.runtime.now()
         super().dataReceived(data)
 
+    def _maybeChooseTransferDecoder(self, header: bytes, data: bytes) -> bool:  # noqa: N802 - Twisted's name
+        if not super()._maybeChooseTransferDecoder(header, data):
+            return False
+        if header == b"Transfer-Encoding" and self._transferDecoder is not None:
+            decoder = self._transferDecoder
+            self._transferDecoder = chunked_body.ChunkedBodyDecoder(decoder.dataCallback, decoder.finishCallback)
+        return True
+
     def allHeadersReceived(self) -> None:
         """Record that the request head is complete."""
         self.head_started_at = None
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,8 +1,8 @@
 """A pytest plugin for tests that are known to fail.
 
-KNOWN-RED.txt lists up to three of them, and those of UNCOUNTED_ISSUES, one per line: `node id | cause | issue`. They are run as expected failures and
-printed at the end. A listed test that passes, is skipped or does not exist fails the whole run; a listed test that was
-not selected for the run has no effect.
+KNOWN-RED.txt lists up to three of them, and those of UNCOUNTED_ISSUES, one per line: `node id | cause | issue`. They
+are run as expected failures and printed at the end. A listed test that passes, is skipped or does not exist fails the
+whole run; a listed test that was not selected for the run has no effect.
 """
 
 import pathlib
