HTTP: pass forms on as they are

What callers saw: a POST with the content type of a form was parsed before it was forwarded: a form of some megabytes took many times its length in memory.

Cause: Twisted's request parses forms unless told otherwise, and nobody here reads the result. Class: a default of a library that works for every client. Found by reading, in search of what keeps a client's bytes.

Before: 1 of the 2 new tests failed. After: both passed.

--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -101,6 +101,10 @@
     received_bytes = 0  # length of the body so far
     client_lost: scheduler.Signal  # woken when the client disconnects
 
+    def __init__(self, channel: Channel, queued: object = False) -> None:
+        # a body is passed on as it is; parsed as a form it takes many times its length
+        super().__init__(channel, queued, parsePOSTFormSubmission=False)
+
     def gotLength(self, length: int | None) -> None:
         """Refuse a body whose announced length is above the limit; the length of a chunked body is None."""
         super().gotLength(length)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,11 +1,13 @@
 """The HTTP server enforces the configuration's limits (`limits/door`) on the size and duration of what clients send."""
 
+import unittest.mock
 from collections.abc import Iterator
 from typing import Any
 
 import pytest
 from twisted.internet import defer, error, task, testing
 from twisted.python import failure
+from twisted.web import http
 
 from iriswheel import errors
 from iriswheel.configuration import configuration
@@ -50,6 +52,18 @@
         channel.dataReceived(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n01234567890")
         assert self.served == [b"01234567890"]
 
+    # Clients that do not behave: a form of some megabytes took many times as much memory, and a torn one was refused.
+    @pytest.mark.parametrize("kind", [b"application/x-www-form-urlencoded", b"multipart/form-data; boundary=b"])
+    def test_a_form_is_served_as_it_is(self, kind: bytes) -> None:
+        channel, _ = self.connect()
+        with (
+            unittest.mock.patch.object(http, "parse_qs") as parse,
+            unittest.mock.patch.object(http, "_getMultiPartArgs"),
+        ):
+            channel.dataReceived(b"POST / HTTP/1.1\r\nContent-Type: " + kind + b"\r\nContent-Length: 5\r\n\r\na=1&b")
+        assert self.served == [b"a=1&b"]
+        assert not parse.called
+
     def test_a_head_above_the_limit_is_answered_with_400(self) -> None:
         channel, transport = self.connect()
         channel.dataReceived(b"POST / HTTP/1.1\r\nX-A: " + b"a" * 400 + b"\r\nContent-Length: 0\r\n\r\n")
