HTTP: bound the lists and objects of a JSON document before it is decoded

What callers saw: at a core machine bodies of legal size, full of empty objects, took more than a hundred megabytes each once decoded; with some at a time the process ran out of memory.

Cause: the size of a document is bounded, that of its values is not. Class: a bound on what arrives in place of one on what is kept.

Change: a document in which more than 100,000 brackets or braces open is refused as malformed (400); a configuration of 4,000 routes has some 10,000. The request's constructor gets Twisted's signature beside it, for the type checker.

Before: the new test failed. After: it passed.

--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -26,6 +26,7 @@
 
 CLOCK_ALLOWANCE_US = 2 * units.SECOND_US  # added to a client's time limits, since its clock may run differently
 MAX_JSON_DEPTH = 100  # levels of nesting; code that later reads the value recursively has less of the stack left
+MAX_JSON_CONTAINERS = 100_000  # lists and objects in one document, each of which takes many times its bytes in the body
 CONNECTION_LIMIT = 2048  # simultaneous connections of one server
 
 log = loguru.logger.bind(part="http_server")
@@ -52,8 +53,8 @@
 def parse_json(raw: bytes) -> typing.Any:  # noqa: ANN401 - any JSON value
     """Decode JSON that can be stored and sent on as msgpack; raises ValueError for all other bytes.
 
-    JSON is refused too if it has an integer beyond 64 bits, an infinity or NaN, a lone surrogate, or more than
-    MAX_JSON_DEPTH nested lists and objects.
+    JSON is refused too if it has an integer beyond 64 bits, an infinity or NaN, a lone surrogate, more than
+    MAX_JSON_DEPTH nested lists and objects, or more than MAX_JSON_CONTAINERS brackets or braces that open.
 
     >>> parse_json(b'{"a": [1.5]}')
     {'a': [1.5]}
@@ -62,6 +63,8 @@
     ...
     ValueError: nested more than 100 deep
     """
+    if raw.count(b"{") + raw.count(b"[") > MAX_JSON_CONTAINERS:
+        raise ValueError(f"more than {MAX_JSON_CONTAINERS} lists and objects")
     try:
         document = msgspec.json.decode(raw)
         msgspec.msgpack.encode(document)
@@ -101,9 +104,14 @@
     received_bytes = 0  # length of the body so far
     client_lost: scheduler.Signal  # woken when the client disconnects
 
-    def __init__(self, channel: Channel, queued: object = False) -> None:
-        # a body is passed on as it is; parsed as a form it takes many times its length
-        super().__init__(channel, queued, parsePOSTFormSubmission=False)
+    def __init__(
+        self,
+        channel: http.HTTPChannel,
+        queued: object = False,
+        parsePOSTFormSubmission: bool = False,  # noqa: N803 - Twisted's name
+    ) -> None:
+        # a body is passed on as it is by default; parsed as a form it takes many times its length
+        super().__init__(channel, queued, parsePOSTFormSubmission)
 
     def gotLength(self, length: int | None) -> None:
         """Refuse a body whose announced length is above the limit; the length of a chunked body is None."""
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -114,3 +114,15 @@
         channel, transport = self.connect()
         channel.dataReceived(b"POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 11\r\n\r\n")
         assert transport.value().count(b"HTTP/1.1") == 1
+
+
+# Clients that do not behave: a document of some megabytes took more than a hundred megabytes of memory once decoded.
+def test_json_with_too_many_lists_and_objects_is_refused_before_it_is_decoded() -> None:
+    allowed = b"[" + b"{}," * (http_server.MAX_JSON_CONTAINERS - 2) + b"{}]"
+    assert len(http_server.parse_json(allowed)) == http_server.MAX_JSON_CONTAINERS - 1
+    with (
+        unittest.mock.patch.object(http_server.msgspec.json, "decode") as decode,
+        pytest.raises(ValueError, match="more"),
+    ):
+        http_server.parse_json(allowed[:-1] + b",{}]")
+    assert not decode.called
