Node: take no bodies on the port for readiness polls

What callers saw: the 64 connections of that port, each with an unfinished body of 4 MiB, took a node to 298 MiB.

Cause: its server had the default limits on what clients send, 8 MiB a body, though no call there has one. Class: a limit that fits one port stands on all.

Before: both tests at the readiness port failed (296 and 298 of 160 MiB).

--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -15,6 +15,7 @@
 import loguru
 from twisted.internet import defer, error
 
+from iriswheel.configuration import configuration
 from iriswheel.runtime import options, scheduler, start_wait, units
 from iriswheel.runtime.process_signals import process_signals
 from iriswheel.transport import http_server, wire
@@ -32,6 +33,7 @@
 HTTP_BACKLOG = 1024  # TCP listen backlog of the HTTP port
 READY_BACKLOG = 128  # TCP listen backlog of the port for readiness polls
 READY_CONNECTION_LIMIT = 64  # open connections on the port for readiness polls
+READY_LIMITS = configuration.Limits(body_bytes=1024)  # of calls on that port, which have no use for a body
 # New objects of a core machine between two searches for garbage: one change of the configuration makes ten thousands.
 GARBAGE_THRESHOLD = 20_000
 
@@ -274,7 +276,7 @@
         process_options,
         wire.ConnectionFactory(runtime, process.serve, log),
         server,
-        http_server.Server(runtime, handle_ready, connection_limit=READY_CONNECTION_LIMIT),
+        http_server.Server(runtime, handle_ready, connection_limit=READY_CONNECTION_LIMIT, limits=lambda: READY_LIMITS),
     )
     process.start(process_options.port, process_options.front_address()[1])
     watch = options.OptionsWatch(runtime, path, read_options, process.reload_options)
