HTTP: bound the time of a head at core machines and the readiness port too

What callers saw: heads without an end kept their connections, and what was read of them, for the idle time of 75 s at a core machine and at a node's readiness port; only a node's front closed them after the limit on heads.

Cause: the task that closes overdue heads was started for the front alone.

Before: both new tests failed (60 s without an end). After: both passed.

--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -232,6 +232,7 @@
     except storage.DiskError as cause:
         fail(ExitCode.NO_START, [str(cause)])
     http = http_server.Server(runtime, make_handler(process), connection_limit=process_options.connections)
+    runtime.spawn(http.close_overdue_heads(), log)
     bind(reactor, process_options, wire.ConnectionFactory(runtime, process.serve, log), http)
     process.start()
     watch = options.OptionsWatch(runtime, path, read_options, process.reload_options)
@@ -271,13 +272,11 @@
     )
     runtime.spawn(server.close_overdue_heads(), log)
     handle_ready = process.gateway.status_calls.handle if ready is None else ready(process)
-    front = bind(
-        reactor,
-        process_options,
-        wire.ConnectionFactory(runtime, process.serve, log),
-        server,
-        http_server.Server(runtime, handle_ready, connection_limit=READY_CONNECTION_LIMIT, limits=lambda: READY_LIMITS),
+    ready_server = http_server.Server(
+        runtime, handle_ready, connection_limit=READY_CONNECTION_LIMIT, limits=lambda: READY_LIMITS
     )
+    runtime.spawn(ready_server.close_overdue_heads(), log)
+    front = bind(reactor, process_options, wire.ConnectionFactory(runtime, process.serve, log), server, ready_server)
     process.start(process_options.port, process_options.front_address()[1])
     watch = options.OptionsWatch(runtime, path, read_options, process.reload_options)
     runtime.spawn(watch.run(), log)
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -194,3 +194,18 @@
                 return probe.connect_ex(address) == 0
 
         platform_process.wait_until(is_listening)
+
+
+# Clients that do not behave: a head without an end kept its connection for the idle time, 75 s.
+@pytest.mark.parametrize("port", ["control", "ready"])
+def test_a_head_that_never_ends_is_closed_at_each_port_within_the_limit_on_heads(
+    new_machine: NewMachine, port: str
+) -> None:
+    machine = new_machine("core" if port == "control" else "node")
+    machine.start()
+    machine.wait_until_listening()
+    network = machine.network
+    address = (machine.host, network.control_port if port == "control" else network.ready_port)
+    with socket.create_connection(address, timeout=platform_process.TIMEOUT_S) as client:
+        client.sendall(b"GET / HTTP/1.1\r\nHost: a")
+        assert client.recv(1) == b""
