HTTP: one budget for what a process holds for its clients

What callers saw: many bodies of legal size at once, unfinished, whole and waiting, or beyond the limit, ended a process, which ran out of memory.

Cause: limits held for one request and for the number of connections; nothing bounded their product, 3,800 connections of 4 MiB at a node. Class: a bound by count in place of one on the resource. A body was also held a second time in the server after the forwarder had taken it.

Change: transport/memory_budget.py charges each connection for its head, its body (twice its length; twelve times where it is JSON), later requests and unread answers, over all servers of a process. Above the limit the largest unfinished requests get 503, which promises that they have not run; later requests on a connection are dropped; connections that don't read are ended; whole requests are kept, and new ones refused. Large ones leave a quarter for small ones, and the largest legal one always fits alone. Option client_memory_bytes (64 MiB; a third of the memory on the platform).

--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -18,7 +18,7 @@
 from iriswheel.configuration import configuration
 from iriswheel.runtime import options, scheduler, start_wait, units
 from iriswheel.runtime.process_signals import process_signals
-from iriswheel.transport import http_server, wire
+from iriswheel.transport import http_server, memory_budget, wire
 
 if typing.TYPE_CHECKING:
     from twisted.internet import epollreactor, tcp
@@ -34,6 +34,7 @@
 READY_BACKLOG = 128  # TCP listen backlog of the port for readiness polls
 READY_CONNECTION_LIMIT = 64  # open connections on the port for readiness polls
 READY_LIMITS = configuration.Limits(body_bytes=1024)  # of calls on that port, which have no use for a body
+JSON_WEIGHT = 12  # bytes of memory for each byte of a JSON document, with its values
 # New objects of a core machine between two searches for garbage: one change of the configuration makes ten thousands.
 GARBAGE_THRESHOLD = 20_000
 
@@ -231,7 +232,13 @@
         process = start_wait.wait_for(load, storage.DiskError, process_options.start_wait_us)
     except storage.DiskError as cause:
         fail(ExitCode.NO_START, [str(cause)])
-    http = http_server.Server(runtime, make_handler(process), connection_limit=process_options.connections)
+    http = http_server.Server(
+        runtime,
+        make_handler(process),
+        connection_limit=process_options.connections,
+        memory=memory_budget.MemoryBudget(process_options.client_memory_bytes),
+        body_weight=JSON_WEIGHT,
+    )
     runtime.spawn(http.close_overdue_heads(), log)
     bind(reactor, process_options, wire.ConnectionFactory(runtime, process.serve, log), http)
     process.start()
@@ -263,17 +270,23 @@
     reactor = install_reactor()
     runtime = scheduler.Runtime(reactor)
     process = node.Node(runtime, process_options, formats)
+    memory = memory_budget.MemoryBudget(process_options.client_memory_bytes)
     server = http_server.Server(
         runtime,
         process.gateway.handle,
         connection_limit=process_options.connections,
         error_format=process.edge_protocol,
         limits=lambda: process.follower.limits,
+        memory=memory,
     )
     runtime.spawn(server.close_overdue_heads(), log)
     handle_ready = process.gateway.status_calls.handle if ready is None else ready(process)
     ready_server = http_server.Server(
-        runtime, handle_ready, connection_limit=READY_CONNECTION_LIMIT, limits=lambda: READY_LIMITS
+        runtime,
+        handle_ready,
+        connection_limit=READY_CONNECTION_LIMIT,
+        limits=lambda: READY_LIMITS,
+        memory=memory,
     )
     runtime.spawn(ready_server.close_overdue_heads(), log)
     front = bind(reactor, process_options, wire.ConnectionFactory(runtime, process.serve, log), server, ready_server)
--- a/iriswheel/dataplane/relay.py
+++ b/iriswheel/dataplane/relay.py
@@ -86,9 +86,8 @@
         self, request: http_server.Request, worker: message.Worker, attempt: dispatch.Attempt
     ) -> attempt_outcome.AttemptOutcome:
         """Send a peer's request to its worker; the work is cancelled when the peer disconnects."""
-        assert request.content is not None, "the body is read before the request is handled"
         return await client_disconnect.run_until_disconnect(
-            request, self.node.dispatcher.send(request, request.content.read(), worker, False, attempt)
+            request, self.node.dispatcher.send(request, request.take_body(), worker, False, attempt)
         )
 
     def answer(self, request: http_server.Request, outcome: attempt_outcome.AttemptOutcome) -> None:
--- a/iriswheel/dataplane/request_router.py
+++ b/iriswheel/dataplane/request_router.py
@@ -52,8 +52,7 @@
             parsed.attempt_number,
         )
         request.idempotent = parsed.idempotent
-        assert http_request.content is not None, "The body must be read before the request is handled."
-        request.raw = http_request.content.read()
+        request.raw = http_request.take_body()
 
     def admit(self, request: routed_request.RoutedRequest) -> None:
         """Route and authenticate a parsed request, and record a first attempt in the retry budget.
--- a/iriswheel/runtime/options.py
+++ b/iriswheel/runtime/options.py
@@ -29,6 +29,7 @@
     "retry_window_us",
     "list_us",
     "rate_window_us",
+    "client_memory_bytes",
 )
 NON_NEGATIVE_OPTIONS = (
     "drain_us",
@@ -110,6 +111,7 @@
             that is cut off, accepts a request with it; with 0 there is no such bound on a node that serves on without
             the core machines.
         rate_window_us: Time over which tenants' rate limits count; the same on all nodes.
+        client_memory_bytes: Memory that the process holds for clients at most: bodies, heads and unread answers.
         start_wait_us: Time for which a start waits for ports and a data folder that are taken or not available yet.
         rate_overshoot: Fraction of its rate limit by which a tenant may exceed it in that time, over all nodes.
 
@@ -150,6 +152,7 @@
     rate_window_us: int = 10_000_000
     rate_overshoot: float = 0.1
     start_wait_us: int = 30_000_000
+    client_memory_bytes: int = 64 << 20
 
     def front_address(self) -> tuple[str, int]:
         """Return the host and port at which HTTP is served.
--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -17,7 +17,7 @@
 from iriswheel import errors
 from iriswheel.configuration import configuration
 from iriswheel.runtime import scheduler, units
-from iriswheel.transport import chunked_body
+from iriswheel.transport import chunked_body, memory_budget
 
 if typing.TYPE_CHECKING:
     from twisted.internet import interfaces
@@ -28,6 +28,9 @@
 MAX_JSON_DEPTH = 100  # levels of nesting; code that later reads the value recursively has less of the stack left
 MAX_JSON_CONTAINERS = 100_000  # lists and objects in one document, each of which takes many times its bytes in the body
 CONNECTION_LIMIT = 2048  # simultaneous connections of one server
+BODY_WEIGHT = 2  # bytes of memory for each byte of a body: it is also held in the buffer of the worker's connection
+HEADER_BYTES = 400  # of memory for each header, beside its text
+UNSENT_BYTES = 64 << 10  # of answers that wait for a client to read them, from which its connection may be ended
 
 log = loguru.logger.bind(part="http_server")
 
@@ -94,6 +97,11 @@
     return head.encode() + body
 
 
+def no_memory_error() -> errors.ServiceError:
+    """Return the error for a request that this process refuses for want of memory."""
+    return errors.ServiceError("busy", "This process has no memory for the request now.")
+
+
 class Request(http.Request):
     """One HTTP request, on the server's side."""
 
@@ -102,6 +110,7 @@
     early_error: errors.ServiceError | None = None  # the error sent before the body was received
     client_disconnected = False
     received_bytes = 0  # length of the body so far
+    header_count = 0  # once the head is complete
     client_lost: scheduler.Signal  # woken when the client disconnects
 
     def __init__(
@@ -118,20 +127,29 @@
         super().gotLength(length)
         self.content = io.BytesIO()  # in memory, not in a file: `Limits.body_bytes` bounds it
         if length is not None and length > self.channel.factory.limits().body_bytes:
-            self.send_error_early("too_large", "The body is too large.")
+            self.send_error_early(errors.ServiceError("too_large", "The body is too large."))
 
     def handleContentChunk(self, data: bytes) -> None:
         """Add a chunk to the body; refuse the request once the body is above the limit."""
+        if self.early_error is not None:
+            return
         self.received_bytes += len(data)
         if self.received_bytes > self.channel.factory.limits().body_bytes:
-            if self.early_error is None:
-                self.send_error_early("too_large", "The body is too large.")
+            self.send_error_early(errors.ServiceError("too_large", "The body is too large."))
             return
         super().handleContentChunk(data)
 
-    def send_error_early(self, code: errors.ErrorCode, text: str) -> None:
+    def take_body(self) -> bytes:
+        """Return the whole body, which this request holds no longer."""
+        body = self.content.getvalue()
+        self.content = io.BytesIO()
+        return body
+
+    def send_error_early(self, error: errors.ServiceError) -> None:
         """Answer with an error before the body is complete, and close the connection."""
-        self.early_error = errors.ServiceError(code, text)
+        self.early_error = error
+        self.content = io.BytesIO()
+        self.received_bytes = 0
         self.channel.transport.write(closing_error_response(self.early_error))
         self.channel.loseConnection()
 
@@ -141,6 +159,10 @@
             return
         self.client_lost = scheduler.Signal()
         self.notifyFinish().addErrback(self._record_disconnection)
+        if not self.channel.note_memory():
+            self.content = io.BytesIO()
+            self.answer_error(no_memory_error())
+            return
         self.channel.factory.runtime.spawn(self._serve(self.channel.factory.handle), log)
 
     def _record_disconnection(self, _: failure.Failure) -> None:
@@ -160,6 +182,11 @@
                 errors.ServiceError("worker_broke", "Internal error.", errors.ExecutionOutcome.MAY_HAVE_RUN)
             )
 
+    def write(self, data: bytes) -> None:
+        """Send a piece of the answer."""
+        super().write(data)
+        self.channel.note_memory()
+
     def answer_error(self, error: errors.ServiceError) -> None:
         """Answer with an error; if an answer has begun already, abort the connection instead."""
         if self.client_disconnected:
@@ -194,7 +221,7 @@
     def json(self) -> typing.Any:  # noqa: ANN401 - any JSON value
         """Return the body decoded from JSON; raises ServiceError if it is not valid JSON."""
         try:
-            return parse_json(self.content.read())
+            return parse_json(self.take_body())
         except ValueError:
             raise errors.ServiceError("bad_request", "The body is not JSON.", field="body") from None
 
@@ -226,6 +253,7 @@
             self.head_started_at = self.factory.runtime.now()
         self.idle_since = self.factory.runtime.now()
         super().dataReceived(data)
+        self.note_memory()
 
     def _maybeChooseTransferDecoder(self, header: bytes, data: bytes) -> bool:  # noqa: N802 - Twisted's name
         if not super()._maybeChooseTransferDecoder(header, data):
@@ -238,12 +266,61 @@
     def allHeadersReceived(self) -> None:
         """Record that the request head is complete."""
         self.head_started_at = None
+        self.requests[-1].header_count = self._receivedHeaderCount
         super().allHeadersReceived()
 
     def requestDone(self, request: http.Request) -> None:
         """Record that the connection is idle from now on."""
         self.idle_since = self.factory.runtime.now()
         super().requestDone(request)
+        self.note_memory()
+
+    def note_memory(self) -> bool:
+        """Have the budget charge this connection for what it holds now; returns whether the process has the memory."""
+        return self not in self.factory.channels or self.factory.memory.update(self)
+
+    def unsent_bytes(self) -> int:
+        """Return the length of the answers that the client has not read and the operating system has not taken."""
+        transport = self.transport
+        buffered = len(getattr(transport, "dataBuffer", b"")) - getattr(transport, "offset", 0)
+        return int(buffered + getattr(transport, "_tempDataBufferLen", 0))
+
+    def held_bytes(self) -> int:
+        """Return an estimate of the bytes that this connection holds: its request, later ones, and unsent answers."""
+        held = len(self._buffer) + sum(map(len, self._dataBuffer)) + self.unsent_bytes()
+        if self.requests:
+            request = self.requests[-1]
+            header_count = request.header_count or self._receivedHeaderCount
+            held += HEADER_BYTES * header_count + self.factory.body_weight * request.received_bytes
+        return held
+
+    def release_memory(self) -> bool:
+        """Refuse a request that is not whole yet, or end a connection whose client does not read; see `Holder`.
+
+        Later requests on a connection are dropped unread, and it is closed after the answer under way.
+        """
+        if self.unsent_bytes() >= UNSENT_BYTES:
+            self.transport.abortConnection()
+            return True
+        if self._handlingRequest:
+            return self._drop_later_requests()
+        if not self.requests and not self._buffer:
+            return False
+        if self.requests and self.requests[-1].early_error is not None:
+            return False  # it is being closed already
+        if self.requests:
+            self.requests[-1].send_error_early(no_memory_error())
+        else:
+            self.loseConnection()
+        self._buffer = b""
+        return True
+
+    def _drop_later_requests(self) -> bool:
+        if not any(self._dataBuffer):
+            return False
+        self._dataBuffer = []
+        self.persistent = False
+        return True
 
     def timeoutConnection(self) -> None:
         """Close an idle connection, unless the limit was raised after its timer was set and has not been reached."""
@@ -267,6 +344,7 @@
         """Remove the connection from the server's count."""
         self.factory.open_count -= 1
         self.factory.channels.pop(self, None)
+        self.factory.memory.remove(self)
         self.factory.connection_closed.wake()
         super().connectionLost(reason)
 
@@ -286,6 +364,8 @@
         connection_limit: how many connections may be open at a time.
         error_format: the format of error responses; JsonErrorFormat by default.
         limits: returns the limits in force now, which a new configuration may change.
+        memory: the budget of this process for what it holds for its clients; by default one of this server alone.
+        body_weight: bytes of memory for each byte of a body, by which the budget is charged.
     """
 
     noisy = False
@@ -295,15 +375,20 @@
         self,
         runtime: scheduler.Runtime,
         handle: Handler,
+        *,
         connection_limit: int = CONNECTION_LIMIT,
         error_format: ErrorFormat | None = None,
         limits: collections.abc.Callable[[], configuration.Limits] = configuration.Limits,
+        memory: memory_budget.MemoryBudget | None = None,
+        body_weight: int = BODY_WEIGHT,
     ) -> None:
         super().__init__(timeout=limits().idle_us / units.SECOND_US, reactor=runtime.reactor)
         self.runtime = runtime
         self.handle = handle
         self.error_format = error_format or JsonErrorFormat()
         self.limits = limits
+        self.memory = memory or memory_budget.MemoryBudget()
+        self.body_weight = body_weight
         self.connection_limit = connection_limit
         self.open_count = 0
         self.channels: dict[Channel, None] = {}  # open connections, oldest first
