--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -26,6 +26,7 @@
     from iriswheel.control import core
     from iriswheel.dataplane import edge_protocol
     from iriswheel.node import node
+    from iriswheel.runtime import storage
 
 
 LAST_BYTES_TIMEOUT_US = 500 * units.MILLISECOND_US  # longest wait until a stopping node's last answers are sent
@@ -197,6 +198,25 @@
     return process.handle
 
 
+def _load_core(runtime: scheduler.Runtime, disk: storage.Disk, process_options: options.Options) -> core.Core:
+    """Open the data folder and load what it holds; exit where that fails for longer than the option `start_wait_us`."""
+    from iriswheel.control import core
+    from iriswheel.runtime import storage
+
+    def load() -> core.Core:
+        disk.open()
+        try:
+            return core.Core(runtime, disk, process_options)
+        except storage.DiskError:
+            disk.close()
+            raise
+
+    try:
+        return start_wait.wait_for(load, storage.DiskError, process_options.start_wait_us)
+    except storage.DiskError as cause:
+        fail(ExitCode.NO_START, [str(cause)])
+
+
 def run_core(
     process_options: options.Options,
     path: str,
@@ -211,7 +231,6 @@
         read_options: Reads the options again.
         make_handler: Makes the HTTP handler of the core machine; by default the core machine's own.
     """
-    from iriswheel.control import core
     from iriswheel.runtime import storage
 
     set_logs(process_options.log_level)
@@ -219,19 +238,7 @@
     reactor = install_reactor()
     disk = storage.Disk(process_options.data, reactor)
     runtime = scheduler.Runtime(reactor)
-
-    def load() -> core.Core:
-        disk.open()
-        try:
-            return core.Core(runtime, disk, process_options)
-        except storage.DiskError:
-            disk.close()
-            raise
-
-    try:
-        process = start_wait.wait_for(load, storage.DiskError, process_options.start_wait_us)
-    except storage.DiskError as cause:
-        fail(ExitCode.NO_START, [str(cause)])
+    process = _load_core(runtime, disk, process_options)
     http = http_server.Server(
         runtime,
         make_handler(process),
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -9,6 +9,7 @@
 from iriswheel.configuration import configuration
 from iriswheel.runtime import scheduler, units
 from iriswheel.transport import http_server, memory_budget
+from tests import http_connection
 
 MEBIBYTE = 1 << 20
 LIMIT = 8 * MEBIBYTE
@@ -114,12 +115,7 @@
             self.answer.callback(None)
 
     def connect(self) -> tuple[http_server.Channel, testing.StringTransportWithDisconnection]:
-        channel: Any = self.server.buildProtocol(None)
-        transport: Any = testing.StringTransportWithDisconnection()
-        transport.protocol = channel
-        transport.unregisterProducer = lambda: None  # a socket accepts this call at any time
-        channel.makeConnection(transport)
-        return channel, transport
+        return http_connection.connect(self.server)
 
     def send(self, length: int, sent: int) -> testing.StringTransportWithDisconnection:
         """Announce a body of some length and send a part of it."""
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -2,7 +2,6 @@
 
 import unittest.mock
 from collections.abc import Iterator
-from typing import Any
 
 import pytest
 from twisted.internet import defer, error, task, testing
@@ -13,6 +12,7 @@
 from iriswheel.configuration import configuration
 from iriswheel.runtime import scheduler, units
 from iriswheel.transport import http_server
+from tests import http_connection
 
 
 class TestLimits:
@@ -33,12 +33,7 @@
         closing_overdue_heads.cancel()
 
     def connect(self) -> tuple[http_server.Channel, testing.StringTransportWithDisconnection]:
-        channel: Any = self.server.buildProtocol(None)
-        transport: Any = testing.StringTransportWithDisconnection()
-        transport.protocol = channel
-        transport.unregisterProducer = lambda: None  # a socket accepts this call at any time
-        channel.makeConnection(transport)
-        return channel, transport
+        return http_connection.connect(self.server)
 
     def wait(self, seconds: int) -> None:
         self.clock.pump([0.5] * int(2 * seconds))
