--- a/simulation/mutation_checks.py
+++ b/simulation/mutation_checks.py
@@ -289,7 +289,7 @@
     ),
     "sweep": Guard([Patch(sessions.SessionTable, "sweep", _keep_all_sessions)], "release", 1, "served"),
     "early_answers": Guard(
-        [Patch(http_server.Request, "send_error_early", lambda _self, _code, _text: None)],
+        [Patch(http_server.Request, "send_error_early", lambda _self, _error: None)],
         "bad_requesters",
         1,
         "answered",
