HTTP: count what was written to a connection since its last send

Callers saw a core machine of 160 MiB at 195 MiB after 200 pipelined reads on each of two connections that read nothing. Cause: the budget for clients counted unsent answers by a name that Twisted does not use (_tempDataBufferLen for _tempDataLen), so that those of one turn of the reactor were never charged; and a connection is charged half of the limit at most, so that one alone never passed it. Now the right name is read, in one module with a test on Twisted's own class (it failed before: 0 for 5 bytes); one connection above the whole limit is ended; what an aborted connection holds is freed at once. The test of the budget set the same wrong name on its stand-in. Ruled out: a fault in the sums.

--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -17,7 +17,7 @@
 from iriswheel import errors
 from iriswheel.configuration import configuration
 from iriswheel.runtime import scheduler, units
-from iriswheel.transport import chunked_body, memory_budget
+from iriswheel.transport import chunked_body, memory_budget, unsent
 
 if typing.TYPE_CHECKING:
     from twisted.internet import interfaces
@@ -277,13 +277,15 @@
 
     def note_memory(self) -> bool:
         """Have the budget charge this connection for what it holds now; returns whether the process has the memory."""
-        return self not in self.factory.channels or self.factory.memory.update(self)
+        if self not in self.factory.channels:
+            return True
+        if self.unsent_bytes() > self.factory.memory.limit_bytes:  # answers to pipelined requests, for one
+            unsent.abort(self.transport)
+        return self.factory.memory.update(self)
 
     def unsent_bytes(self) -> int:
         """Return the length of the answers that the client has not read and the operating system has not taken."""
-        transport = self.transport
-        buffered = len(getattr(transport, "dataBuffer", b"")) - getattr(transport, "offset", 0)
-        return int(buffered + getattr(transport, "_tempDataBufferLen", 0))
+        return unsent.unsent_bytes(self.transport)
 
     def held_bytes(self) -> int:
         """Return an estimate of the bytes that this connection holds: its request, later ones, and unsent answers."""
@@ -300,7 +302,7 @@
         Later requests on a connection are dropped unread, and it is closed after the answer under way.
         """
         if self.unsent_bytes() >= UNSENT_BYTES:
-            self.transport.abortConnection()
+            unsent.abort(self.transport)
             return True
         if self._handlingRequest:
             return self._drop_later_requests()
