Peers: one budget for what the connections between processes hold

Callers saw processes of 160 MiB at 357 and 361 MiB under 60 peers that stop short of the end of a frame of 16 MiB, and the tail at 320 MiB under peers that ask for the configuration and read no answer. Frames are collected in place, where each read copied the rest. Ruled out: pausing the reads of a peer that does not read, since its heartbeats would wait.

--- a/benchmarks/lease_cost.py
+++ b/benchmarks/lease_cost.py
@@ -21,7 +21,7 @@
 import loguru
 
 from benchmarks.capacity import hollow_fleet, measuring
-from iriswheel.transport import message, wire
+from iriswheel.transport import frames, message, wire
 
 WORKER_COUNT, POOL_COUNT, ROUTE_COUNT = 6, 1, 100
 SETTLE_S = 3
@@ -130,7 +130,7 @@
             direction = "node to node"
         # As in Connection._send, the content may have any type here: the annotation only matters for decoding.
         raw = wire.encoder.encode(wire.Envelope(kind, sequence, content))  # type: ignore[arg-type]
-        traffic.count(direction, content, len(raw) + wire.LENGTH_BYTES)
+        traffic.count(direction, content, len(raw) + frames.LENGTH_BYTES)
         send(connection, kind, sequence, content)
 
     with unittest.mock.patch.object(wire.Connection, "_send", counted):
--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -16,7 +16,7 @@
 from twisted.internet import defer, error
 
 from iriswheel.configuration import configuration
-from iriswheel.runtime import options, scheduler, start_wait, units
+from iriswheel.runtime import log_output, options, scheduler, start_wait, units
 from iriswheel.runtime.process_signals import process_signals
 from iriswheel.transport import http_server, memory_budget, wire
 
@@ -58,19 +58,22 @@
 def set_logs(level: str) -> None:
     """Write log lines of this level and above to standard error: time, level, part of the program, message.
 
-    A process that was started with its standard error closed writes none.
+    A process that was started with its standard error closed writes none, and lines that nobody reads are dropped.
     """
     loguru.logger.remove()
+    log_output.forward_twisted_events()
     loguru.logger.configure(extra={"part": "main"})
     line_format = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level:<7} {extra[part]}: {message}"
     if sys.stderr is not None:
-        loguru.logger.add(sys.stderr, level=level, format=line_format)
+        loguru.logger.add(log_output.LogOutput(sys.stderr.fileno()), level=level, format=line_format)
 
 
 def fail(code: ExitCode, lines: collections.abc.Iterable[str]) -> typing.NoReturn:
-    """Print the reasons to standard error, one line each, and exit."""
-    for line in lines:
-        print(f"iriswheel: {line}", file=sys.stderr)
+    """Write the reasons to standard error, one line each, and exit."""
+    if sys.stderr is not None:
+        output = log_output.LogOutput(sys.stderr.fileno())
+        for line in lines:
+            output.write(f"iriswheel: {line}\n")
     sys.exit(code)
 
 
@@ -194,6 +197,17 @@
     return front
 
 
+def _peer_factory(process: core.Core | node.Node, process_options: options.Options) -> wire.ConnectionFactory:
+    """The factory of the port for iriswheel's processes, whose connections share one budget with those opened here."""
+    return wire.ConnectionFactory(
+        process.runtime,
+        process.serve,
+        log,
+        memory=process.peers.memory,
+        connection_limit=process_options.peer_connections,
+    )
+
+
 def _default_handler(process: core.Core) -> http_server.Handler:
     return process.handle
 
@@ -247,7 +261,7 @@
         body_weight=JSON_WEIGHT,
     )
     runtime.spawn(http.close_overdue_heads(), log)
-    bind(reactor, process_options, wire.ConnectionFactory(runtime, process.serve, log), http)
+    bind(reactor, process_options, _peer_factory(process, process_options), http)
     process.start()
     watch = options.OptionsWatch(runtime, path, read_options, process.reload_options)
     runtime.spawn(watch.run(), log)
@@ -296,7 +310,7 @@
         memory=memory,
     )
     runtime.spawn(ready_server.close_overdue_heads(), log)
-    front = bind(reactor, process_options, wire.ConnectionFactory(runtime, process.serve, log), server, ready_server)
+    front = bind(reactor, process_options, _peer_factory(process, process_options), server, ready_server)
     process.start(process_options.port, process_options.front_address()[1])
     watch = options.OptionsWatch(runtime, path, read_options, process.reload_options)
     runtime.spawn(watch.run(), log)
--- a/iriswheel/control/core.py
+++ b/iriswheel/control/core.py
@@ -27,7 +27,7 @@
 from iriswheel.replicated_counters import counters as replicated_counters
 from iriswheel.replication import chain
 from iriswheel.runtime import scheduler, storage, units
-from iriswheel.transport import message, peers, wire
+from iriswheel.transport import memory_budget, message, peers, wire
 
 if typing.TYPE_CHECKING:
     from iriswheel.control import zone_evacuation
@@ -52,7 +52,8 @@
         initial_addresses = options.seed_list() if options.found else []
         state = persistent_state.load(runtime, disk, initial_addresses)
         self.disk = storage.MonitoredDisk(runtime, disk)
-        self.peers = peers.Peers(runtime, self.serve, log)
+        peer_memory = memory_budget.MemoryBudget(options.peer_memory_bytes)
+        self.peers = peers.Peers(runtime, self.serve, log, peer_memory)
         self.chain = chain.Chain(runtime, self.disk, state, self.peers)
         self.consensus = self._make_consensus(state, initial_addresses)
         self.chain.consensus = self.consensus
--- a/iriswheel/node/core_session.py
+++ b/iriswheel/node/core_session.py
@@ -261,7 +261,9 @@
     async def _open_candidate(self, address: Address) -> None:
         """Open a candidate session, and close it if it brings no lease within ATTEMPT_TIMEOUT_US."""
         try:
-            connection = await wire.connect(self.runtime, *address, self.receive, log)
+            connection = await wire.connect(
+                self.runtime, *address, self.receive, log, memory=self.follower.node.peers.memory
+            )
             self.candidates[connection] = address
             connection.tell(self.follower.join_request())
             until = self.runtime.now() + ATTEMPT_TIMEOUT_US
--- a/iriswheel/node/node.py
+++ b/iriswheel/node/node.py
@@ -12,7 +12,7 @@
 from iriswheel.node import follower, load_reporter, peer_requests, pool_roles, shutdown, startup
 from iriswheel.rate_limits import rate_limiter
 from iriswheel.runtime import scheduler, units
-from iriswheel.transport import message, peers, wire
+from iriswheel.transport import memory_budget, message, peers, wire
 
 if typing.TYPE_CHECKING:
     from iriswheel.dataplane import owner_client
@@ -36,7 +36,8 @@
         self.options = options
         self.edge_protocol = formats or edge_protocol.EdgeProtocol()
         self.member_record: message.Member | None = None
-        self.peers = peers.Peers(runtime, self.serve, log)
+        peer_memory = memory_budget.MemoryBudget(options.peer_memory_bytes)
+        self.peers = peers.Peers(runtime, self.serve, log, peer_memory)
         self.reachability: health.Reachability = health.Reachability(self)
         self.dispatcher = dispatch.Dispatcher(runtime, self.reachability.note_contact)
         self.follower: follower.Follower = follower.Follower(self, options)
--- a/iriswheel/runtime/options.py
+++ b/iriswheel/runtime/options.py
@@ -30,6 +30,8 @@
     "list_us",
     "rate_window_us",
     "client_memory_bytes",
+    "peer_memory_bytes",
+    "peer_connections",
 )
 NON_NEGATIVE_OPTIONS = (
     "drain_us",
@@ -112,6 +114,8 @@
             the core machines.
         rate_window_us: Time over which tenants' rate limits count; the same on all nodes.
         client_memory_bytes: Memory that the process holds for clients at most: bodies, heads and unread answers.
+        peer_memory_bytes: Memory that the process holds for its connections to other processes at most.
+        peer_connections: Largest number of simultaneous connections from other processes.
         start_wait_us: Time for which a start waits for ports and a data folder that are taken or not available yet.
         rate_overshoot: Fraction of its rate limit by which a tenant may exceed it in that time, over all nodes.
 
@@ -153,6 +157,8 @@
     rate_overshoot: float = 0.1
     start_wait_us: int = 30_000_000
     client_memory_bytes: int = 64 << 20
+    peer_memory_bytes: int = 64 << 20
+    peer_connections: int = 1024
 
     def front_address(self) -> tuple[str, int]:
         """Return the host and port at which HTTP is served.
--- a/iriswheel/transport/memory_budget.py
+++ b/iriswheel/transport/memory_budget.py
@@ -1,4 +1,4 @@
-"""A bound on the memory that a process holds for its clients, over all connections of all its servers.
+"""A bound on the memory that a process holds for others, over all connections of all its servers.
 
 A limit on each request and one on the number of connections bound only their product, which is many times the memory
 of a machine.
@@ -40,6 +40,11 @@
         self.released = 0  # count of connections that were released
         self._held: dict[Holder, int] = {}  # charged bytes, oldest connection first
 
+    @property
+    def largest_bytes(self) -> int:
+        """The most that one connection is charged, so that the largest legal request fits."""
+        return self.limit_bytes * LARGEST_PERCENT // 100
+
     def update(self, holder: Holder) -> bool:
         """Charge a connection for what it holds now, and release connections if all together hold too much.
 
@@ -56,7 +61,7 @@
         self.used_bytes -= self._held.pop(holder, 0)
 
     def _charge(self, holder: Holder) -> int:
-        charged = min(holder.held_bytes(), self.limit_bytes * LARGEST_PERCENT // 100)
+        charged = min(holder.held_bytes(), self.largest_bytes)
         self.used_bytes += charged - self._held.get(holder, 0)
         self._held[holder] = charged
         return charged
--- a/iriswheel/transport/peers.py
+++ b/iriswheel/transport/peers.py
@@ -5,7 +5,7 @@
 import typing
 
 from iriswheel.runtime import scheduler, units
-from iriswheel.transport import wire
+from iriswheel.transport import memory_budget, wire
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -26,16 +26,24 @@
         runtime: clock and reactor of this process.
         serve: handles the messages that other processes send on these connections.
         log: takes the warnings and errors of the connections.
+        memory: the budget for what all connections of this process hold.
 
     >>> import loguru
     >>> Peers(scheduler.Runtime(None, now=lambda: 0), lambda connection, content: None, loguru.logger).connections
     {}
     """
 
-    def __init__(self, runtime: scheduler.Runtime, serve: wire.MessageHandler, log: loguru.Logger) -> None:
+    def __init__(
+        self,
+        runtime: scheduler.Runtime,
+        serve: wire.MessageHandler,
+        log: loguru.Logger,
+        memory: memory_budget.MemoryBudget | None = None,
+    ) -> None:
         self.runtime = runtime
         self.serve = serve
         self.log = log
+        self.memory = memory or memory_budget.MemoryBudget()
         self.connections: dict[Address, wire.Connection] = {}
         self.opening: dict[Address, scheduler.Signal] = {}  # woken once the attempt to connect has ended
 
@@ -53,7 +61,7 @@
             return await self._wait_for_attempt(address)
         attempt_ended = self.opening[address] = scheduler.Signal()
         try:
-            connection = await wire.connect(self.runtime, host, port, self.serve, self.log)
+            connection = await wire.connect(self.runtime, host, port, self.serve, self.log, memory=self.memory)
             self.connections[address] = connection
         finally:
             del self.opening[address]
--- a/iriswheel/transport/wire.py
+++ b/iriswheel/transport/wire.py
@@ -3,6 +3,9 @@
 A connection carries calls, which get one answer each, and messages that need no answer. Each side sends a
 keep-alive when it has sent nothing for KEEP_ALIVE_INTERVAL_US, and aborts the connection when it has received
 nothing for SILENCE_TIMEOUT_US.
+
+Anyone may connect to the port of a process. So what all connections hold together is bounded by a budget, above which
+the largest ones are aborted.
 """
 
 from __future__ import annotations
@@ -13,10 +16,9 @@
 
 import msgspec
 from twisted.internet import defer, endpoints, error, protocol
-from twisted.protocols import basic
 
 from iriswheel.runtime import scheduler, units
-from iriswheel.transport import message
+from iriswheel.transport import frames, memory_budget, message, unsent
 
 if typing.TYPE_CHECKING:
     import loguru
@@ -30,7 +32,7 @@
 SILENCE_TIMEOUT_US = 1_500 * units.MILLISECOND_US
 CONNECT_TIMEOUT_US = 700 * units.MILLISECOND_US
 MAX_FRAME_BYTES = 1 << 25
-LENGTH_BYTES = 4  # size of the length field before each frame
+CHARGED_FROM_BYTES = 16 << 10  # held by a connection, from which the budget is charged for it
 
 # The answer to a message from the peer: the message itself, a coroutine that returns it, or None for no answer.
 Response: typing.TypeAlias = "collections.abc.Coroutine[typing.Any, typing.Any, typing.Any] | message.Message | None"
@@ -76,23 +78,36 @@
         self.refused = refused
 
 
-class Connection(basic.Int32StringReceiver):
+class Connection(protocol.Protocol):
     """One side of a connection between two processes.
 
     Args:
         runtime: clock and reactor of this process.
         serve: handles the messages of the peer and returns their answers.
         log: takes the warnings and errors of the connection.
+        memory: the budget for what all connections of this process hold; by default one of this connection alone.
+        is_accepted: whether the other side opened the connection, so that it may be anyone.
     """
 
-    MAX_LENGTH = MAX_FRAME_BYTES
-
     transport: typing.Any  # Any: Twisted describes transports by zope interfaces, which mypy can't check
 
-    def __init__(self, runtime: scheduler.Runtime, serve: MessageHandler, log: loguru.Logger) -> None:
+    def __init__(
+        self,
+        runtime: scheduler.Runtime,
+        serve: MessageHandler,
+        log: loguru.Logger,
+        *,
+        memory: memory_budget.MemoryBudget | None = None,
+        is_accepted: bool = False,
+    ) -> None:
         self.runtime = runtime
         self.serve = serve
         self.log = log
+        self.memory = memory or memory_budget.MemoryBudget()
+        self.is_accepted = is_accepted
+        self.frames = frames.FrameReader(min(MAX_FRAME_BYTES, self.memory.largest_bytes))
+        self.is_aborted = False
+        self.is_charged = False  # whether the budget knows this connection
         self.sequence = 0  # sequence number of the newest call
         self.pending: dict[int, defer.Deferred[typing.Any]] = {}  # sequence number -> the awaited answer
         self.lost = scheduler.Signal()  # woken when the connection has ended
@@ -130,18 +145,24 @@
     def _check_alive(self) -> None:
         now = self.runtime.now()
         if now - self.last_received > SILENCE_TIMEOUT_US:
-            self.transport.abortConnection()
+            self._abort()
             return
         if now - self.last_sent >= KEEP_ALIVE_INTERVAL_US and not self.buffer_full:
             self._send(FrameKind.TELL, 0, message.KeepAlive())
         self.keep_alive_timer = self.runtime.later(KEEP_ALIVE_INTERVAL_US, self._check_alive)
 
     def _send(self, kind: int, sequence: int, content: message.Message) -> None:
+        if self.is_aborted:
+            return
         # type ignored: the declared type of `content` matters only for decoding
-        raw = encoder.encode(Envelope(kind, sequence, content))  # type: ignore[arg-type]
+        self._send_frame(encoder.encode(Envelope(kind, sequence, content)))  # type: ignore[arg-type]
+
+    def _send_frame(self, raw: bytes) -> None:
+        frame = frames.encode(raw)
         self.last_sent = self.runtime.now()
-        self.sent_bytes += len(raw) + LENGTH_BYTES
-        self.sendString(raw)
+        self.sent_bytes += len(frame)
+        self.transport.write(frame)
+        self._note_memory()
 
     def tell(self, content: message.Message) -> None:
         """Send a message that needs no answer; it is dropped if the connection has ended."""
@@ -169,18 +190,34 @@
         self._send(FrameKind.CALL, sequence, content)
         return self.runtime.within(answer, timeout_us)
 
-    def stringReceived(self, string: bytes) -> None:
+    def dataReceived(self, data: bytes) -> None:
+        """Handle the frames that these bytes complete; one that is announced too long ends the connection."""
+        try:
+            for raw in self.frames.read(data):
+                self._receive_frame(raw)
+                if self.is_aborted:
+                    return
+        except frames.FrameTooLargeError as too_large:
+            self.log.warning(
+                "A peer announced a frame of {length} bytes, which is above the limit; the connection is aborted.",
+                length=too_large.length,
+            )
+            self._abort()
+            return
+        self._note_memory()
+
+    def _receive_frame(self, raw: bytes) -> None:
         """Handle one frame; one that can't be decoded ends the connection, unless the peer's protocol is newer."""
         self.last_received = self.runtime.now()
         try:
-            frame = decoder.decode(string)
-        except msgspec.MsgspecError as decode_error:
+            frame = decoder.decode(raw)
+        except (msgspec.MsgspecError, RecursionError, MemoryError) as decode_error:
             if self.version > self.runtime.protocol_version:
                 return  # a newer peer may send messages that are unknown here; its calls end by their own timeouts
             self.log.warning(
                 "A frame from a peer can't be decoded; the connection is aborted: {error}", error=decode_error
             )
-            self.transport.abortConnection()
+            self._abort()
             return
         match frame:
             case Envelope(kind=FrameKind.TELL, content=message.KeepAlive()):
@@ -205,7 +242,7 @@
                 version=self.runtime.protocol_version,
             )
             self.version_refused = True
-            self.transport.abortConnection()
+            self._abort()
 
     def _serve(self, frame: Envelope) -> None:
         response = self.serve(self, frame.content)
@@ -223,13 +260,28 @@
         if frame.kind == FrameKind.CALL and response is not None and self.up:
             self._send(FrameKind.REPLY, frame.sequence, response)
 
-    def lengthLimitExceeded(self, length: int) -> None:
-        """Abort the connection, since the peer announced a frame longer than MAX_FRAME_BYTES."""
+    def _note_memory(self) -> None:
+        """Have the budget charge this connection for what it holds now, once that is more than little."""
+        if self.is_charged or self.held_bytes() >= CHARGED_FROM_BYTES:
+            self.is_charged = True
+            if self.held_bytes() > self.memory.largest_bytes:
+                self.release_memory()
+            self.memory.update(self)
+
+    def held_bytes(self) -> int:
+        """Return the bytes that this connection holds: an incomplete frame, and frames that are not sent yet."""
+        return 0 if self.is_aborted else self.frames.held_bytes + unsent.unsent_bytes(self.transport)
+
+    def release_memory(self) -> bool:
+        """Abort the connection; see `memory_budget.Holder`."""
+        if self.is_aborted:
+            return False
         self.log.warning(
-            "A peer announced a frame of {length} bytes, which is above the limit; the connection is aborted.",
-            length=length,
+            "The connections to other processes hold too much memory; one that holds {held} bytes is aborted.",
+            held=self.held_bytes(),
         )
-        self.transport.abortConnection()
+        self._abort()
+        return True
 
     def is_idle(self, duration_us: int) -> bool:
         """Return whether this side sent no message for duration_us and awaits no answer; keep-alives don't count."""
@@ -238,7 +290,11 @@
     def close(self) -> None:
         """Abort the connection."""
         if self.up:
-            self.transport.abortConnection()
+            self._abort()
+
+    def _abort(self) -> None:
+        self.is_aborted = True
+        unsent.abort(self.transport)
 
     def connectionLost(
         self,
@@ -246,6 +302,7 @@
     ) -> None:
         """Fail the calls that await answers, and wake all tasks that wait for the connection."""
         self.up = False
+        self.memory.remove(self)
         if self.keep_alive_timer.active():
             self.keep_alive_timer.cancel()
         pending, self.pending = self.pending, {}
@@ -257,29 +314,51 @@
 
 
 class ConnectionFactory(protocol.Factory):
-    """Makes a `Connection` for each TCP connection, accepted or opened by this process."""
+    """Makes a `Connection` for each TCP connection that this process accepts, up to a limit.
+
+    Args:
+        runtime: clock and reactor of this process.
+        serve: handles the messages of the peers.
+        log: takes the warnings and errors of the connections.
+        memory: the budget for what all connections of this process hold.
+    """
 
     noisy = False
 
-    def __init__(self, runtime: scheduler.Runtime, serve: MessageHandler, log: loguru.Logger) -> None:
+    def __init__(
+        self,
+        runtime: scheduler.Runtime,
+        serve: MessageHandler,
+        log: loguru.Logger,
+        *,
+        memory: memory_budget.MemoryBudget | None = None,
+    ) -> None:
         self.runtime = runtime
         self.serve = serve
         self.log = log
+        self.memory = memory or memory_budget.MemoryBudget()
 
     def buildProtocol(self, addr: interfaces.IAddress | None) -> Connection:  # noqa: ARG002 - Twisted's name
         """Make a connection, for any address."""
-        return Connection(self.runtime, self.serve, self.log)
+        return Connection(self.runtime, self.serve, self.log, memory=self.memory, is_accepted=True)
 
 
 async def connect(
-    runtime: scheduler.Runtime, host: str, port: int, serve: MessageHandler, log: loguru.Logger
+    runtime: scheduler.Runtime,
+    host: str,
+    port: int,
+    serve: MessageHandler,
+    log: loguru.Logger,
+    *,
+    memory: memory_budget.MemoryBudget | None = None,
 ) -> Connection:
     """Open a connection to an address.
 
     Raises:
         ConnectionBrokenError: The connection was not established within CONNECT_TIMEOUT_US; `sent` is False.
     """
-    factory = ConnectionFactory(runtime, serve, log)
+    factory = protocol.Factory.forProtocol(lambda: Connection(runtime, serve, log, memory=memory))
+    factory.noisy = False
     endpoint = endpoints.TCP4ClientEndpoint(runtime.reactor, host, port, timeout=CONNECT_TIMEOUT_US / units.SECOND_US)
     try:
         # type ignored: Factory implements the zope interface, which mypy can't see
--- a/tests/test_fuzz_frames.py
+++ b/tests/test_fuzz_frames.py
@@ -69,7 +69,7 @@
             self.feed(struct.pack("!I", len(raw)) + raw)
 
     @fuzzing.QUICK
-    @hypothesis.given(strategies.integers(wire.Connection.MAX_LENGTH + 1, (1 << 32) - 1), strategies.binary(max_size=9))
+    @hypothesis.given(strategies.integers(wire.MAX_FRAME_BYTES + 1, (1 << 32) - 1), strategies.binary(max_size=9))
     def test_an_announced_length_above_the_limit_ends_the_connection(self, length: int, raw: bytes) -> None:
         assert self.feed(struct.pack("!I", length) + raw).aborted
 
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -38,7 +38,7 @@
     """Let the named simulated processes use the messages of the earlier version; yield their codec."""
     codec = frozen_codec.FrozenCodec()
     with contextlib.ExitStack() as stack:
-        for name in ("sendString", "stringReceived"):
+        for name in ("_send_frame", "_receive_frame"):
             replacement = method_dropping_mismatched_frames(name, old, codec)
             stack.enter_context(mock.patch.object(wire.Connection, name, replacement))
         yield codec
