Peers: bound the connections that a process accepts from others

Callers saw a node with 612 open files of 500 under 600 peers that only send keep-alives. Cause: the port for iriswheel's processes accepted any number of connections, and the limit on clients' left none over for it.

--- a/iriswheel/transport/wire.py
+++ b/iriswheel/transport/wire.py
@@ -33,6 +33,7 @@
 CONNECT_TIMEOUT_US = 700 * units.MILLISECOND_US
 MAX_FRAME_BYTES = 1 << 25
 CHARGED_FROM_BYTES = 16 << 10  # held by a connection, from which the budget is charged for it
+CONNECTION_LIMIT = 1024  # accepted connections of one process
 
 # The answer to a message from the peer: the message itself, a coroutine that returns it, or None for no answer.
 Response: typing.TypeAlias = "collections.abc.Coroutine[typing.Any, typing.Any, typing.Any] | message.Message | None"
@@ -321,6 +322,7 @@
         serve: handles the messages of the peers.
         log: takes the warnings and errors of the connections.
         memory: the budget for what all connections of this process hold.
+        connection_limit: how many accepted connections may be open at a time.
     """
 
     noisy = False
@@ -332,15 +334,23 @@
         log: loguru.Logger,
         *,
         memory: memory_budget.MemoryBudget | None = None,
+        connection_limit: int = CONNECTION_LIMIT,
     ) -> None:
         self.runtime = runtime
         self.serve = serve
         self.log = log
         self.memory = memory or memory_budget.MemoryBudget()
-
-    def buildProtocol(self, addr: interfaces.IAddress | None) -> Connection:  # noqa: ARG002 - Twisted's name
-        """Make a connection, for any address."""
-        return Connection(self.runtime, self.serve, self.log, memory=self.memory, is_accepted=True)
+        self.connection_limit = connection_limit
+        self.open_connections: set[Connection] = set()
+
+    def buildProtocol(self, addr: interfaces.IAddress | None) -> Connection | None:  # noqa: ARG002 - Twisted's name
+        """Make a connection, for any address; None, which closes it, if too many are open."""
+        if len(self.open_connections) >= self.connection_limit:
+            return None
+        connection = Connection(self.runtime, self.serve, self.log, memory=self.memory, is_accepted=True)
+        self.open_connections.add(connection)
+        connection.lost.wait().addCallback(lambda _: self.open_connections.discard(connection))
+        return connection
 
 
 async def connect(
