Peers: estimate what a frame's values take before it is decoded

Callers saw a core machine of 160 MiB at 561 MiB and a node at 436 MiB under frames of 4 MiB that hold empty lists. Cause: a value of one byte takes up to 64 once it is decoded, and only the length of a frame was bounded. Deep nesting and want of memory end the connection too.

--- a/iriswheel/transport/wire.py
+++ b/iriswheel/transport/wire.py
@@ -5,7 +5,7 @@
 nothing for SILENCE_TIMEOUT_US.
 
 Anyone may connect to the port of a process. So what all connections hold together is bounded by a budget, above which
-the largest ones are aborted.
+the largest ones are aborted, and a frame on an accepted connection is decoded only if its values fit into the budget.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from twisted.internet import defer, endpoints, error, protocol
 
 from iriswheel.runtime import scheduler, units
-from iriswheel.transport import frames, memory_budget, message, unsent
+from iriswheel.transport import decoded_size, frames, memory_budget, message, unsent
 
 if typing.TYPE_CHECKING:
     import loguru
@@ -33,6 +33,7 @@
 CONNECT_TIMEOUT_US = 700 * units.MILLISECOND_US
 MAX_FRAME_BYTES = 1 << 25
 CHARGED_FROM_BYTES = 16 << 10  # held by a connection, from which the budget is charged for it
+UNCHECKED_FRAME_BYTES = 64 << 10  # length up to which a frame is decoded whatever its values take
 CONNECTION_LIMIT = 1024  # accepted connections of one process
 
 # The answer to a message from the peer: the message itself, a coroutine that returns it, or None for no answer.
@@ -210,6 +211,10 @@
     def _receive_frame(self, raw: bytes) -> None:
         """Handle one frame; one that can't be decoded ends the connection, unless the peer's protocol is newer."""
         self.last_received = self.runtime.now()
+        if self._takes_too_much_memory(raw):
+            self.log.warning("A frame's values would take too much memory; the connection is aborted.")
+            self._abort()
+            return
         try:
             frame = decoder.decode(raw)
         except (msgspec.MsgspecError, RecursionError, MemoryError) as decode_error:
@@ -234,6 +239,12 @@
             case _:
                 self._serve(frame)
 
+    def _takes_too_much_memory(self, raw: bytes) -> bool:
+        """Whether the values of a frame of anyone's would take more memory than all connections may hold."""
+        if not self.is_accepted or len(raw) <= UNCHECKED_FRAME_BYTES:
+            return False
+        return not decoded_size.is_at_most(raw, self.memory.limit_bytes)
+
     def _take_version(self, version: int) -> None:
         self.version = version
         if abs(version - self.runtime.protocol_version) > 1:
