Core: four reads at a time at the tail, shared by those that wait

Cause: each read was a call of its own, whose answer carries the whole configuration and waits at the tail to be sent. Now a core machine has four reads under way at a view's tail; those that ask for the same meanwhile share the next one, which begins after they asked, so that each still sees all that was acknowledged before.

--- a/iriswheel/control/chain_client.py
+++ b/iriswheel/control/chain_client.py
@@ -13,6 +13,7 @@
 from twisted.python import failure
 
 from iriswheel import errors
+from iriswheel.control import tail_reads
 from iriswheel.runtime import scheduler, units
 from iriswheel.transport import message, wire
 
@@ -61,6 +62,8 @@
     def __init__(self, parts: core_parts.CoreParts, counters: counters.Counters) -> None:
         self.parts = parts
         self.counters = counters
+        self._reads = tail_reads.TailReads(parts.runtime, self._read)
+        self._reads_view = 0  # number of the view whose tail they go to
 
     async def read_at_tail(self, identifier: str, timeout_us: int = TIMEOUT_US) -> message.ReadResponse:
         """Read the committed state at the tail, which must hold the lease, and look up a plan or a change by id.
@@ -68,15 +71,22 @@
         Raises:
             errors.ServiceError: `no_chain` if the tail does not answer or has no lease.
         """
+        view = self.parts.consensus.view
+        if view is not None and view.number != self._reads_view:
+            self._reads = tail_reads.TailReads(self.parts.runtime, self._read)
+            self._reads_view = view.number
         try:
-            response = await self._call(TAIL, lambda view: message.ReadRequest(view, identifier), timeout_us)
-        except errors.ServiceError:
+            read = await self._reads.read(identifier, timeout_us)
+        except (errors.ServiceError, scheduler.DeadlineError):
             raise errors.ServiceError("no_chain", "The tail does not answer now.") from None
-        read = typing.cast(message.ReadResponse, response)  # the only answer to a ReadRequest
         if not read.ok:
             raise errors.ServiceError("no_chain", "The tail holds no lease now.")
         return read
 
+    async def _read(self, identifier: str) -> message.ReadResponse:
+        response = await self._call(TAIL, lambda view: message.ReadRequest(view, identifier), TIMEOUT_US)
+        return typing.cast(message.ReadResponse, response)  # the only answer to a ReadRequest
+
     def refuse_if_cut_off(self) -> None:
         """Refuse a call at once if this machine can't reach a majority, so that the operator tries another machine.
 
--- a/tests/test_peer_memory.py
+++ b/tests/test_peer_memory.py
@@ -236,6 +236,22 @@
 
         fleet.play(run)
 
+    def test_a_core_machine_survives_pipelined_reads_whose_answers_are_not_read(
+        self, fleet: small_fleet.SmallFleet
+    ) -> None:
+        async def read(connection: small_fleet.Connection, _view: int) -> None:
+            head = small_fleet.head("GET", "/configuration", {"Host": small_fleet.HOST, "Content-Length": "0"})
+            await connection.send(head * CALLS)
+
+        async def run() -> None:
+            assert await fleet.put_configuration(ROUTES)
+            watch = Watch(fleet)
+            await watch.during(crowd(fleet, (fleet.cores[0].host, fleet.network.control_port), read, size=2))
+            await fleet.wait_until(lambda: is_core_serving(fleet))
+            watch.check()
+
+        fleet.play(run)
+
 
 async def write_without_end(writer: asyncio.StreamWriter, head: bytes, piece: bytes) -> None:
     """Write a head, and then a piece again and again."""
