Workers: bound and charge what a node holds of their answers

Callers saw a node of 160 MiB at 4,265 MiB while a worker refused requests with bodies without an end. Cause: the body of a refusal or failure, and an event without its end, are held back whole, without bound and without backpressure. Now 1 MiB of one answer is held at most, it is charged to the client's connection, and the budget may have it given up: a refusal stays a refusal, everything else counts as broken off.

--- a/iriswheel/dataplane/answer_stream.py
+++ b/iriswheel/dataplane/answer_stream.py
@@ -15,6 +15,8 @@
 # Added to a worker's suspicion (0 to 1) by a connection that broke or could not be made, or by a misdirected request.
 BROKEN_SUSPICION = 0.5
 
+MAX_HELD_BYTES = 1 << 20  # of one answer that are held back or belong to an event without its end
+
 EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 
@@ -53,6 +55,7 @@
         self.received_any = False  # whether any byte of a successful answer's body has been received
         self.partial_event = b""  # received bytes of an event whose end is still to come
         self.held_back: list[bytes] = []  # pieces of the body of a refusal or a failure
+        self.held_bytes = 0  # of `held_back` and `partial_event`
 
     # ---- called by the worker's connection ----------------------------------------------
 
@@ -82,6 +85,7 @@
         self._note_contact()
         if not 200 <= self.status < 300 or not self.protocol.is_from_worker(self.status, self.lowercase_headers):
             self.held_back.append(data)
+            self._note_held(self.held_bytes + len(data))
             return
         if not self.received_any:
             self.received_any = True
@@ -91,6 +95,7 @@
             self.unread_tokens = 0
         if self.request.resume:
             data, self.partial_event = complete_events(self.partial_event + data)
+            self._note_held(len(self.partial_event))
             if not data:
                 return
             event_ids = EVENT_ID.findall(data)
@@ -139,6 +144,28 @@
         if outcome is not None:
             self._finish(outcome)
 
+    def _note_held(self, held_bytes: int) -> None:
+        """Have the client's connection charged for what is held; give the answer up where that is too much."""
+        if held_bytes == self.held_bytes:
+            return
+        self.held_bytes = held_bytes
+        self.request.http_request.hold_for_answer(held_bytes, self._give_up)
+        if held_bytes > MAX_HELD_BYTES:
+            self._give_up()
+
+    def _give_up(self) -> None:
+        """End the attempt in the middle of an answer that takes too much memory."""
+        if self.done.called:
+            return
+        self.held_back, self.partial_event = [], b""
+        self._note_held(0)
+        if self.connection is not None:
+            self.connection.drop()
+        if self.protocol.reports_not_run(self.status, self.lowercase_headers):
+            self._finish(attempt_outcome.AttemptOutcome.REFUSED)
+        else:
+            self.answer_lost()
+
     def broken_outcome(self) -> attempt_outcome.AttemptOutcome:
         """Return the outcome of an attempt that ends before its answer is complete."""
         if self.request.answer_begun:
@@ -162,6 +189,7 @@
 
     def _finish(self, outcome: attempt_outcome.AttemptOutcome) -> None:
         if not self.done.called:
+            self._note_held(0)
             self.done.callback(outcome)
 
     def _write(self, data: bytes) -> None:
--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -112,6 +112,8 @@
     received_bytes = 0  # length of the body so far
     header_count = 0  # once the head is complete
     client_lost: scheduler.Signal  # woken when the client disconnects
+    held_answer_bytes = 0  # of an answer that is received but not passed on yet
+    _release_answer: collections.abc.Callable[[], object] | None = None
 
     def __init__(
         self,
@@ -182,6 +184,24 @@
                 errors.ServiceError("worker_broke", "Internal error.", errors.ExecutionOutcome.MAY_HAVE_RUN)
             )
 
+    def hold_for_answer(self, held_bytes: int, release: collections.abc.Callable[[], object]) -> None:
+        """Charge this request's connection for an answer that is received but not passed on yet.
+
+        Args:
+            held_bytes: What is held now; 0 from the end of the answer on.
+            release: Gives the answer up, so that nothing is held any more.
+        """
+        self.held_answer_bytes = held_bytes
+        self._release_answer = release
+        self.channel.note_memory()
+
+    def release_answer(self) -> bool:
+        """Give up an answer that is received but not passed on yet; returns whether there was any."""
+        if not self.held_answer_bytes or self._release_answer is None:
+            return False
+        self._release_answer()
+        return True
+
     def write(self, data: bytes) -> None:
         """Send a piece of the answer."""
         super().write(data)
@@ -294,6 +314,7 @@
             request = self.requests[-1]
             header_count = request.header_count or self._receivedHeaderCount
             held += HEADER_BYTES * header_count + self.factory.body_weight * request.received_bytes
+            held += request.held_answer_bytes
         return held
 
     def release_memory(self) -> bool:
@@ -305,7 +326,7 @@
             unsent.abort(self.transport)
             return True
         if self._handlingRequest:
-            return self._drop_later_requests()
+            return self.requests[-1].release_answer() or self._drop_later_requests()
         if not self.requests and not self._buffer:
             return False
         if self.requests and self.requests[-1].early_error is not None:
--- a/tests/test_answer_stream.py
+++ b/tests/test_answer_stream.py
@@ -15,7 +15,9 @@
     """The outcome of a resumable stream whose answer ends after a body."""
     recorded: list[object] = []
     node: Any = SimpleNamespace(runtime=SimpleNamespace(now=lambda: 0), edge_protocol=edge_protocol.EdgeProtocol())
-    http_request = SimpleNamespace(method=b"POST", client_disconnected=True, finished=False)
+    http_request = SimpleNamespace(
+        method=b"POST", client_disconnected=True, finished=False, hold_for_answer=lambda _held_bytes, _release: None
+    )
     placement = SimpleNamespace(
         note_contact=lambda _worker: None,
         record_first_event=lambda *_: None,
