Workers, platform: bound the heads of their answers

Callers saw a node of 160 MiB at 2,485 and 565 MiB while a worker sent heads without an end, or one header without an end. Cause: neither httptools nor Twisted's client bounds a head as a whole. Now 32 KiB without any progress of an answer, or 256 headers, end the connection; so does a head of 32 KiB to a call of the node's own. The crowds failed before and pass; those on a node's own calls passed before too, as the calls end after 0.5 and 1 s.

--- a/iriswheel/dataplane/dispatch.py
+++ b/iriswheel/dataplane/dispatch.py
@@ -13,7 +13,7 @@
 from twisted.web import client, http, http_headers, iweb
 from zope import interface
 
-from iriswheel.dataplane import attempt_outcome, edge_protocol, tcp_client
+from iriswheel.dataplane import attempt_outcome, bounded_client, edge_protocol, tcp_client
 from iriswheel.runtime import scheduler, units
 
 if typing.TYPE_CHECKING:
@@ -264,11 +264,11 @@
     ) -> None:
         self.runtime = runtime
         self.on_answer = on_answer  # called with a worker's id whenever bytes of an answer come from it
-        self.pool = client.HTTPConnectionPool(runtime.reactor, persistent=True)
+        self.pool = bounded_client.new_pool(runtime.reactor, persistent=True)
         self.pool.maxPersistentPerHost = MAX_POOLED_PER_HOST
         self.pool.cachedConnectionTimeout = IDLE_CONNECTION_S
         self.agent = self._agent(self.pool)
-        self.unpooled_agent = self._agent(client.HTTPConnectionPool(runtime.reactor, persistent=False))
+        self.unpooled_agent = self._agent(bounded_client.new_pool(runtime.reactor, persistent=False))
 
     def _agent(self, pool: client.HTTPConnectionPool) -> HttpAgent:
         pool.retryAutomatically = False  # only the retry budget and idempotence decide about a retry
--- a/iriswheel/dataplane/worker_connections.py
+++ b/iriswheel/dataplane/worker_connections.py
@@ -32,6 +32,8 @@
 MIN_IDLE_LIMIT_US = 100 * units.MILLISECOND_US  # smallest idle limit that is learned for a worker
 NO_IDLE_LIMIT_US = 10**12  # idle limit of a worker for which none is learned
 BODYLESS_STATUSES = (204, 304)  # of answers that never have a body
+MAX_HEAD_BYTES = 32 << 10  # received without any progress in an answer: a head or the lines between chunks
+MAX_HEADERS = 256  # of one answer
 MAX_FOREIGN_ANSWERS = 3  # answers to other requests that are discarded while one request waits for its own
 
 
@@ -127,6 +129,7 @@
         self.idle_since_us = 0
         self.idle_us = 0  # idle time before the request under way; 0 for the first request
         self.received_any = False  # whether any byte was received during the request under way
+        self.bytes_without_progress = 0  # received since the last head, piece of a body, or end of an answer
         self.paused = False  # whether reading is paused, because the client reads too slowly
         self.on_stale: ConnectionCallback = _ignore  # called when a reused connection was lost without a byte received
         self.on_free: ConnectionCallback = _ignore  # called when it is idle and can take the next request
@@ -146,6 +149,7 @@
         self.receiver = receiver
         self.idle_us = self.runtime.now() - self.idle_since_us if self.uses else 0
         self.received_any = False
+        self.bytes_without_progress = 0
         self.uses += 1
         self.foreign_answers = 0
         self.skipping_answer = False
@@ -175,10 +179,14 @@
             self.drop()
             return
         self.received_any = True
+        self.bytes_without_progress += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail()
+            return
+        if self.bytes_without_progress > MAX_HEAD_BYTES:
+            self._fail()
 
     def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:
         """End the request under way, if there is one.
@@ -208,6 +216,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header of the answer."""
+        if len(self.headers) >= MAX_HEADERS:
+            raise ValueError("the answer has too many headers")
         self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -215,6 +225,7 @@
 
         Interim answers (1xx), and late answers to other requests, are discarded.
         """
+        self.bytes_without_progress = 0
         receiver = self.receiver
         if receiver is None:
             return
@@ -239,11 +250,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass one piece of the body to the receiver."""
+        self.bytes_without_progress = 0
         if self.receiver is not None and not self.skipping_answer:
             self.receiver.data_received(body)
 
     def on_message_complete(self) -> None:
         """End the request, unless the answer that ended was a discarded one."""
+        self.bytes_without_progress = 0
         if self.receiver is None:
             return
         if self.skipping_answer:
