Platform: bound the worker list as a whole

Callers saw a node of 160 MiB at 268 MiB while the platform's list went on without an end. Cause: a page and the number of pages are bounded, their sum is 200 MiB. Now a list of more than 8 MiB or 10,000 workers, four times the target, counts as one that can't be read: the last one stays in use.

--- a/iriswheel/node/platform_listing.py
+++ b/iriswheel/node/platform_listing.py
@@ -31,6 +31,8 @@
 
 PAGE_DEADLINE_US = 1 * units.SECOND_US
 MAX_PAGES = 200
+MAX_LIST_BYTES = 8 << 20  # of all pages of one list together
+MAX_LISTED_WORKERS = 10_000
 
 ANSWERS_TO_REMOVE_WORKER = 2  # answers in a row without a worker after which it is removed
 ANSWERS_TO_REMOVE_ALL = 4  # answers in a row without any worker after which all are removed
@@ -130,16 +132,21 @@
     async def _fetch_all(self, host: str, port: int) -> list[message.Worker]:
         """Return the platform's complete list, fetched page by page.
 
-        Raises ValueError if the list has more than MAX_PAGES pages, and any error of the fetch.
+        Raises ValueError if the list has more than MAX_PAGES pages, MAX_LIST_BYTES or MAX_LISTED_WORKERS, and any error
+        of the fetch.
         """
         workers: list[message.Worker] = []
         token = ""
+        list_bytes = 0
         for _ in range(MAX_PAGES):
             raw = await self.node.dispatcher.fetch(
                 host, port, self.node.edge_protocol.worker_list_path(token), PAGE_DEADLINE_US
             )
             page, token = self.node.edge_protocol.parse_worker_page(raw)
             workers += page
+            list_bytes += len(raw)
+            if list_bytes > MAX_LIST_BYTES or len(workers) > MAX_LISTED_WORKERS:
+                raise ValueError("The platform's worker list is too large.")
             if not token:
                 return sorted(workers, key=lambda worker: worker.id)
         raise ValueError("The platform's worker list has too many pages.")
