--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -7,6 +7,8 @@
 import resource
 import signal
 import socket
+import subprocess
+import sys
 from collections.abc import Callable, Iterator
 
 import pytest
@@ -209,3 +211,80 @@
     with socket.create_connection(address, timeout=platform_process.TIMEOUT_S) as client:
         client.sendall(b"GET / HTTP/1.1\r\nHost: a")
         assert client.recv(1) == b""
+
+
+def full_pipe() -> tuple[int, int]:
+    """Make a pipe that takes no further byte; returns the descriptors of its reading and its writing end."""
+    reading_end, writing_end = os.pipe()
+    os.set_blocking(writing_end, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(writing_end, bytes(4096))
+    os.set_blocking(writing_end, True)
+    return reading_end, writing_end
+
+
+def use_as_standard_error(descriptor: int) -> None:
+    """Have this process write its log to a descriptor."""
+    os.dup2(descriptor, 2)
+
+
+class TestOutputThatNobodyReads:
+    @pytest.mark.parametrize("role", ROLES)
+    def test_a_process_starts_serves_and_ends_while_its_output_is_a_full_pipe(
+        self, new_machine: NewMachine, role: str
+    ) -> None:
+        machine = new_machine(role)
+        reading_end, writing_end = full_pipe()
+        process = machine.start(prepare=lambda: use_as_standard_error(writing_end))
+        os.close(writing_end)
+        address = (machine.host, machine.network.control_port if role == "core" else machine.network.ready_port)
+
+        def is_answering() -> bool:
+            assert process.poll() is None
+            with socket.socket() as client:
+                client.settimeout(1)
+                if client.connect_ex(address) != 0:
+                    return False
+                client.sendall(b"GET /state HTTP/1.1\r\nHost: a\r\n\r\n")
+                with contextlib.suppress(TimeoutError):
+                    return client.recv(8) == b"HTTP/1.1"
+            return False
+
+        platform_process.wait_until(is_answering, 20)
+        for _ in range(50):
+            process.send_signal(signal.SIGHUP)
+        platform_process.wait_until(is_answering, 20)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(platform_process.TIMEOUT_S) == 0
+        os.close(reading_end)
+
+    def test_a_process_that_does_not_start_ends_while_its_output_is_a_full_pipe(self, new_machine: NewMachine) -> None:
+        machine = new_machine("node")
+        reading_end, writing_end = full_pipe()
+        machine.role = "neither"
+        process = machine.start(prepare=lambda: use_as_standard_error(writing_end))
+        assert process.wait(20) == 2
+        os.close(reading_end)
+        os.close(writing_end)
+
+
+# Twisted kept the last 65,536 events of a process, each with the connection that it was about.
+def test_connections_that_twisted_logs_about_are_not_kept() -> None:
+    program = """
+import gc, weakref
+from twisted import logger
+from iriswheel.cli import service
+
+class Connection:
+    log = logger.Logger()
+
+service.set_logs("INFO")
+connection = Connection()
+connection.log.info("Timing out client")
+kept = weakref.ref(connection)
+del connection
+gc.collect()
+assert kept() is None
+"""
+    subprocess.run([sys.executable, "-c", program], check=True, cwd=platform_process.ROOT)
