Disk: find damaged pages and records before lmdb reads them

Callers saw core machines that end at each start: by SIGABRT (an assertion of lmdb) or with a traceback, where a page in the middle of the database is damaged; with other pages, records were missing or changed without a word. Cause: only the file's length and its meta pages were checked. Now all pages that the newest transaction reaches are checked before lmdb reads them, and a digest of all records, written with each transaction, is compared; a damaged database counts as a lost disk and is kept, as before. A program that knows no digest leaves it out of date, and it is disregarded then.

--- a/iriswheel/runtime/storage.py
+++ b/iriswheel/runtime/storage.py
@@ -16,7 +16,7 @@
 from twisted.internet import threads
 from twisted.python import threadpool
 
-from iriswheel.runtime import scheduler, units
+from iriswheel.runtime import content_digest, database_check, scheduler, units
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -94,17 +94,21 @@
 
 
 def is_damaged(database: pathlib.Path) -> bool:
-    """Whether the file in a database's folder is no lmdb database, or is shorter than its last page.
+    """Whether the file in a database's folder is no lmdb database, or some of its pages or records are damaged.
 
-    Reading behind the end of the file would end the process by SIGBUS.
+    Reading damaged pages might end the process.
     """
+    if not database_check.is_readable(database / DATABASE_FILE):
+        return True
     try:
-        environment = lmdb.open(str(database), readonly=True, lock=False, create=False)
-    except lmdb.InvalidError:
+        with (
+            lmdb.open(str(database), readonly=True, lock=False, create=False) as environment,
+            environment.begin() as transaction,
+        ):
+            records = {bytes(key): bytes(value) for key, value in transaction.cursor()}
+            return content_digest.is_contradicted(records, environment.info()["last_txnid"])
+    except (lmdb.InvalidError, lmdb.CorruptedError):
         return True
-    with environment:
-        page_count = environment.info()["last_pgno"] + 1
-        return (database / DATABASE_FILE).stat().st_size < page_count * environment.stat()["psize"]
 
 
 class Disk:
@@ -137,6 +141,7 @@
         self.pool: threadpool.ThreadPool | None = None  # of one thread, which writes; None before `open`
         self.env: lmdb.Environment | None = None
         self.lock: typing.TextIO | None = None  # open, and locked, while the folder is in use
+        self._digest: int | None = None  # of all records; None before the first read or write
 
     def open(self) -> None:
         """Open the folder, and create it if it is missing; a lock keeps a second process out.
@@ -202,7 +207,9 @@
     def read(self) -> dict[bytes, bytes]:
         """Return all keys with their values."""
         with self._environment().begin() as transaction:
-            return {bytes(key): bytes(value) for key, value in transaction.cursor()}
+            records = {bytes(key): bytes(value) for key, value in transaction.cursor()}
+        records.pop(content_digest.KEY, None)
+        return records
 
     def write(self, writes: list[Write]) -> None:
         """Write the pairs in one synced transaction; a value of None removes its key.
@@ -228,11 +235,16 @@
     def _write(self, writes: list[Write]) -> None:
         try:
             with self._environment().begin(write=True) as transaction:
+                digest = self._digest_before(transaction)
                 for key, value in writes:
+                    digest ^= content_digest.of_record(key, transaction.get(key))
+                    digest ^= content_digest.of_record(key, value)
                     if value is None:
                         transaction.delete(key)
                     else:
                         transaction.put(key, value)
+                transaction.put(content_digest.KEY, content_digest.encode(transaction.id(), digest))
+            self._digest = digest
         except lmdb.MapFullError:
             raise  # `write` lets the map grow
         except lmdb.PanicError as error:
@@ -242,7 +254,15 @@
         except (OSError, lmdb.Error) as error:
             raise DiskError(str(error)) from error
 
+    def _digest_before(self, transaction: lmdb.Transaction) -> int:
+        """The digest of all records before a transaction."""
+        if self._digest is not None:
+            return self._digest
+        others = ((bytes(key), bytes(value)) for key, value in transaction.cursor() if key != content_digest.KEY)
+        return content_digest.of_records(others)
+
     def _close_environment(self) -> None:
+        self._digest = None
         if self.env is not None:
             self.env.close()
             self.env = None
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -49,6 +50,15 @@
 }
 
 
+PAGE_BYTES = 4096
+PAGE_DAMAGES: dict[str, Callable[[bytes], bytes]] = {
+    "zeros": lambda page: bytes(len(page)),
+    "noise": lambda page: random.Random(len(page)).randbytes(len(page)),
+    "second half of zeros": lambda page: page[: PAGE_BYTES // 2] + bytes(len(page) - PAGE_BYTES // 2),
+    "one byte": lambda page: page[:1000] + bytes([page[1000] ^ 1]) + page[1001:],
+}
+
+
 class TestTornDatabase:
     @pytest.fixture(autouse=True)
     def make(self, tmp_path: pathlib.Path) -> None:
@@ -79,6 +89,45 @@
         if damage(whole):
             assert (tmp_path / "damaged.mdb").read_bytes() == damage(whole)
 
+    @pytest.mark.parametrize("damage", PAGE_DAMAGES.values(), ids=PAGE_DAMAGES)
+    def test_a_database_with_any_damaged_page_is_set_aside_or_has_all_its_records(
+        self, damage: Callable[[bytes], bytes], tmp_path: pathlib.Path
+    ) -> None:
+        records = {b"%d" % number: bytes([number]) * (40 * number) for number in range(200)}
+        for key, value in records.items():
+            self.disk.write([(key, value)])
+        removed = [key for number, key in enumerate(records) if number % 3 == 0]
+        self.disk.write([(key, None) for key in removed])
+        self.disk.close()
+        kept = {key: value for key, value in records.items() if key not in removed}
+        whole = self.file.read_bytes()
+        set_aside = 0
+        for start in range(0, len(whole), PAGE_BYTES):
+            end = start + PAGE_BYTES
+            self.file.write_bytes(whole[:start] + damage(whole[start:end]) + whole[end:])
+            self.disk.open()
+            found = self.disk.read()
+            assert found in ({}, kept), start
+            set_aside += not found
+            self.disk.write([(b"a", b"1")])
+            assert self.disk.read() == found | {b"a": b"1"}
+            self.disk.close()
+            (tmp_path / "damaged.mdb").unlink(missing_ok=True)
+        assert set_aside > 10
+
+    def test_records_that_a_program_without_the_digest_changed_are_kept(self, tmp_path: pathlib.Path) -> None:
+        self.write()
+        with lmdb.open(str(tmp_path / "state")) as environment, environment.begin(write=True) as transaction:
+            transaction.put(b"0", b"changed")
+        self.disk.open()
+        assert self.disk.read()[b"0"] == b"changed"
+        self.disk.write([(b"1", b"changed too")])
+        self.disk.close()
+        self.disk.open()
+        assert self.disk.read()[b"1"] == b"changed too"
+        self.disk.close()
+        assert not (tmp_path / "damaged.mdb").exists()
+
     def test_a_whole_database_is_never_set_aside(self, tmp_path: pathlib.Path) -> None:
         self.write()
         self.disk.open()
