Settings: read a file only once it has stayed the same since the start

Now the version of the file at the process's first moment is kept, and a start goes on only with a file that has not changed since, or since the look before; later changes, also between the read and the watch, cause a reload. It costs no time where the file is not being written.

--- a/iriswheel/cli/command.py
+++ b/iriswheel/cli/command.py
@@ -75,7 +75,13 @@
     flags = dict(
         name=name, host=host, port=port, http_port=http_port, zone=zone, seeds=seeds, data=data, log_level=log_level
     )
-    service.run_core(read_options("core", options, flags), options, lambda: options_reader.read("core", options, flags))
+    version = options_reader.file_version(options)
+    service.run_core(
+        read_options("core", options, flags),
+        options,
+        lambda: options_reader.read("core", options, flags),
+        version=version,
+    )
 
 
 def node(
@@ -112,7 +118,13 @@
         platform=platform,
         log_level=log_level,
     )
-    service.run_node(read_options("node", options, flags), options, lambda: options_reader.read("node", options, flags))
+    version = options_reader.file_version(options)
+    service.run_node(
+        read_options("node", options, flags),
+        options,
+        lambda: options_reader.read("node", options, flags),
+        version=version,
+    )
 
 
 async def send_request(
--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -235,6 +235,8 @@
     process_options: options.Options,
     path: str,
     read_options: ReadOptions,
+    *,
+    version: options.FileVersion,
     make_handler: collections.abc.Callable[[core.Core], http_server.Handler] = _default_handler,
 ) -> None:
     """Run a core machine until it is stopped.
@@ -243,6 +245,7 @@
         process_options: The options, already checked.
         path: The path of the options file, which is watched for changes.
         read_options: Reads the options again.
+        version: The version of the options file that the options were read from.
         make_handler: Makes the HTTP handler of the core machine; by default the core machine's own.
     """
     from iriswheel.runtime import storage
@@ -263,7 +266,7 @@
     runtime.spawn(http.close_overdue_heads(), log)
     bind(reactor, process_options, _peer_factory(process, process_options), http)
     process.start()
-    watch = options.OptionsWatch(runtime, path, read_options, process.reload_options)
+    watch = options.OptionsWatch(runtime, path, read_options, process.reload_options, version)
     runtime.spawn(watch.run(), log)
     run(reactor, process_options, process.stop, watch.reload)
     disk.close()
@@ -273,6 +276,8 @@
     process_options: options.Options,
     path: str,
     read_options: ReadOptions,
+    *,
+    version: options.FileVersion,
     ready: collections.abc.Callable[[node.Node], http_server.Handler] | None = None,
     formats: edge_protocol.EdgeProtocol | None = None,
 ) -> None:
@@ -282,6 +287,7 @@
         process_options: The options, already checked.
         path: The path of the options file, which is watched for changes.
         read_options: Reads the options again.
+        version: The version of the options file that the options were read from.
         ready: Makes the HTTP handler of the address for readiness polls; by default one that answers status calls.
         formats: The edge protocol towards clients, workers and the platform; by default iriswheel's own.
     """
@@ -312,7 +318,7 @@
     runtime.spawn(ready_server.close_overdue_heads(), log)
     front = bind(reactor, process_options, _peer_factory(process, process_options), server, ready_server)
     process.start(process_options.port, process_options.front_address()[1])
-    watch = options.OptionsWatch(runtime, path, read_options, process.reload_options)
+    watch = options.OptionsWatch(runtime, path, read_options, process.reload_options, version)
     runtime.spawn(watch.run(), log)
 
     async def stop() -> None:
--- a/iriswheel/runtime/options.py
+++ b/iriswheel/runtime/options.py
@@ -287,6 +287,22 @@
     return options
 
 
+FileVersion: typing.TypeAlias = tuple[int, int, int] | None
+
+
+def file_version(path: str) -> FileVersion:
+    """Return a file's modification time, length and inode, one of which a change alters; None if there is no file.
+
+    >>> file_version("") is None
+    True
+    """
+    try:
+        status = os.stat(path)  # noqa: PTH116 - Path("") would be the current folder
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
 class OptionsWatch:
     """Reloads a process's options when their file has changed, or on request.
 
@@ -295,6 +311,7 @@
         path: path of the options file.
         read_options: reads and checks the options; raises OptionsError.
         apply_options: puts the new options into force.
+        version: version of the file that the options in force were read from.
     """
 
     def __init__(
@@ -303,24 +320,17 @@
         path: str,
         read_options: collections.abc.Callable[[], Options],
         apply_options: collections.abc.Callable[[Options], object],
+        version: "FileVersion",
     ) -> None:
         self.runtime = runtime
         self.path = path
         self.read_options = read_options
         self.apply_options = apply_options
-        self.last_version = self.file_version()
-
-    def file_version(self) -> tuple[int, int, int] | None:
-        """Return the file's modification time, length and inode, which a change alters; None if there is no file."""
-        try:
-            status = os.stat(self.path)  # noqa: PTH116 - Path("") would be the current folder
-        except OSError:
-            return None
-        return status.st_mtime_ns, status.st_size, status.st_ino
+        self.last_version = version
 
     def reload(self) -> None:
         """Read the options now; if they are invalid, the previous ones stay in force."""
-        self.last_version = self.file_version()
+        self.last_version = file_version(self.path)
         try:
             options = self.read_options()
         except OptionsError as error:
@@ -332,6 +342,6 @@
         """Check every POLL_INTERVAL_US whether the file has changed, for as long as the process runs."""
         while True:
             await self.runtime.sleep(POLL_INTERVAL_US)
-            version = self.file_version()
+            version = file_version(self.path)
             if version is not None and version != self.last_version:
                 self.reload()
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -154,6 +154,18 @@
         machine.write_settings()
         machine.wait_until_listening()
 
+    @pytest.mark.parametrize("role", ROLES)
+    def test_a_start_waits_for_settings_that_are_still_being_written_although_they_look_whole(
+        self, new_machine: NewMachine, role: str
+    ) -> None:
+        machine = new_machine(role)
+        machine.settings_path.write_text(machine.settings().partition("rate_per_s")[0])
+        machine.start_with_settings_as_they_are(interpreter_options=["-X", "importtime"])
+        machine.wait_until_written("twisted.internet.defer")
+        machine.write_settings()
+        machine.wait_until_written("the settings file is being written")
+        machine.wait_until_listening()
+
     def test_a_start_that_waits_ends_at_once_when_it_is_told_to_stop(self, new_machine: NewMachine) -> None:
         machine = new_machine("node")
         with contextlib.closing(take_port(machine, "front")):
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -72,7 +72,11 @@
 
         write('["127.0.0.1:1"]')
         watch = options.OptionsWatch(
-            runtime, str(path), lambda: options.read("node", str(path), {}), lambda o: seeds_read.append(o.seeds)
+            runtime,
+            str(path),
+            lambda: options.read("node", str(path), {}),
+            lambda o: seeds_read.append(o.seeds),
+            options.file_version(str(path)),
         )
         runtime.spawn(watch.run())
         clock.advance(2)
