--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -27,6 +27,7 @@
     from iriswheel.dataplane import edge_protocol
     from iriswheel.node import node
     from iriswheel.runtime import storage
+    from iriswheel.transport import peers
 
 
 LAST_BYTES_TIMEOUT_US = 500 * units.MILLISECOND_US  # longest wait until a stopping node's last answers are sent
@@ -142,7 +143,7 @@
 def bind(
     reactor: epollreactor.EPollReactor,
     process_options: options.Options,
-    peers: wire.ConnectionFactory,
+    peer_factory: wire.ConnectionFactory,
     http: http_server.Server,
     ready: http_server.Server | None = None,
 ) -> tcp.Port:
@@ -156,7 +157,7 @@
     """
     try:
         return start_wait.wait_for(
-            lambda: _bind_all(reactor, process_options, peers, http, ready),
+            lambda: _bind_all(reactor, process_options, peer_factory, http, ready),
             error.CannotListenError,
             process_options.start_wait_us,
         )
@@ -167,7 +168,7 @@
 def _bind_all(
     reactor: epollreactor.EPollReactor,
     process_options: options.Options,
-    peers: wire.ConnectionFactory,
+    peer_factory: wire.ConnectionFactory,
     http: http_server.Server,
     ready: http_server.Server | None,
 ) -> tcp.Port:
@@ -180,7 +181,7 @@
 
     front_host, front_port = process_options.front_address()
     try:
-        peer_port = listen(process_options.port, peers, process_options.host, PEER_BACKLOG)
+        peer_port = listen(process_options.port, peer_factory, process_options.host, PEER_BACKLOG)
         front = listen(front_port, http, front_host, HTTP_BACKLOG)
         if process_options.ready and ready is not None:
             ready_host, ready_port = options.parse_address(process_options.ready)
@@ -212,6 +213,16 @@
     return process.handle
 
 
+def _initial_addresses(disk: storage.Disk, process_options: options.Options) -> list[peers.Address]:
+    """The core machines of the first start, if this is it or a restart soon after it."""
+    if process_options.found:
+        return process_options.seed_list()
+    try:
+        return [options.parse_address(address) for address in disk.initial_addresses()]
+    except ValueError:
+        return []
+
+
 def _load_core(runtime: scheduler.Runtime, disk: storage.Disk, process_options: options.Options) -> core.Core:
     """Open the data folder and load what it holds; exit where that fails for longer than the option `start_wait_us`."""
     from iriswheel.control import core
@@ -220,7 +231,7 @@
     def load() -> core.Core:
         disk.open()
         try:
-            return core.Core(runtime, disk, process_options)
+            return core.Core(runtime, disk, process_options, _initial_addresses(disk, process_options))
         except storage.DiskError:
             disk.close()
             raise
--- a/iriswheel/control/core.py
+++ b/iriswheel/control/core.py
@@ -45,11 +45,19 @@
 class Core:
     """Composes a core process; the package `cli` provides the sockets and the command line."""
 
-    def __init__(self, runtime: scheduler.Runtime, disk: storage.DataFolder, options: options.Options) -> None:
+    def __init__(
+        self,
+        runtime: scheduler.Runtime,
+        disk: storage.DataFolder,
+        options: options.Options,
+        initial_addresses: list[peers.Address] | None = None,
+    ) -> None:
+        """Load the state from the disk; the initial addresses are by default the seeds, where the fleet may be new."""
         self.runtime = runtime
         self.options = options
         self.counters = counters.Counters()
-        initial_addresses = options.seed_list() if options.found else []
+        if initial_addresses is None:
+            initial_addresses = options.seed_list() if options.found else []
         state = persistent_state.load(runtime, disk, initial_addresses)
         self.disk = storage.MonitoredDisk(runtime, disk)
         peer_memory = memory_budget.MemoryBudget(options.peer_memory_bytes)
--- a/iriswheel/runtime/storage.py
+++ b/iriswheel/runtime/storage.py
@@ -32,6 +32,7 @@
 DATABASE_FILE = "data.mdb"  # lmdb's name for it
 NEW_DATABASE_FILE = "new.mdb"  # a database that is being made
 DAMAGED_DATABASE_FILE = "damaged.mdb"  # the last database that could not be opened
+INITIAL_ADDRESSES_FILE = "initial-addresses"  # written before the database exists, one IP:port a line
 PROBE_KEY = b"probe"  # key of the test write
 
 log = loguru.logger.bind(part="disk")
@@ -189,6 +190,7 @@
                 DAMAGED_DATABASE_FILE,
             )
             file.replace(self.folder / DAMAGED_DATABASE_FILE)
+            (self.folder / INITIAL_ADDRESSES_FILE).unlink(missing_ok=True)
         self._make_database(file)
 
     def _make_database(self, file: pathlib.Path) -> None:
@@ -204,6 +206,13 @@
             self.env = lmdb.open(str(self.database), map_size=self.size, sync=True)
         return self.env
 
+    def initial_addresses(self) -> list[str]:
+        """Return the addresses, as IP:port, that a first start has kept before it made the database."""
+        try:
+            return (self.folder / INITIAL_ADDRESSES_FILE).read_text(encoding="ascii").split()
+        except (OSError, UnicodeDecodeError):
+            return []
+
     def read(self) -> dict[bytes, bytes]:
         """Return all keys with their values."""
         with self._environment().begin() as transaction:
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -161,11 +161,15 @@
         self.worker.address = "{}:{}".format(*worker_server.sockets[0].getsockname()[:2])
         host, port = self.network.platform_address.split(":")
         self._servers = [worker_server, await asyncio.start_server(self._serve_list, host, int(port))]
-        for machine in (*self.cores, self.node):
-            machine.start()
+        self.start_machines()
         await self.wait_until(self.put_configuration)
         await self.wait_until(self.is_ready)
 
+    def start_machines(self) -> None:
+        """Start all processes; a test may replace it by a start that is disturbed."""
+        for machine in (*self.cores, self.node):
+            machine.start()
+
     def stop(self) -> None:
         """Kill all processes."""
         for machine in (*self.cores, self.node):
