Core: answer each of those that share a read, also where one cancels others

Those that share a read were gone through in a list from which a cancellation takes one away, so that the next one could be left out until its own deadline; seen while reading the change again, by no caller. They are taken one by one now.

--- a/iriswheel/control/tail_reads.py
+++ b/iriswheel/control/tail_reads.py
@@ -11,6 +11,7 @@
 
 import loguru
 from twisted.internet import defer
+from twisted.python import failure
 
 from iriswheel import errors
 
@@ -27,18 +28,20 @@
     """A read that is not sent yet or not answered yet, and those that wait for its answer."""
 
     def __init__(self) -> None:
-        self.waiting: list[defer.Deferred[message.ReadResponse]] = []
+        self.waiting: dict[defer.Deferred[message.ReadResponse], None] = {}  # in the order of asking
 
     def wait(self) -> defer.Deferred[message.ReadResponse]:
         """Return a Deferred of the answer, which may be cancelled."""
-        answer: defer.Deferred[message.ReadResponse] = defer.Deferred(self.waiting.remove)
-        self.waiting.append(answer)
+        answer: defer.Deferred[message.ReadResponse] = defer.Deferred(self.waiting.pop)
+        self.waiting[answer] = None
         return answer
 
-    def take_waiting(self) -> list[defer.Deferred[message.ReadResponse]]:
-        """Return those that still wait, which wait for this read no longer."""
-        waiting, self.waiting = self.waiting, []
-        return waiting
+    def answer(self, result: message.ReadResponse | failure.Failure) -> None:
+        """Give all that wait the answer, or the error in its place."""
+        while self.waiting:  # one that is answered may cancel others
+            waiting = next(iter(self.waiting))
+            del self.waiting[waiting]
+            waiting.callback(result)
 
 
 class TailReads:
@@ -85,10 +88,6 @@
 
     async def _answer(self, identifier: str, pending: PendingRead) -> None:
         try:
-            response = await self.call(identifier)
-        except errors.ServiceError as error:
-            for answer in pending.take_waiting():
-                answer.errback(error)
-        else:
-            for answer in pending.take_waiting():
-                answer.callback(response)
+            pending.answer(await self.call(identifier))
+        except errors.ServiceError:
+            pending.answer(failure.Failure())
