--- a/tests/test_peer_memory.py
+++ b/tests/test_peer_memory.py
@@ -27,6 +27,7 @@
 CROWD_OF_IDLE = 600  # connections of a crowd that does little more than connect
 ROUTES = 4_000  # of a configuration of some 1 MB
 PLAY_S = 5.0  # for which a crowd, the workers or the list misbehave
+PIPELINED_PLAY_S = 8.0  # for which answers to pipelined reads pile up
 PIECE = 65_536  # bytes
 LARGE_FRAME = 16 << 20  # bytes, half of what a frame may have at most
 FRAMES_OF_LISTS = 3  # whole frames on a connection that hold nothing but empty lists
@@ -99,11 +100,11 @@
         self.machines = [*fleet.cores, fleet.node]
         self.watches = [small_fleet.ResourceWatch(machine) for machine in self.machines]
 
-    async def during(self, play: Play) -> None:
-        """Watch while a play goes on, PLAY_S at most, and for a moment afterwards."""
+    async def during(self, play: Play, seconds: float = PLAY_S) -> None:
+        """Watch while a play goes on, `seconds` at most, and for a moment afterwards."""
         watching = [asyncio.create_task(watch.run()) for watch in self.watches]
         playing = asyncio.create_task(play())
-        await asyncio.wait([playing], timeout=PLAY_S)
+        await asyncio.wait([playing], timeout=seconds)
         await small_fleet.settle(self.watches[0])
         for task in (playing, *watching):
             task.cancel()
@@ -150,15 +151,16 @@
     *,
     size: int = CROWD,
     view: int = 0,
+    stay_s: float = PLAY_S,
 ) -> Play:
-    """A play: many connections to one address, each of which misbehaves."""
+    """A play: many connections to one address, each of which misbehaves and stays open for `stay_s` after that."""
 
     async def run_one() -> None:
         with contextlib.suppress(OSError):
             connection = await fleet.connect(*address)
             try:
                 await misbehave(connection, view)
-                await asyncio.sleep(PLAY_S)
+                await asyncio.sleep(stay_s)
             finally:
                 connection.close()
 
@@ -246,7 +248,8 @@
         async def run() -> None:
             assert await fleet.put_configuration(ROUTES)
             watch = Watch(fleet)
-            await watch.during(crowd(fleet, (fleet.cores[0].host, fleet.network.control_port), read, size=2))
+            address = (fleet.cores[0].host, fleet.network.control_port)
+            await watch.during(crowd(fleet, address, read, size=2, stay_s=PIPELINED_PLAY_S), PIPELINED_PLAY_S)
             await fleet.wait_until(lambda: is_core_serving(fleet))
             watch.check()
 
