Memory: give large blocks back to the system as they are freed

Cause: glibc maps blocks of 128 KiB and more one by one, but raises that size up to 32 MiB as such blocks are freed. From then on bodies and frames lie in the heap, which is returned from its end alone, so what has been freed between blocks that stay counts on.

--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -16,7 +16,7 @@
 from twisted.internet import defer, error
 
 from iriswheel.configuration import configuration
-from iriswheel.runtime import log_output, options, scheduler, start_wait, units
+from iriswheel.runtime import allocator, log_output, options, scheduler, start_wait, units
 from iriswheel.runtime.process_signals import process_signals
 from iriswheel.transport import http_server, memory_budget, wire
 
@@ -262,6 +262,7 @@
     from iriswheel.runtime import storage
 
     set_logs(process_options.log_level)
+    allocator.return_large_blocks()
     gc.set_threshold(GARBAGE_THRESHOLD)
     reactor = install_reactor()
     disk = storage.Disk(process_options.data, reactor)
@@ -305,6 +306,7 @@
     from iriswheel.node import node
 
     set_logs(process_options.log_level)
+    allocator.return_large_blocks()
     reactor = install_reactor()
     runtime = scheduler.Runtime(reactor)
     process = node.Node(runtime, process_options, formats)
