Peers: hold no bytes of a frame once its connection is aborted or lost

The budget counts an aborted connection as empty, but its frame lived as long as the connection did.

The frame is dropped at the abort or the loss. test_an_aborted_connection_holds_no_bytes failed before.

--- a/iriswheel/transport/frames.py
+++ b/iriswheel/transport/frames.py
@@ -62,6 +62,10 @@
         while (frame := self._take()) is not None:
             yield frame
 
+    def clear(self) -> None:
+        """Hold no bytes any more."""
+        self._incomplete = bytearray()
+
     def _take(self) -> bytes | None:
         """Return the next frame and hold it no longer; None if it is still incomplete."""
         received = self._incomplete
--- a/iriswheel/transport/wire.py
+++ b/iriswheel/transport/wire.py
@@ -306,6 +306,7 @@
 
     def _abort(self) -> None:
         self.is_aborted = True
+        self.frames.clear()
         unsent.abort(self.transport)
 
     def connectionLost(
@@ -314,6 +315,7 @@
     ) -> None:
         """Fail the calls that await answers, and wake all tasks that wait for the connection."""
         self.up = False
+        self.frames.clear()
         self.memory.remove(self)
         if self.keep_alive_timer.active():
             self.keep_alive_timer.cancel()
