HTTP: decode small chunks together also where a read ends inside one

Seen: 60 clients that send chunks of one byte without pause: the readiness poll of a node got no answer in 60 s.

Cause: small chunks are decoded together only where a read begins at a chunk. A read seldom does, and then all of it was decoded by Twisted, at 4.2 us a chunk in place of 1.2; so were chunks with an extension.

What earlier data began is ended first, and the rest is decoded together; so are chunks with a short plain extension. The new test failed before.

--- a/iriswheel/transport/chunked_body.py
+++ b/iriswheel/transport/chunked_body.py
@@ -6,13 +6,13 @@
 
 from twisted.web import http
 
-# The length line of a chunk without extensions; all other lines are left to Twisted's decoder.
-PLAIN_LENGTH = re.compile(rb"([0-9a-fA-F]{1,7})\r\n")
+# The length line of a chunk, with a short plain extension or none; all other lines are left to Twisted's decoder.
+PLAIN_LENGTH = re.compile(rb"([0-9a-fA-F]{1,7})(?:;[a-zA-Z0-9=;]{0,64})?\r\n")
 CRLF = b"\r\n"
 
 
 class ChunkedBodyDecoder(http._ChunkedTransferDecoder):
-    r"""Twisted's decoder, which takes the whole plain chunks at the begin of received data in one step.
+    r"""Twisted's decoder, which takes the whole plain chunks in received data in one step.
 
     >>> received = []
     >>> decoder = ChunkedBodyDecoder(received.append, lambda rest: received.append((rest,)))
@@ -24,10 +24,26 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Decode received data."""
-        if self.state == "CHUNK_LENGTH" and not self._buffer:
-            data = self._take_whole_chunks(data)
-        if data:
-            super().dataReceived(data)
+        while data:
+            if self.state == "CHUNK_LENGTH" and not self._buffer:
+                rest = self._take_whole_chunks(data)
+                begun_length = len(rest)
+            else:
+                rest = data
+                begun_length = self._length_of_begun_part(data)
+            super().dataReceived(rest[:begun_length])
+            data = rest[begun_length:]
+
+    def _length_of_begun_part(self, data: bytes) -> int:
+        """How much of the data ends what earlier data began: a length line, or a chunk with the line end after it."""
+        match self.state:
+            case "CHUNK_LENGTH":
+                return data.find(b"\n") + 1 or len(data)
+            case "BODY":
+                return self.length + len(CRLF)
+            case "CRLF":
+                return len(CRLF) - len(self._buffer)
+        return len(data)
 
     def _take_whole_chunks(self, data: bytes) -> bytes:
         """Deliver the whole plain chunks at the begin of the data at once; returns the rest."""
--- a/tests/test_chunked_body.py
+++ b/tests/test_chunked_body.py
@@ -47,6 +47,18 @@
 
 
 # Clients that do not behave: each chunk of one byte cost as much time as one of many kilobytes.
+@pytest.mark.parametrize("extension", [b"", b";a=b"])
+def test_small_chunks_are_delivered_at_once_wherever_the_reads_split_them(extension: bytes) -> None:
+    delivered: list[bytes] = []
+    decoder = chunked_body.ChunkedBodyDecoder(delivered.append, delivered.append)
+    sent = (b"3" + extension + b"\r\nxyz\r\n") * 20_000
+    reads = [sent[begin : begin + 65_536] for begin in range(0, len(sent), 65_536)]
+    for data in reads:
+        decoder.dataReceived(data)
+    assert b"".join(delivered) == b"xyz" * 20_000
+    assert len(delivered) <= 4 * len(reads)
+
+
 @pytest.mark.parametrize("size", [1, 8, 100])
 def test_the_small_chunks_of_one_read_are_delivered_at_once(size: int) -> None:
     delivered: list[bytes] = []
