Peers: let the connection of least use give way where too many are open

Seen: clients that hold all connections that a core machine accepts from other processes, by sending what an idle peer sends: a node that starts never joins, a core machine that restarts never serves (0 in 60 s; 138 connections, crowds of 100 at each machine).

Cause: the bound on connections closed the new ones, whoever held the others.

Above the bound the oldest connection on which no message has come gives way; where all have had one, the one whose last message is the oldest. Handshakes and keep-alives don't count. A client that speaks the whole protocol can still hold connections: peers aren't authenticated.

--- a/iriswheel/transport/wire.py
+++ b/iriswheel/transport/wire.py
@@ -121,6 +121,7 @@
         self.version = 0  # the peer's protocol version; 0 before its handshake
         self.version_refused = False  # whether this process does not support the peer's protocol version
         self.node_session: node_session.NodeSession | None = None  # the session of the node that connected, on a core
+        self.on_message: collections.abc.Callable[[Connection], object] = lambda _: None  # at each message to handle
 
     def connectionMade(self) -> None:
         """Send the version handshake, and start the timer of the keep-alives."""
@@ -257,6 +258,7 @@
             self._abort()
 
     def _serve(self, frame: Envelope) -> None:
+        self.on_message(self)
         response = self.serve(self, frame.content)
         if inspect.iscoroutine(response):
             self.runtime.spawn(self._reply_later(response, frame), self.log)
@@ -330,6 +332,9 @@
 class ConnectionFactory(protocol.Factory):
     """Makes a `Connection` for each TCP connection that this process accepts, up to a limit.
 
+    Above it, the oldest connection on which no message has come gives way to a new one, or, if there is none, the one
+    whose last message is the oldest. Handshakes and keep-alives are no messages here.
+
     Args:
         runtime: clock and reactor of this process.
         serve: handles the messages of the peers.
@@ -354,17 +359,30 @@
         self.log = log
         self.memory = memory or memory_budget.MemoryBudget()
         self.connection_limit = connection_limit
-        self.open_connections: set[Connection] = set()
-
-    def buildProtocol(self, addr: interfaces.IAddress | None) -> Connection | None:  # noqa: ARG002 - Twisted's name
-        """Make a connection, for any address; None, which closes it, if too many are open."""
-        if len(self.open_connections) >= self.connection_limit:
-            return None
+        self.silent_connections: dict[Connection, None] = {}  # without a message so far, oldest first
+        self.used_connections: dict[Connection, None] = {}  # least recently used first
+
+    def buildProtocol(self, addr: interfaces.IAddress | None) -> Connection:  # noqa: ARG002 - Twisted's name
+        """Make a connection, for any address; the one that has been of least use gives way if too many are open."""
+        while len(self.silent_connections) + len(self.used_connections) >= self.connection_limit:
+            least_used = next(iter(self.silent_connections or self.used_connections))
+            self._forget(least_used)
+            least_used.close()
         connection = Connection(self.runtime, self.serve, self.log, memory=self.memory, is_accepted=True)
-        self.open_connections.add(connection)
-        connection.lost.wait().addCallback(lambda _: self.open_connections.discard(connection))
+        self.silent_connections[connection] = None
+        connection.on_message = self._note_use
+        connection.lost.wait().addCallback(lambda _: self._forget(connection))
         return connection
 
+    def _note_use(self, connection: Connection) -> None:
+        if connection in self.silent_connections or connection in self.used_connections:
+            self._forget(connection)
+            self.used_connections[connection] = None
+
+    def _forget(self, connection: Connection) -> None:
+        self.silent_connections.pop(connection, None)
+        self.used_connections.pop(connection, None)
+
 
 async def connect(
     runtime: scheduler.Runtime,
--- a/tests/test_peer_connections.py
+++ b/tests/test_peer_connections.py
@@ -1,4 +1,4 @@
-"""Connections between processes that are accepted from anyone."""
+"""Which connection between processes gives way to a new one, where too many are open."""
 
 from typing import Any
 
@@ -33,6 +33,26 @@
         raw = wire.encoder.encode(wire.Envelope(kind, 1, content))  # type: ignore[arg-type]  # matters for decoding only
         connection.dataReceived(frames.encode(raw))
 
+    def test_the_oldest_connection_without_a_message_gives_way(self) -> None:
+        used = self.connect()
+        self.send(used, message.PositionRequest(1, "a"))
+        silent = [self.connect() for _ in range(LIMIT - 1)]
+        self.connect()
+        assert [connection.up for connection in (used, *silent)] == [True, False] + [True] * (LIMIT - 2)
+
+    def test_keep_alives_are_no_use_of_a_connection(self) -> None:
+        kept = self.connect()
+        self.send(kept, message.KeepAlive(), wire.FrameKind.TELL)
+        others = [self.connect() for _ in range(LIMIT)]
+        assert (kept.up, others[0].up) == (False, True)
+
+    def test_where_all_are_used_the_least_recently_used_gives_way(self) -> None:
+        connections = [self.connect() for _ in range(LIMIT)]
+        for connection in (*connections, connections[0]):
+            self.send(connection, message.PositionRequest(1, "a"))
+        self.connect()
+        assert [connection.up for connection in connections[:3]] == [True, False, True]
+
     def test_an_aborted_connection_holds_no_bytes(self) -> None:
         connection = self.connect()
         connection.dataReceived((1 << 20).to_bytes(4, "big") + bytes(1000))
