Peers: drop frames of anyone before those of peers when memory runs out

By reading, and a test of the budget that failed before; no run of processes shows it: where many connections hold frames of about the same length, the largest was dropped, and that may be the answer of a peer to a read of a large configuration.

Connections that were accepted and have brought no message yet are released first, whatever the others hold.

--- a/iriswheel/transport/memory_budget.py
+++ b/iriswheel/transport/memory_budget.py
@@ -21,12 +21,15 @@
     def held_bytes(self) -> int:
         """Return an estimate of the bytes that it holds now."""
 
+    def is_released_first(self) -> bool:
+        """Whether it is released before all others, however much these hold."""
+
     def release_memory(self) -> bool:
         """Refuse or end what this connection's client has not finished; returns whether there was any."""
 
 
 class MemoryBudget:
-    """Adds up what the connections of a process hold, and releases the largest ones when that passes the limit.
+    """Adds up what the connections of a process hold, and releases some when that passes the limit, the largest first.
 
     A request whose body is whole is never released: it has been accepted. What the others may hold is so much less.
 
@@ -76,7 +79,7 @@
         if self.used_bytes <= limit:
             return
         target = limit * TARGET_PERCENT // 100
-        for holder in sorted(self._held, key=self._held.__getitem__, reverse=True):
+        for holder in sorted(self._held, key=lambda each: (not each.is_released_first(), -self._held[each])):
             if self.used_bytes <= target or not self._held[holder]:
                 return
             if holder.release_memory():
--- a/iriswheel/transport/wire.py
+++ b/iriswheel/transport/wire.py
@@ -121,6 +121,7 @@
         self.version = 0  # the peer's protocol version; 0 before its handshake
         self.version_refused = False  # whether this process does not support the peer's protocol version
         self.node_session: node_session.NodeSession | None = None  # the session of the node that connected, on a core
+        self.has_served = False  # whether a message of the peer was handled
         self.on_message: collections.abc.Callable[[Connection], object] = lambda _: None  # at each message to handle
 
     def connectionMade(self) -> None:
@@ -258,6 +259,7 @@
             self._abort()
 
     def _serve(self, frame: Envelope) -> None:
+        self.has_served = True
         self.on_message(self)
         response = self.serve(self, frame.content)
         if inspect.iscoroutine(response):
@@ -286,6 +288,10 @@
         """Return the bytes that this connection holds: an incomplete frame, and frames that are not sent yet."""
         return 0 if self.is_aborted else self.frames.held_bytes + unsent.unsent_bytes(self.transport)
 
+    def is_released_first(self) -> bool:
+        """Return whether anyone may have opened this connection; see `memory_budget.Holder`."""
+        return self.is_accepted and not self.has_served
+
     def release_memory(self) -> bool:
         """Abort the connection; see `memory_budget.Holder`."""
         if self.is_aborted:
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -18,9 +18,12 @@
 class Holder:
     """A connection that holds some bytes."""
 
-    def __init__(self, budget: memory_budget.MemoryBudget, *, whole: bool = False) -> None:
+    def __init__(
+        self, budget: memory_budget.MemoryBudget, *, whole: bool = False, released_first: bool = False
+    ) -> None:
         self.budget = budget
         self.whole = whole
+        self.released_first = released_first
         self.held = 0
         self.was_released = False
 
@@ -33,6 +36,10 @@
         """Return the bytes that it holds."""
         return self.held
 
+    def is_released_first(self) -> bool:
+        """Whether it is released before all others."""
+        return self.released_first
+
     def release_memory(self) -> bool:
         """Hold nothing any more, unless the request is whole."""
         if self.whole:
@@ -63,6 +70,15 @@
         assert large.was_released
         assert not any(holder.was_released for holder in small)
 
+    # Else a crowd at the port for processes has the one large answer of a peer dropped, and keeps its smaller frames.
+    def test_connections_of_anyone_are_released_before_larger_ones_of_peers(self) -> None:
+        (peer,) = self.holders(1, 3 * MEBIBYTE)
+        strangers = [Holder(self.budget, released_first=True) for _ in range(10)]
+        for holder in strangers:
+            holder.hold(MEBIBYTE)
+        assert not peer.was_released
+        assert sum(holder.was_released for holder in strangers) > 0
+
     def test_a_whole_request_is_never_released(self) -> None:
         whole = self.holders(5, MEBIBYTE, whole=True)
         unfinished = self.holders(10, MEBIBYTE)
