HTTP: tell a client whose unfinished request is refused when to come back

What clients saw: a 503 for want of memory before the request was whole had no Retry-After, and was not in the format of the port. Cause: such answers were written by a function of their own, which knew the status alone. It takes the format of the server now.

--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -86,15 +86,17 @@
     raise ValueError(f"nested more than {MAX_JSON_DEPTH} deep")
 
 
-def closing_error_response(error: errors.ServiceError) -> bytes:
+def closing_error_response(error: errors.ServiceError, error_format: ErrorFormat) -> bytes:
     """Return the bytes of an error response after which the server closes the connection."""
-    body = error.body()
-    head = (
-        f"HTTP/1.1 {error.status} {http_status.HTTPStatus(error.status).phrase}\r\n"
-        "Content-Type: application/json\r\n"
-        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-    )
-    return head.encode() + body
+    status, headers, body = error_format.error_response(error)
+    lines = [
+        f"HTTP/1.1 {status} {http_status.HTTPStatus(status).phrase}",
+        "Content-Type: application/json",
+        *(f"{name}: {value}" for name, value in headers),
+        f"Content-Length: {len(body)}",
+        "Connection: close",
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
 def no_memory_error() -> errors.ServiceError:
@@ -152,7 +154,7 @@
         self.early_error = error
         self.content = io.BytesIO()
         self.received_bytes = 0
-        self.channel.transport.write(closing_error_response(self.early_error))
+        self.channel.transport.write(closing_error_response(self.early_error, self.channel.factory.error_format))
         self.channel.loseConnection()
 
     def process(self) -> None:
@@ -374,7 +376,7 @@
     def _respondToBadRequestAndDisconnect(self) -> None:
         # Twisted's own answer has no body; this one has the error code
         error = errors.ServiceError("bad_request", "The head of the exchange is malformed.", field="head")
-        self.transport.write(closing_error_response(error))
+        self.transport.write(closing_error_response(error, self.factory.error_format))
         self.loseConnection()
 
 
