HTTP: let connections that wait for their clients give way to new ones

What callers saw: clients that hold all connections which a process accepts (small bodies that stop short, byte by byte, silence, kept after an answer) leave every new caller without an answer, at a node, a core machine and the readiness port.

Cause: the bound on connections closed the new ones. Time limits don't help: a byte now and then keeps a connection.

Above the bound the connection that has waited longest for its client is closed: from its begin or the end of an answer until the next request is whole. An unfinished request gets 503, which is true: it was never passed on.

Ruled out: a limit on the time of a body (a slow client within the limits is served in calm, which a crowd test shows).

--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -18,7 +18,7 @@
 from iriswheel.configuration import configuration
 from iriswheel.runtime import allocator, log_output, options, scheduler, start_wait, units
 from iriswheel.runtime.process_signals import process_signals
-from iriswheel.transport import http_server, memory_budget, wire
+from iriswheel.transport import http_server, listening_port, memory_budget, wire
 
 if typing.TYPE_CHECKING:
     from twisted.internet import epollreactor, tcp
@@ -176,7 +176,7 @@
     bound: list[tcp.Port] = []
 
     def listen(port: int, factory: wire.ConnectionFactory | http_server.Server, host: str, backlog: int) -> tcp.Port:
-        bound.append(reactor.listenTCP(port, factory, interface=host, backlog=backlog))
+        bound.append(listening_port.listen(reactor, port, factory, host=host, backlog=backlog))
         return bound[-1]
 
     front_host, front_port = process_options.front_address()
@@ -315,6 +315,7 @@
         runtime,
         process.gateway.handle,
         connection_limit=process_options.connections,
+        upstream_count=process.gateway.forwarder.connections.open_count,
         error_format=process.edge_protocol,
         limits=lambda: process.follower.limits,
         memory=memory,
--- a/iriswheel/dataplane/forwarding.py
+++ b/iriswheel/dataplane/forwarding.py
@@ -106,7 +106,7 @@
             "counts": self.counts.state(),
             "cold": self.cold_workers.state(),
             "places": [pool_placement.state() for _, pool_placement in sorted(self.placements.items())],
-            "lines": sum(self.connections.open.values()),
+            "lines": self.connections.open_count(),
         }
 
     # ---- silent streams ---------------------------------------------------------------
--- a/iriswheel/dataplane/worker_connections.py
+++ b/iriswheel/dataplane/worker_connections.py
@@ -340,6 +340,14 @@
         """
         return self.open.get(worker, 0)
 
+    def open_count(self) -> int:
+        """Return how many connections to all workers are open.
+
+        >>> ConnectionPool(scheduler.Runtime(None, now=lambda: 0)).open_count()
+        0
+        """
+        return sum(self.open.values())
+
     def take(self, worker: str, max_idle_us: int) -> WorkerConnection | None:
         """Take an idle connection that was last used within max_idle_us; returns None where there is none.
 
--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -17,7 +17,7 @@
 from iriswheel import errors
 from iriswheel.configuration import configuration
 from iriswheel.runtime import scheduler, units
-from iriswheel.transport import chunked_body, memory_budget, unsent
+from iriswheel.transport import chunked_body, connection_slots, memory_budget, unsent
 
 if typing.TYPE_CHECKING:
     from twisted.internet import interfaces
@@ -28,6 +28,7 @@
 MAX_JSON_DEPTH = 100  # levels of nesting; code that later reads the value recursively has less of the stack left
 MAX_JSON_CONTAINERS = 100_000  # lists and objects in one document, each of which takes many times its bytes in the body
 CONNECTION_LIMIT = 2048  # simultaneous connections of one server
+CLOSE_TIMEOUT_US = 50 * units.MILLISECOND_US  # until a connection that gives way is aborted, if it is still open
 BODY_WEIGHT = 2  # bytes of memory for each byte of a body: it is also held in the buffer of the worker's connection
 HEADER_BYTES = 400  # of memory for each header, beside its text
 UNSENT_BYTES = 64 << 10  # of answers that wait for a client to read them, from which its connection may be ended
@@ -104,6 +105,11 @@
     return errors.ServiceError("busy", "This process has no memory for the request now.")
 
 
+def no_connection_error() -> errors.ServiceError:
+    """Return the error for a request that this process refuses for want of connections."""
+    return errors.ServiceError("busy", "This process has no connection for the request now.")
+
+
 class Request(http.Request):
     """One HTTP request, on the server's side."""
 
@@ -163,12 +169,19 @@
             return
         self.client_lost = scheduler.Signal()
         self.notifyFinish().addErrback(self._record_disconnection)
+        if not self.channel.factory.slots.begin_request(self.channel):
+            self._refuse(no_connection_error())
+            return
         if not self.channel.note_memory():
-            self.content = io.BytesIO()
-            self.answer_error(no_memory_error())
+            self._refuse(no_memory_error())
             return
         self.channel.factory.runtime.spawn(self._serve(self.channel.factory.handle), log)
 
+    def _refuse(self, error: errors.ServiceError) -> None:
+        """Answer a whole request with an error before any work on it."""
+        self.content = io.BytesIO()
+        self.answer_error(error)
+
     def _record_disconnection(self, _: failure.Failure) -> None:
         self.client_disconnected = True
         self.client_lost.wake()
@@ -259,8 +272,7 @@
 
     def connectionMade(self) -> None:
         """Count the connection, and set its limits to those in force now."""
-        self.factory.open_count += 1
-        self.factory.channels[self] = None
+        self.factory.slots.add(self)
         limits = self.factory.limits()
         self.totalHeadersSize = limits.head_bytes
         # type ignored: Twisted declares an int, but passes it as the seconds of a delayed call
@@ -294,12 +306,13 @@
     def requestDone(self, request: http.Request) -> None:
         """Record that the connection is idle from now on."""
         self.idle_since = self.factory.runtime.now()
+        self.factory.slots.end_request(self)
         super().requestDone(request)
         self.note_memory()
 
     def note_memory(self) -> bool:
         """Have the budget charge this connection for what it holds now; returns whether the process has the memory."""
-        if self not in self.factory.channels:
+        if self not in self.factory.slots:
             return True
         if self.unsent_bytes() > self.factory.memory.limit_bytes:  # answers to pipelined requests, for one
             unsent.abort(self.transport)
@@ -319,6 +332,10 @@
             held += request.held_answer_bytes
         return held
 
+    def is_released_first(self) -> bool:
+        """Return whether its memory is released before that of all others; see `memory_budget.Holder`."""
+        return False
+
     def release_memory(self) -> bool:
         """Refuse a request that is not whole yet, or end a connection whose client does not read; see `Holder`.
 
@@ -347,6 +364,17 @@
         self.persistent = False
         return True
 
+    def give_way(self) -> None:
+        """Refuse what the client has not finished, and close the connection; see `connection_slots.Client`."""
+        if self.unsent_bytes() or (self.requests and self.requests[-1].early_error is not None):
+            unsent.abort(self.transport)
+            return
+        if self.requests:
+            self.requests[-1].send_error_early(no_connection_error())
+        else:
+            self.loseConnection()
+        self._abortingCall = self.callLater(CLOSE_TIMEOUT_US / units.SECOND_US, self.forceAbortClient)
+
     def timeoutConnection(self) -> None:
         """Close an idle connection, unless the limit was raised after its timer was set and has not been reached."""
         idle_end = self.idle_since + self.factory.limits().idle_us + CLOCK_ALLOWANCE_US
@@ -367,8 +395,7 @@
 
     def connectionLost(self, reason: failure.Failure = twisted_protocol.connectionDone) -> None:
         """Remove the connection from the server's count."""
-        self.factory.open_count -= 1
-        self.factory.channels.pop(self, None)
+        self.factory.slots.remove(self)
         self.factory.memory.remove(self)
         self.factory.connection_closed.wake()
         super().connectionLost(reason)
@@ -381,12 +408,13 @@
 
 
 class Server(http.HTTPFactory):
-    """Accepts HTTP connections, up to a limit.
+    """Accepts HTTP connections, up to a limit, above which those that wait for their clients give way.
 
     Args:
         runtime: clock and reactor of this process.
         handle: answers one request; runs as a task of its own.
-        connection_limit: how many connections may be open at a time.
+        connection_limit: how many connections may be open at a time, with those in `upstream_count`.
+        upstream_count: returns how many connections to workers are open; None where no request needs one.
         error_format: the format of error responses; JsonErrorFormat by default.
         limits: returns the limits in force now, which a new configuration may change.
         memory: the budget of this process for what it holds for its clients; by default one of this server alone.
@@ -402,6 +430,7 @@
         handle: Handler,
         *,
         connection_limit: int = CONNECTION_LIMIT,
+        upstream_count: collections.abc.Callable[[], int] | None = None,
         error_format: ErrorFormat | None = None,
         limits: collections.abc.Callable[[], configuration.Limits] = configuration.Limits,
         memory: memory_budget.MemoryBudget | None = None,
@@ -414,9 +443,8 @@
         self.limits = limits
         self.memory = memory or memory_budget.MemoryBudget()
         self.body_weight = body_weight
-        self.connection_limit = connection_limit
-        self.open_count = 0
-        self.channels: dict[Channel, None] = {}  # open connections, oldest first
+        self.slots = connection_slots.ConnectionSlots(connection_limit, upstream_count)
+        self.is_finishing = False  # whether no more connections are accepted
         self.connection_closed = scheduler.Signal()  # woken when a connection has closed
 
     def startFactory(self) -> None:
@@ -430,21 +458,32 @@
 
     def buildProtocol(self, addr: interfaces.IAddress | None) -> interfaces.IProtocol | None:
         """Return a channel for a new connection, or None, which closes it, if too many are open."""
-        return super().buildProtocol(addr) if self.open_count < self.connection_limit else None
+        return super().buildProtocol(addr) if not self.is_finishing and self.slots.admit() else None
 
     async def close_overdue_heads(self) -> None:
-        """Every second, close the connections whose request head is overdue, for as long as the process runs."""
+        """Every second, close the connections whose request head is overdue, for as long as the process runs.
+
+        How many others were closed for new ones is logged then.
+        """
+        logged_count = 0
         while True:
             await self.runtime.sleep(units.SECOND_US)
+            if self.slots.closed > logged_count:
+                log.warning(
+                    "{count} connections that waited for their clients were closed to make room for others.",
+                    count=self.slots.closed - logged_count,
+                )
+                logged_count = self.slots.closed
             now = self.runtime.now()
-            for channel in [channel for channel in self.channels if channel.is_head_overdue(now)]:
-                channel.loseConnection()
+            for channel in self.slots:
+                if channel.is_head_overdue(now):
+                    channel.loseConnection()
 
     async def finish(self, timeout_us: int) -> None:
         """Accept no more connections, close each open one once its data is sent, and wait timeout_us at most."""
-        self.connection_limit = 0
+        self.is_finishing = True
         deadline = self.runtime.now() + timeout_us
-        for channel in list(self.channels):
+        for channel in self.slots:
             channel.loseConnection()
-        while self.open_count and self.runtime.now() < deadline:
+        while len(self.slots) and self.runtime.now() < deadline:
             await self.runtime.pause(self.connection_closed, deadline - self.runtime.now())
