HTTP: read from clients that send much in turns while a process is busy

Cause: the reactor reads 64 KiB from every connection in each turn and handles it: some 16 ms for tiny chunks, more for pipelined requests that are refused at once. An ordinary request takes five or six turns, a large answer many.

Where the work on what clients send passes a quarter of the time, connections that took over 4 ms of it so far wait for their turn: two are read in each turn of the reactor, 16 KiB each. New connections are read at once, 4 KiB the first time. In calm nothing waits.

--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -18,7 +18,7 @@
 from iriswheel.configuration import configuration
 from iriswheel.runtime import allocator, log_output, options, scheduler, start_wait, units
 from iriswheel.runtime.process_signals import process_signals
-from iriswheel.transport import http_server, listening_port, memory_budget, wire
+from iriswheel.transport import http_server, listening_port, memory_budget, read_turns, wire
 
 if typing.TYPE_CHECKING:
     from twisted.internet import epollreactor, tcp
@@ -311,6 +311,7 @@
     runtime = scheduler.Runtime(reactor)
     process = node.Node(runtime, process_options, formats)
     memory = memory_budget.MemoryBudget(process_options.client_memory_bytes)
+    turns = read_turns.ReadTurns(runtime)
     server = http_server.Server(
         runtime,
         process.gateway.handle,
@@ -319,6 +320,7 @@
         error_format=process.edge_protocol,
         limits=lambda: process.follower.limits,
         memory=memory,
+        turns=turns,
     )
     runtime.spawn(server.close_overdue_heads(), log)
     handle_ready = process.gateway.status_calls.handle if ready is None else ready(process)
@@ -328,6 +330,7 @@
         connection_limit=READY_CONNECTION_LIMIT,
         limits=lambda: READY_LIMITS,
         memory=memory,
+        turns=turns,
     )
     runtime.spawn(ready_server.close_overdue_heads(), log)
     front = bind(reactor, process_options, _peer_factory(process, process_options), server, ready_server)
--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -17,7 +17,7 @@
 from iriswheel import errors
 from iriswheel.configuration import configuration
 from iriswheel.runtime import scheduler, units
-from iriswheel.transport import chunked_body, connection_slots, memory_budget, unsent
+from iriswheel.transport import chunked_body, connection_slots, memory_budget, read_turns, unsent
 
 if typing.TYPE_CHECKING:
     from twisted.internet import interfaces
@@ -268,6 +268,7 @@
     transport: typing.Any  # Any: Twisted describes transports by zope interfaces, which mypy can't check
     requestFactory = Request
     head_started_at: int | None  # arrival of the first byte of the incomplete request head, in µs; None without one
+    reading: read_turns.ReadControl
     idle_since: int  # time of the last received data or completed answer, in µs
 
     def connectionMade(self) -> None:
@@ -280,8 +281,17 @@
         self.head_started_at = None
         self.idle_since = self.factory.runtime.now()
         super().connectionMade()
+        self.reading = read_turns.ReadControl(self.transport)
+        self._networkProducer = self.reading  # type: ignore[assignment]  # a zope interface
 
     def dataReceived(self, data: bytes) -> None:
+        """Handle data; where this server is busy, the connection may have to wait for its turn before it is read on."""
+        began_us = self.factory.runtime.now()
+        self.reading.note_read()
+        self._receive(data)
+        self.factory.turns.note_work(self.reading, began_us)
+
+    def _receive(self, data: bytes) -> None:
         """Record the arrival of data, and the start of a request head."""
         if self.head_started_at is None and not self.requests:
             self.head_started_at = self.factory.runtime.now()
@@ -419,6 +429,7 @@
         limits: returns the limits in force now, which a new configuration may change.
         memory: the budget of this process for what it holds for its clients; by default one of this server alone.
         body_weight: bytes of memory for each byte of a body, by which the budget is charged.
+        turns: the turns in which a busy process reads from its clients; by default those of this server alone.
     """
 
     noisy = False
@@ -435,6 +446,7 @@
         limits: collections.abc.Callable[[], configuration.Limits] = configuration.Limits,
         memory: memory_budget.MemoryBudget | None = None,
         body_weight: int = BODY_WEIGHT,
+        turns: read_turns.ReadTurns | None = None,
     ) -> None:
         super().__init__(timeout=limits().idle_us / units.SECOND_US, reactor=runtime.reactor)
         self.runtime = runtime
@@ -444,6 +456,7 @@
         self.memory = memory or memory_budget.MemoryBudget()
         self.body_weight = body_weight
         self.slots = connection_slots.ConnectionSlots(connection_limit, upstream_count)
+        self.turns = turns or read_turns.ReadTurns(runtime)
         self.is_finishing = False  # whether no more connections are accepted
         self.connection_closed = scheduler.Signal()  # woken when a connection has closed
 
