Stop: answer requests that had arrived before the connections are closed

Cause, by reading: timers run before connections are read. A process that is held up finds the timer of its stop and the request due at once, and closed the connection with the request unread.

The server waits one turn of the reactor, in which what has arrived is read and refused, before it closes. The new test failed before; test_a_closing_server... advances its clock by that turn, its checks are unchanged.

--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -493,9 +493,14 @@
                     channel.loseConnection()
 
     async def finish(self, timeout_us: int) -> None:
-        """Accept no more connections, close each open one once its data is sent, and wait timeout_us at most."""
+        """Accept no more connections, close each open one once its data is sent, and wait timeout_us at most.
+
+        What has arrived by now is read and answered before that: timers, one of which may have led here, run before
+        connections are read, and a process that was held up may find both due.
+        """
         self.is_finishing = True
         deadline = self.runtime.now() + timeout_us
+        await self.runtime.sleep(0)
         for channel in self.slots:
             channel.loseConnection()
         while len(self.slots) and self.runtime.now() < deadline:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -10,6 +10,7 @@
 from twisted.internet import address, defer, error, interfaces, task, testing
 from twisted.python import failure
 
+from iriswheel import errors
 from iriswheel.control import core
 from iriswheel.runtime import options, scheduler, units
 from iriswheel.transport import http_server, message
@@ -52,12 +53,32 @@
         channel.makeConnection(wire)
         channel.dataReceived(b"GET /state HTTP/1.1\r\nHost: x\r\n\r\n")
         done = defer.ensureDeferred(server.finish(SECOND))
+        clock.advance(0)
         assert b'{"whole": true}' in wire.value()
         assert (wire.disconnecting, done.called) == (True, False)  # closing once the answer is sent
         assert build_channel(server, 2) is None
         channel.connectionLost(failure.Failure(error.ConnectionDone()))
         assert done.called
 
+    # A process that was held up while it stopped closed connections on which requests had arrived before (issue 25).
+    def test_a_request_that_has_arrived_before_the_close_is_answered(self) -> None:
+        clock = task.Clock()
+        runtime = scheduler.Runtime(clock, now=lambda: int(clock.seconds() * SECOND), seed=1)
+
+        async def handle(request: http_server.Request) -> None:
+            request.answer_error(errors.ServiceError("stopping", "The node stops."))
+
+        server = http_server.Server(runtime, handle)
+        wire = UnbrokenTransport()
+        channel = build_channel(server, 1)
+        channel.makeConnection(wire)
+        defer.ensureDeferred(server.finish(SECOND))
+        assert not wire.disconnecting
+        channel.dataReceived(b"GET /state HTTP/1.1\r\nHost: x\r\n\r\n")  # read from the socket in the same turn
+        clock.advance(0)
+        assert wire.value().startswith(b"HTTP/1.1 503")
+        assert wire.disconnecting
+
 
 class TestOptionsReload:
     def test_a_changed_options_file_is_reloaded_and_an_invalid_one_is_not(self, tmp_path: pathlib.Path) -> None:
