HTTP: forget the turns of connections that have ended, and a freeze after a while

A process that was frozen for 10 s while it handled a read counted as busy for 40 s.

The places are removed with their connections, and half a second of work is the most that counts. Both tests failed before.

--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -407,6 +407,7 @@
         """Remove the connection from the server's count."""
         self.factory.slots.remove(self)
         self.factory.memory.remove(self)
+        self.factory.turns.remove(self.reading)
         self.factory.connection_closed.wake()
         super().connectionLost(reason)
 
--- a/iriswheel/transport/read_turns.py
+++ b/iriswheel/transport/read_turns.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-import collections
+import itertools
 import typing
 
 from iriswheel.runtime import units
@@ -16,6 +16,7 @@
     from iriswheel.runtime import scheduler
 
 BUSY_US = 50 * units.MILLISECOND_US  # of work on what clients send, above what BUSY_PERCENT allows
+MAX_WORK_US = 500 * units.MILLISECOND_US  # that count, so that a server that was frozen is not busy for long after that
 BUSY_PERCENT = 25  # of the time, which that work may take for any length of time without the server being busy
 FREE_US = 4 * units.MILLISECOND_US  # of work for one connection, before it takes turns in a busy server
 READ_PER_TURN = 2  # connections that are read in one turn of the reactor, of those that take turns
@@ -82,7 +83,8 @@
 
     def __init__(self, runtime: scheduler.Runtime) -> None:
         self._runtime = runtime
-        self._waiting: collections.deque[ReadControl] = collections.deque()
+        self._waiting: dict[ReadControl, None] = {}  # the longest-waiting first
+        self._is_turn_due = False
         self._work_us = 0  # recent work, less the part of the time that it may take
         self._noted_at_us = runtime.now()
 
@@ -91,16 +93,25 @@
         now = self._runtime.now()
         allowed_us = (now - self._noted_at_us) * BUSY_PERCENT // 100
         self._noted_at_us = now
-        self._work_us = max(0, self._work_us - allowed_us) + now - began_us
+        self._work_us = min(MAX_WORK_US, max(0, self._work_us - allowed_us) + now - began_us)
         control.work_us += now - began_us
         if self._work_us > BUSY_US and control.work_us > FREE_US and not control.is_waiting:
             control.wait()
-            self._waiting.append(control)
-            if len(self._waiting) == 1:
-                self._runtime.later(0, self._give_turns)
+            self._waiting[control] = None
+            self._schedule_turn()
 
-    def _give_turns(self) -> None:
-        for _ in range(min(READ_PER_TURN, len(self._waiting))):
-            self._waiting.popleft().take_turn()
-        if self._waiting:
+    def remove(self, control: ReadControl) -> None:
+        """Forget a connection that has ended."""
+        self._waiting.pop(control, None)
+
+    def _schedule_turn(self) -> None:
+        if self._waiting and not self._is_turn_due:
+            self._is_turn_due = True
             self._runtime.later(0, self._give_turns)
+
+    def _give_turns(self) -> None:
+        self._is_turn_due = False
+        for control in list(itertools.islice(self._waiting, READ_PER_TURN)):
+            self.remove(control)
+            control.take_turn()
+        self._schedule_turn()
--- a/tests/test_read_turns.py
+++ b/tests/test_read_turns.py
@@ -98,6 +98,22 @@
             self.now_us += units.SECOND_US
         assert self.reading() == len(self.transports)
 
+    def test_a_connection_that_has_ended_takes_no_turn(self) -> None:
+        self.read_all()
+        self.read_all()
+        for control in self.controls[:-1]:
+            self.turns.remove(control)
+        self.reactor.turn()
+        assert [transport.is_reading for transport in self.transports] == [False] * 19 + [True]
+
+    def test_a_server_that_was_frozen_is_not_busy_for_long_after_that(self) -> None:
+        self.read_all(work_us=units.SECOND_US)
+        self.now_us += 100 * read_turns.MAX_WORK_US // read_turns.BUSY_PERCENT
+        while self.reactor.calls:
+            self.reactor.turn()
+        self.read_all(work_us=0)
+        assert self.reading() == len(self.transports)
+
     def test_a_connection_that_its_channel_has_paused_is_not_read_when_its_turn_comes(self) -> None:
         self.read_all()
         self.read_all()
