--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -9,7 +9,6 @@
 import typing
 
 import loguru
-import msgspec
 import twisted.internet.protocol as twisted_protocol
 from twisted.internet import defer
 from twisted.web import http
@@ -17,7 +16,7 @@
 from iriswheel import errors
 from iriswheel.configuration import configuration
 from iriswheel.runtime import scheduler, units
-from iriswheel.transport import chunked_body, connection_slots, memory_budget, read_turns, unsent
+from iriswheel.transport import chunked_body, connection_slots, json_documents, memory_budget, read_turns, unsent
 
 if typing.TYPE_CHECKING:
     from twisted.internet import interfaces
@@ -25,8 +24,6 @@
 
 
 CLOCK_ALLOWANCE_US = 2 * units.SECOND_US  # added to a client's time limits, since its clock may run differently
-MAX_JSON_DEPTH = 100  # levels of nesting; code that later reads the value recursively has less of the stack left
-MAX_JSON_CONTAINERS = 100_000  # lists and objects in one document, each of which takes many times its bytes in the body
 CONNECTION_LIMIT = 2048  # simultaneous connections of one server
 CLOSE_TIMEOUT_US = 50 * units.MILLISECOND_US  # until a connection that gives way is aborted, if it is still open
 BODY_WEIGHT = 2  # bytes of memory for each byte of a body: it is also held in the buffer of the worker's connection
@@ -54,39 +51,6 @@
         return error.status, error.headers(), error.body()
 
 
-def parse_json(raw: bytes) -> typing.Any:  # noqa: ANN401 - any JSON value
-    """Decode JSON that can be stored and sent on as msgpack; raises ValueError for all other bytes.
-
-    JSON is refused too if it has an integer beyond 64 bits, an infinity or NaN, a lone surrogate, more than
-    MAX_JSON_DEPTH nested lists and objects, or more than MAX_JSON_CONTAINERS brackets or braces that open.
-
-    >>> parse_json(b'{"a": [1.5]}')
-    {'a': [1.5]}
-    >>> parse_json(b"[" * 101 + b"]" * 101)
-    Traceback (most recent call last):
-    ...
-    ValueError: nested more than 100 deep
-    """
-    if raw.count(b"{") + raw.count(b"[") > MAX_JSON_CONTAINERS:
-        raise ValueError(f"more than {MAX_JSON_CONTAINERS} lists and objects")
-    try:
-        document = msgspec.json.decode(raw)
-        msgspec.msgpack.encode(document)
-    except (msgspec.MsgspecError, RecursionError, OverflowError) as error:
-        raise ValueError(str(error)) from error
-    level = [document]
-    for _ in range(MAX_JSON_DEPTH + 1):
-        containers = [value for value in level if isinstance(value, dict | list)]
-        if not containers:
-            return document
-        level = [
-            value
-            for container in containers
-            for value in (container.values() if isinstance(container, dict) else container)
-        ]
-    raise ValueError(f"nested more than {MAX_JSON_DEPTH} deep")
-
-
 def closing_error_response(error: errors.ServiceError, error_format: ErrorFormat) -> bytes:
     """Return the bytes of an error response after which the server closes the connection."""
     status, headers, body = error_format.error_response(error)
@@ -256,7 +220,7 @@
     def json(self) -> typing.Any:  # noqa: ANN401 - any JSON value
         """Return the body decoded from JSON; raises ServiceError if it is not valid JSON."""
         try:
-            return parse_json(self.take_body())
+            return json_documents.parse(self.take_body())
         except ValueError:
             raise errors.ServiceError("bad_request", "The body is not JSON.", field="body") from None
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -11,7 +11,7 @@
 from iriswheel import errors
 from iriswheel.configuration import configuration
 from iriswheel.runtime import scheduler, units
-from iriswheel.transport import http_server
+from iriswheel.transport import http_server, json_documents
 from tests import http_connection
 
 
@@ -113,11 +113,11 @@
 
 # Clients that do not behave: a document of some megabytes took more than a hundred megabytes of memory once decoded.
 def test_json_with_too_many_lists_and_objects_is_refused_before_it_is_decoded() -> None:
-    allowed = b"[" + b"{}," * (http_server.MAX_JSON_CONTAINERS - 2) + b"{}]"
-    assert len(http_server.parse_json(allowed)) == http_server.MAX_JSON_CONTAINERS - 1
+    allowed = b"[" + b"{}," * (json_documents.MAX_CONTAINERS - 2) + b"{}]"
+    assert len(json_documents.parse(allowed)) == json_documents.MAX_CONTAINERS - 1
     with (
         unittest.mock.patch("msgspec.json.decode") as decode,
         pytest.raises(ValueError, match="more"),
     ):
-        http_server.parse_json(allowed[:-1] + b",{}]")
+        json_documents.parse(allowed[:-1] + b",{}]")
     assert not decode.called
