HTTP: leave a quarter of the requests in service to new callers

Cause: a node serves 45 % of its connections at a time.

A connection that has had a request served gets three quarters of that part at most. The new test failed before.

--- a/iriswheel/transport/connection_slots.py
+++ b/iriswheel/transport/connection_slots.py
@@ -14,6 +14,8 @@
 SERVED_PERCENT = 90
 # The same where each request may need a connection to a worker beside that to its client.
 FORWARDED_PERCENT = 45
+# Of these: requests of connections that have had one served before. The rest is for those of new callers.
+LATER_REQUESTS_PERCENT = 75
 
 
 class Client(typing.Protocol):
@@ -38,7 +40,7 @@
         self.limit = limit
         self.closed = 0  # count of connections that gave way
         self._upstream_count = upstream_count
-        self._open: dict[Client, None] = {}  # oldest first
+        self._open: dict[Client, int] = {}  # with the number of their requests that were served, oldest first
         self._waiting: dict[Client, None] = {}  # the one that has waited longest first
         self._closing: set[Client] = set()  # those that gave way and are still closing
 
@@ -64,11 +66,12 @@
 
     def add(self, client: Client) -> None:
         """Count a new connection, which waits for its client."""
-        self._open[client] = self._waiting[client] = None
+        self._open[client] = 0
+        self._waiting[client] = None
 
     def begin_request(self, client: Client) -> bool:
         """Note that a connection's request is whole, and make room for it; returns whether it is to be served."""
-        if self._served() >= self.limit * self._served_percent() // 100:
+        if self._served() >= self._served_limit(client):
             return False
         while self._used(beginning=1) > self.limit:
             others = (other for other in self._waiting if other is not client)
@@ -77,6 +80,8 @@
                 return False
             self._close(longest_waiting)
         self._waiting.pop(client, None)
+        if client in self._open:
+            self._open[client] += 1
         return True
 
     def end_request(self, client: Client) -> None:
@@ -93,8 +98,10 @@
     def _served(self) -> int:
         return len(self._open) - len(self._waiting)
 
-    def _served_percent(self) -> int:
-        return SERVED_PERCENT if self._upstream_count is None else FORWARDED_PERCENT
+    def _served_limit(self, client: Client) -> int:
+        """The number of requests in service from which a further one of this connection is refused."""
+        served_limit = self.limit * (SERVED_PERCENT if self._upstream_count is None else FORWARDED_PERCENT) // 100
+        return served_limit * LATER_REQUESTS_PERCENT // 100 if self._open.get(client) else served_limit
 
     def _used(self, beginning: int = 0) -> int:
         upstream = 0 if self._upstream_count is None else max(self._served() + beginning, self._upstream_count())
--- a/tests/test_connection_slots.py
+++ b/tests/test_connection_slots.py
@@ -70,6 +70,18 @@
         assert len(served) == LIMIT * connection_slots.SERVED_PERCENT // 100
         assert self.slots.admit()
 
+    # Pipelined requests of 60 clients had the requests of new callers refused for want of connections.
+    def test_connections_that_were_served_before_leave_room_for_new_callers(self) -> None:
+        clients = self.clients(LIMIT)
+        for client in clients:
+            assert self.slots.begin_request(client)
+            self.slots.end_request(client)
+        again = [client for client in clients if self.slots.begin_request(client)]
+        served_limit = LIMIT * connection_slots.SERVED_PERCENT // 100
+        assert len(again) == served_limit * connection_slots.LATER_REQUESTS_PERCENT // 100
+        (new,) = self.clients(1)
+        assert self.slots.begin_request(new)
+
     def test_a_refused_request_does_not_shorten_the_wait(self) -> None:
         clients = self.clients(LIMIT)
         refused = [client for client in clients if not self.slots.begin_request(client)]
