Tests: stop a node only once its ordinary request has reached the worker

Cause: the test waited until any request had reached the worker, and a client of the crowd's would do; its own could still be among those that the crowd keeps away, which may be closed.

--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -224,9 +224,9 @@
         """Whether the node answers the platform's poll with 200."""
         return await self.request(self.node.host, self.network.ready_port, "GET", "/readiness", {"Host": HOST}) == 200
 
-    async def ask_node(self, body: bytes = b"ordinary") -> int:
+    async def ask_node(self, body: bytes = b"ordinary", attempt: str = "") -> int:
         """Send one request of a client to the node; returns the status, 0 without a whole answer."""
-        headers = {**REQUEST_HEADERS, "X-Attempt-Id": os.urandom(8).hex()}
+        headers = {**REQUEST_HEADERS, "X-Attempt-Id": attempt or os.urandom(8).hex()}
         return await self.request(self.node.host, self.network.front_port, "POST", f"{PATH}2f", headers, body=body)
 
     async def read_configuration(self) -> int:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -334,9 +334,7 @@
             async with crowds.Watched(fleet, front_crowd(fleet, crowds.IDLE[name], SMALL_CROWD)):
                 await check_callers(fleet, is_answered(fleet))
                 fleet.worker.is_answering.clear()
-                begun = asyncio.create_task(fleet.ask_node())
-                received = len(fleet.worker.received_lengths)
-                await fleet.wait_until(lambda: has_received_more_than(received))
+                begun = await begin_request()
                 fleet.node.send_signal(signal.SIGTERM)
                 await asyncio.sleep(0.5)
                 fleet.worker.is_answering.set()
@@ -345,8 +343,15 @@
                 assert fleet.node.process is not None
                 assert fleet.node.process.returncode == 0
 
-        async def has_received_more_than(count: int) -> bool:
-            return len(fleet.worker.received_lengths) > count
+        async def begin_request() -> asyncio.Task[int]:
+            """Send a request that reaches the worker; one that the crowd keeps away is sent anew."""
+            while True:
+                attempt = os.urandom(8).hex()
+                asked = asyncio.create_task(fleet.ask_node(attempt=attempt))
+                while not asked.done():
+                    if attempt in fleet.worker.received_attempts:
+                        return asked
+                    await asyncio.sleep(small_fleet.POLL_S)
 
         async def has_ended() -> bool:
             return not fleet.node.is_running()
