--- a/tests/test_chunked_body.py
+++ b/tests/test_chunked_body.py
@@ -52,7 +52,7 @@
     delivered: list[bytes] = []
     decoder = chunked_body.ChunkedBodyDecoder(delivered.append, delivered.append)
     sent = (b"3" + extension + b"\r\nxyz\r\n") * 20_000
-    reads = [sent[begin : begin + 65_536] for begin in range(0, len(sent), 65_536)]
+    reads = [sent[begin : begin + 65_535] for begin in range(0, len(sent), 65_535)]
     for data in reads:
         decoder.dataReceived(data)
     assert b"".join(delivered) == b"xyz" * 20_000
