--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import functools
+import json
 import os
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -18,6 +20,7 @@
 TINY_CHUNK = b"1\r\nx\r\n"
 LARGE_FRAME = 16 << 20  # bytes, half of what a frame between processes may have at most
 PROMPT_PARTS = 1_500  # in one head, which stays below the limit on its length
+ROUTES = 20_000  # named in a change of some 500 kB
 PIPELINED = 200  # requests sent at a time by a client that does not wait for answers
 START_S = 2.0  # from the begin of a crowd until it is looked at
 
@@ -92,6 +95,21 @@
         await asyncio.sleep(0)
 
 
+async def send_large_changes(connection: small_fleet.Connection, make_head: MakeHead) -> None:
+    """Send whole documents of a legal size, each of which is refused once it has been read; the answers are read."""
+    body = large_change()
+    alive = True
+    while alive:
+        alive = await connection.send(make_head() + f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        await asyncio.sleep(0)
+
+
+@functools.cache
+def large_change() -> bytes:
+    """A document of a legal size with many objects, which is no valid configuration."""
+    return json.dumps({"version": 1, "channels": [{"name": f"r-{number}"} for number in range(ROUTES)]}).encode()
+
+
 async def send_prompts_of_many_parts(connection: small_fleet.Connection, make_head: MakeHead) -> None:
     """Send requests whose prompts have as many parts as a head can name."""
     parts = ",".join(f"{number:x}:1" for number in range(PROMPT_PARTS))
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -268,6 +268,33 @@
         fleet.play(run)
 
 
+    def test_a_core_machine_answers_while_a_crowd_sends_large_changes(self, fleet: small_fleet.SmallFleet) -> None:
+        async def run() -> None:
+            crowd = core_crowd(fleet, crowds.send_large_changes, crowds.core_change_head, BUSY_CROWD)
+            async with crowds.Watched(fleet, crowd) as watched:
+                await check_callers(fleet, is_read(fleet), fleet.put_configuration)
+                watched.check(MEMORY_MB, FILE_LIMIT - RESERVED_FILES)
+
+        fleet.play(run)
+
+    def test_core_machines_answer_while_crowds_at_each_of_them_read_no_answers(
+        self, fleet: small_fleet.SmallFleet
+    ) -> None:
+        async def run() -> None:
+            assert await fleet.put_configuration(ROUTES)
+            at_ports = [
+                core_crowd(fleet, crowds.read_no_answer, core=number)
+                for number in range(len(fleet.cores))
+            ]
+            async with crowds.Watched(fleet, *at_ports) as watched:
+                await check_callers(fleet, is_read(fleet))
+                await asyncio.sleep(crowds.HOLD_S)  # the clients open their connections anew, all at once
+                await check_callers(fleet, is_read(fleet))
+                watched.check(MEMORY_MB, FILE_LIMIT - RESERVED_FILES)
+
+        fleet.play(run)
+
+
 class TestPeerPorts:
     @pytest.mark.parametrize("misbehaviour", [crowds.stay_silent, crowds.speak_http, crowds.send_keep_alives])
     def test_a_node_joins_while_crowds_take_the_connections_between_processes(
