--- a/iriswheel/control/core.py
+++ b/iriswheel/control/core.py
@@ -173,9 +173,9 @@
         """Answer one operator's request."""
         await self.operator_api.handle(request)
 
-    async def read(self) -> dict[str, dict[str, typing.Any]]:
-        """The committed items, read at the tail."""
-        return (await self.client.read_state()).items
+    async def read(self) -> message.ReadResponse:
+        """The committed configuration, read at the tail."""
+        return await self.client.read_state()
 
     async def change(self, change: submitted_changes.SubmittedChange) -> int:
         """Apply a numbered change; returns its version once the nodes have applied it."""
--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -64,6 +64,11 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def encode_json(document: object) -> bytes:
+    """Return the body of a JSON answer."""
+    return json.dumps(document).encode() + b"\n"
+
+
 def no_memory_error() -> errors.ServiceError:
     """Return the error for a request that this process refuses for want of memory."""
     return errors.ServiceError("busy", "This process has no memory for the request now.")
@@ -198,7 +203,7 @@
 
     def answer_json(self, status: int, document: object) -> None:
         """Send a complete JSON answer."""
-        self.answer(status, json.dumps(document).encode() + b"\n")
+        self.answer(status, encode_json(document))
 
     def answer(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
         """Send a complete answer; nothing is sent to a client that has disconnected."""
--- a/tests/test_fuzz_documents.py
+++ b/tests/test_fuzz_documents.py
@@ -11,7 +11,7 @@
 
 from iriswheel.configuration import configuration
 from iriswheel.control import core, counters, operator_api, submitted_changes
-from iriswheel.transport import http_server
+from iriswheel.transport import http_server, message
 from tests import fuzzing
 
 
@@ -26,8 +26,8 @@
             self, missing, stand_in, missing, replicas=missing, counters=counters.Counters()
         )
 
-    async def read(self) -> dict[str, Any]:
-        return self.items
+    async def read(self) -> message.ReadResponse:
+        return message.ReadResponse(True, 1, self.items)
 
     async def change(self, change: submitted_changes.SubmittedChange) -> int:
         new = submitted_changes.items_after(change, self.items)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import types
+import unittest.mock
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +16,7 @@
 from iriswheel import errors
 from iriswheel.configuration import configuration
 from iriswheel.control import submitted_changes
+from iriswheel.transport import message
 
 CHANNEL = {
     "name": "r-a",
@@ -85,8 +87,8 @@
         self.items = {**new, "marks/operator": {**new["marks/operator"], "number": change.number}}
         self.taken.add(change.identifier)
 
-    async def read(self) -> dict[str, Any]:
-        return self.items
+    async def read(self) -> message.ReadResponse:
+        return message.ReadResponse(True, len(self.taken), self.items)
 
 
 class TestPlatformConfiguration:
@@ -111,6 +113,7 @@
             path=b"/configuration",
             json=load,
             getHeader=lambda _name: match,
+            answer=lambda status, body: out.append((status, json.loads(body))),
             answer_json=lambda status, value: out.append((status, value)),
         )
         handled = defer.ensureDeferred(self.gateway.handle(request))
@@ -204,6 +207,17 @@
         assert self.call(b"PUT", COMPLETE, "5")[0] == 412
         assert self.call(b"PUT", COMPLETE, "6")[0] == 200
 
+    # Clients that do not behave: a core machine encoded a large configuration for each of many reads.
+    def test_a_configuration_is_encoded_once_for_all_reads_of_its_version(self) -> None:
+        self.call(b"PUT", COMPLETE, "0")
+        with unittest.mock.patch.object(configuration_api, "show", wraps=configuration_api.show) as show:
+            assert self.call(b"GET") == self.call(b"GET") == (200, COMPLETE)
+            assert show.call_count == 1
+            newer = {**COMPLETE, "version": 8, "extra": {}}
+            self.call(b"PUT", newer, "7")
+            assert self.call(b"GET") == (200, newer)
+        assert show.call_count == 2
+
     def test_a_read_returns_accounts_exactly_as_they_were_put(self) -> None:
         assert self.call(b"PUT", WITH_ACCOUNTS, "0") == (200, {"version": 7})
         assert self.call(b"GET") == (200, WITH_ACCOUNTS)
