Refusals: free the document of a refused change at once

Cause: a refusal is kept as a value, with its traceback; the frames of that hold the document and the refusal itself. `apply` kept the last error in the same way, and the error that ends a request has such a cycle too.

The refusal drops its traceback, `apply` keeps the text alone, and the frames are cleared once an error has been answered.

--- a/iriswheel/control/submitted_changes.py
+++ b/iriswheel/control/submitted_changes.py
@@ -141,7 +141,9 @@
     try:
         made = items_after(change, before)
     except errors.ServiceError as error:
-        return Refused(error if has_current_base else _stale_base_error(known, change, current))
+        # its traceback refers to frames that hold the change's document, and later to the one that holds this refusal
+        refusal = error.with_traceback(None)
+        return Refused(refusal if has_current_base else _stale_base_error(known, change, current))
     changes = configuration.difference(before, made)
     is_in_force = may_be_in_force and not changes and bool(known.version)
     return (
@@ -202,7 +204,8 @@
         """
         until = self.parts.runtime.now() + TIMEOUT_US
         self.counters.changes += 1
-        may_have_run, last_error = False, None
+        may_have_run = False
+        last_problem: str | None = None
         while self.parts.runtime.now() < until:
             try:
                 if known is None:
@@ -210,7 +213,7 @@
                 outcome = await self._propose_once(known, change, until)
             except errors.ServiceError as error:
                 may_have_run = may_have_run or error.execution is errors.ExecutionOutcome.MAY_HAVE_RUN
-                known, last_error = None, error
+                known, last_problem = None, error.text
                 if self.parts.consensus.is_cut_off():
                     break
                 await self.parts.runtime.sleep(RETRY_DELAY_US)
@@ -220,13 +223,13 @@
             if known.read_at_tail:
                 raise outcome.error
             known = None
-        if may_have_run or last_error is None:
+        if may_have_run or last_problem is None:
             raise errors.ServiceError(
                 "unknown_outcome",
                 "It is not known yet whether the change was taken.",
                 errors.ExecutionOutcome.MAY_HAVE_RUN,
             )
-        raise errors.ServiceError("no_chain", f"The change can't be taken now: {last_error.text}")
+        raise errors.ServiceError("no_chain", f"The change can't be taken now: {last_problem}")
 
     def local_state_for(self, change: SubmittedChange) -> KnownState:
         """The state to decide on, from this machine's own replica, which may be out of date."""
--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -6,6 +6,7 @@
 import http as http_status
 import io
 import json
+import traceback
 import typing
 
 import loguru
@@ -160,6 +161,8 @@
             await handle(self)
         except errors.ServiceError as error:
             self.answer_error(error)
+            # its frames hold the document and, in a cycle, the error: without this both wait for a search for garbage
+            traceback.clear_frames(error.__traceback__)
         except defer.CancelledError:
             raise
         except Exception:  # the client gets an answer whatever the handler raises
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -267,7 +267,6 @@
 
         fleet.play(run)
 
-
     def test_a_core_machine_answers_while_a_crowd_sends_large_changes(self, fleet: small_fleet.SmallFleet) -> None:
         async def run() -> None:
             crowd = core_crowd(fleet, crowds.send_large_changes, crowds.core_change_head, BUSY_CROWD)
@@ -282,10 +281,7 @@
     ) -> None:
         async def run() -> None:
             assert await fleet.put_configuration(ROUTES)
-            at_ports = [
-                core_crowd(fleet, crowds.read_no_answer, core=number)
-                for number in range(len(fleet.cores))
-            ]
+            at_ports = [core_crowd(fleet, crowds.read_no_answer, core=number) for number in range(len(fleet.cores))]
             async with crowds.Watched(fleet, *at_ports) as watched:
                 await check_callers(fleet, is_read(fleet))
                 await asyncio.sleep(crowds.HOLD_S)  # the clients open their connections anew, all at once
--- a/tests/test_submitted_changes.py
+++ b/tests/test_submitted_changes.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from iriswheel import errors
+from iriswheel.configuration import configuration
 from iriswheel.control import submitted_changes
 
 FORGOTTEN = submitted_changes.KnownState(
@@ -25,3 +26,15 @@
     )
     change = submitted_changes.SubmittedChange("c3-4-0a", 4, 3, lambda _items: {"pools/p": {}}, complete=True)
     assert submitted_changes.decide(known, change) == submitted_changes.Applicable([])
+
+
+# Clients that do not behave: a refusal kept the change's document until the next search for garbage.
+def test_a_refusal_does_not_refer_to_the_change() -> None:
+    def refuse(_items: object) -> dict[str, Any]:
+        raise configuration.InvalidConfigurationError(["channels: no list"])
+
+    known = submitted_changes.KnownState(0, {}, 0, 0, read_at_tail=True)
+    decision = submitted_changes.decide(known, submitted_changes.SubmittedChange("c0-3-x", 3, 0, refuse))
+    assert isinstance(decision, submitted_changes.Refused)
+    assert decision.error.__traceback__ is None
+    assert decision.error.__context__ is None
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,6 +1,8 @@
 """The HTTP server enforces the configuration's limits (`limits/door`) on the size and duration of what clients send."""
 
+import gc
 import unittest.mock
+import weakref
 from collections.abc import Iterator
 
 import pytest
@@ -91,6 +93,29 @@
         self.wait(1)
         assert (self.served, transport.connected) == ([b"1"], False)
 
+    # Clients that do not behave: refused documents of some megabytes stayed until the next search for garbage.
+    def test_a_refused_document_is_freed_at_once(self) -> None:
+        class Document:
+            """Anything that a weak reference can refer to."""
+
+        documents = []
+
+        async def handle(_request: http_server.Request) -> None:
+            document = Document()
+            documents.append(weakref.ref(document))
+            refusal = errors.ServiceError("bad_blueprint", "It is refused.")
+            raise refusal
+
+        self.server.handle = handle
+        channel, transport = self.connect()
+        gc.disable()
+        try:
+            channel.dataReceived(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n1")
+            assert transport.value().startswith(b"HTTP/1.1 422")
+            assert documents[0]() is None
+        finally:
+            gc.enable()
+
     def test_a_head_above_the_limit_is_answered_with_400(self) -> None:
         channel, transport = self.connect()
         channel.dataReceived(b"POST / HTTP/1.1\r\nX-A: " + b"a" * 400 + b"\r\nContent-Length: 0\r\n\r\n")
