--- a/iriswheel/control/operator_api.py
+++ b/iriswheel/control/operator_api.py
@@ -10,7 +10,7 @@
 
 from iriswheel import errors
 from iriswheel.configuration import configuration
-from iriswheel.control import counter_calls, submitted_changes, zone_evacuation
+from iriswheel.control import counter_calls, encoded_answer, submitted_changes, zone_evacuation
 from iriswheel.runtime import units
 from iriswheel.transport import message
 
@@ -106,6 +106,15 @@
         raise errors.ServiceError("bad_blueprint", text, field="blueprint") from error
 
 
+def show_blueprint(read: message.ReadResponse) -> dict[str, typing.Any]:
+    """The answer to a read of the whole configuration.
+
+    >>> show_blueprint(message.ReadResponse(True, 3))
+    {'stamp': 3, 'blueprint': {}}
+    """
+    return {"stamp": read.version, "blueprint": configuration.unflatten(read.items)}
+
+
 class OperatorApi:
     """Answers the HTTP requests of operators."""
 
@@ -125,14 +134,14 @@
         self.contact = contact
         self.replicas = replicas
         self.counters = counters
+        self._blueprint = encoded_answer.EncodedAnswer(show_blueprint)
 
     async def handle(self, request: http_server.Request) -> None:
         """Answer one request, dispatched by method and path."""
         path = request.path.decode("latin-1").split("?")[0].strip("/").split("/")
         match (request.method, path):
             case (b"GET", ["blueprint"]):
-                read = await self.client.read_state()
-                request.answer_json(200, {"stamp": read.version, "blueprint": configuration.unflatten(read.items)})
+                request.answer(200, self._blueprint.encode(await self.client.read_state()))
             case (_, ["plans", *rest]):
                 await self._answer_plans(request, rest)
             case (b"POST", ["changes"]):
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import types
 import unittest.mock
 from typing import Any
@@ -94,8 +95,8 @@
         self.orders.append((order.zone, order.evacuated, order.is_caller_waiting()))
         return 7
 
-    async def read(self) -> dict[str, Any]:
-        return {**OPERATOR_MARK, **NORTH_EVACUATED}
+    async def read(self) -> message.ReadResponse:
+        return message.ReadResponse(True, 3, {**OPERATOR_MARK, **NORTH_EVACUATED})
 
 
 class TestPlatformCalls:
@@ -103,7 +104,11 @@
         core: Any = RecordingCore()
         answers: list[tuple[int, Any]] = []
         request: Any = types.SimpleNamespace(
-            method=method, path=path, client_disconnected=False, answer_json=lambda *answer: answers.append(answer)
+            method=method,
+            path=path,
+            client_disconnected=False,
+            answer=lambda status, body: answers.append((status, json.loads(body))),
+            answer_json=lambda *answer: answers.append(answer),
         )
         refused: list[failure.Failure] = []
         defer.ensureDeferred(core_api.make_handler(core)(request)).addErrback(refused.append)
