Core: begin the work on requests in turns of 20 ms

Cause: all requests that are whole in one turn of the reactor were worked on before the next timer or message of a peer: 138 at some 40 ms. The tail lost its lease each time. Elsewhere all that share a read were worked for in one go as its answer came.

A core machine begins the work on requests in their order, 20 ms in one turn; those that share a read are answered likewise. A stop begins all that wait. Nodes do as before, as the work on a request is short there.

--- a/iriswheel/cli/service.py
+++ b/iriswheel/cli/service.py
@@ -18,7 +18,7 @@
 from iriswheel.configuration import configuration
 from iriswheel.runtime import allocator, log_output, options, scheduler, start_wait, units
 from iriswheel.runtime.process_signals import process_signals
-from iriswheel.transport import http_server, listening_port, memory_budget, read_turns, wire
+from iriswheel.transport import http_server, listening_port, memory_budget, read_turns, wire, work_turns
 
 if typing.TYPE_CHECKING:
     from twisted.internet import epollreactor, tcp
@@ -273,6 +273,7 @@
         connection_limit=process_options.connections,
         memory=memory_budget.MemoryBudget(process_options.client_memory_bytes),
         body_weight=JSON_WEIGHT,
+        work=work_turns.WorkTurns(runtime),
     )
     runtime.spawn(http.close_overdue_heads(), log)
     bind(reactor, process_options, _peer_factory(process, process_options), http)
--- a/iriswheel/control/tail_reads.py
+++ b/iriswheel/control/tail_reads.py
@@ -14,6 +14,7 @@
 from twisted.python import failure
 
 from iriswheel import errors
+from iriswheel.transport import work_turns
 
 if typing.TYPE_CHECKING:
     from iriswheel.runtime import scheduler
@@ -36,9 +37,14 @@
         self.waiting[answer] = None
         return answer
 
-    def answer(self, result: message.ReadResponse | failure.Failure) -> None:
-        """Give all that wait the answer, or the error in its place."""
+    async def answer(self, runtime: scheduler.Runtime, result: message.ReadResponse | failure.Failure) -> None:
+        """Give all that wait the answer, or the error in its place; where their work takes long, in several turns."""
+        began_us = runtime.now()
         while self.waiting:  # one that is answered may cancel others
+            if runtime.now() - began_us >= work_turns.TURN_US:
+                await runtime.sleep(0)
+                began_us = runtime.now()
+                continue
             waiting = next(iter(self.waiting))
             del self.waiting[waiting]
             waiting.callback(result)
@@ -88,6 +94,7 @@
 
     async def _answer(self, identifier: str, pending: PendingRead) -> None:
         try:
-            pending.answer(await self.call(identifier))
+            result: message.ReadResponse | failure.Failure = await self.call(identifier)
         except errors.ServiceError:
-            pending.answer(failure.Failure())
+            result = failure.Failure()
+        await pending.answer(self.runtime, result)
--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -17,7 +17,15 @@
 from iriswheel import errors
 from iriswheel.configuration import configuration
 from iriswheel.runtime import scheduler, units
-from iriswheel.transport import chunked_body, connection_slots, json_documents, memory_budget, read_turns, unsent
+from iriswheel.transport import (
+    chunked_body,
+    connection_slots,
+    json_documents,
+    memory_budget,
+    read_turns,
+    unsent,
+    work_turns,
+)
 
 if typing.TYPE_CHECKING:
     from twisted.internet import interfaces
@@ -145,7 +153,15 @@
         if not self.channel.note_memory():
             self._refuse(no_memory_error())
             return
-        self.channel.factory.runtime.spawn(self._serve(self.channel.factory.handle), log)
+        if self.channel.factory.work is None:
+            self._start()
+        else:
+            self.channel.factory.work.start(self._start)
+
+    def _start(self) -> None:
+        """Begin the work on a whole request, unless its client has left."""
+        if not self.client_disconnected:
+            self.channel.factory.runtime.spawn(self._serve(self.channel.factory.handle), log)
 
     def _refuse(self, error: errors.ServiceError) -> None:
         """Answer a whole request with an error before any work on it."""
@@ -448,6 +464,7 @@
         memory: the budget of this process for what it holds for its clients; by default one of this server alone.
         body_weight: bytes of memory for each byte of a body, by which the budget is charged.
         turns: the turns in which a busy process reads from its clients; by default those of this server alone.
+        work: the turns in which the work on whole requests begins, where that may take long; by default at once.
     """
 
     noisy = False
@@ -465,6 +482,7 @@
         memory: memory_budget.MemoryBudget | None = None,
         body_weight: int = BODY_WEIGHT,
         turns: read_turns.ReadTurns | None = None,
+        work: work_turns.WorkTurns | None = None,
     ) -> None:
         super().__init__(timeout=limits().idle_us / units.SECOND_US, reactor=runtime.reactor)
         self.runtime = runtime
@@ -475,6 +493,7 @@
         self.body_weight = body_weight
         self.slots = connection_slots.ConnectionSlots(connection_limit, upstream_count)
         self.turns = turns or read_turns.ReadTurns(runtime)
+        self.work = work
         self.is_finishing = False  # whether no more connections are accepted
         self.connection_closed = scheduler.Signal()  # woken when a connection has closed
 
@@ -519,6 +538,8 @@
         self.is_finishing = True
         deadline = self.runtime.now() + timeout_us
         await self.runtime.sleep(0)
+        if self.work is not None:
+            self.work.start_all()
         for channel in self.slots:
             channel.loseConnection()
         while len(self.slots) and self.runtime.now() < deadline:
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -185,6 +185,11 @@
     return small_fleet.head("GET", "/configuration", {"Host": small_fleet.HOST})[:-2]
 
 
+def core_blueprint_head() -> bytes:
+    """The begin of a read of the configuration in iriswheel's own format at a core machine."""
+    return small_fleet.head("GET", "/blueprint", {"Host": small_fleet.HOST})[:-2]
+
+
 def core_change_head() -> bytes:
     """The begin of an operator's change at a core machine."""
     return small_fleet.head("PUT", "/configuration", {"Host": small_fleet.HOST, "If-Match": "1"})[:-2]
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -276,12 +276,20 @@
 
         fleet.play(run)
 
-    def test_core_machines_answer_while_crowds_at_each_of_them_read_no_answers(
-        self, fleet: small_fleet.SmallFleet
+    @pytest.mark.parametrize(
+        ("misbehaviour", "make_head"),
+        [
+            (crowds.read_no_answer, crowds.core_read_head),
+            (crowds.keep_the_connection_after_an_answer, crowds.core_blueprint_head),
+        ],
+        ids=["answers that are not read", "another format"],
+    )
+    def test_core_machines_answer_while_crowds_at_each_of_them_read_the_configuration(
+        self, fleet: small_fleet.SmallFleet, misbehaviour: crowds.Misbehaviour, make_head: crowds.MakeHead
     ) -> None:
         async def run() -> None:
             assert await fleet.put_configuration(ROUTES)
-            at_ports = [core_crowd(fleet, crowds.read_no_answer, core=number) for number in range(len(fleet.cores))]
+            at_ports = [core_crowd(fleet, misbehaviour, make_head, core=number) for number in range(len(fleet.cores))]
             async with crowds.Watched(fleet, *at_ports) as watched:
                 await check_callers(fleet, is_read(fleet))
                 await asyncio.sleep(crowds.HOLD_S)  # the clients open their connections anew, all at once
--- a/tests/test_tail_reads.py
+++ b/tests/test_tail_reads.py
@@ -6,7 +6,7 @@
 from iriswheel import errors
 from iriswheel.control import tail_reads
 from iriswheel.runtime import scheduler, units
-from iriswheel.transport import message
+from iriswheel.transport import message, work_turns
 
 AT_ONCE = tail_reads.READS_AT_ONCE
 
@@ -91,5 +91,24 @@
         second.addErrback(lambda error: error.trap(defer.CancelledError) and None)
         answered: list[message.ReadResponse] = []
         third.addCallback(answered.append)
-        pending.answer(message.ReadResponse(True, 9))
+        self.reads.runtime.spawn(pending.answer(self.reads.runtime, message.ReadResponse(True, 9)))
         assert [response.version for response in answered] == [9]
+
+    # Clients that do not behave: all that shared a read were worked for in one turn, whatever that took.
+    def test_those_whose_work_takes_long_are_answered_in_several_turns(self) -> None:
+        now_us = 0
+
+        def work(_: message.ReadResponse) -> None:
+            nonlocal now_us
+            now_us += work_turns.TURN_US // 2
+            answered_at.append(self.clock.seconds())
+
+        runtime = scheduler.Runtime(self.clock, now=lambda: now_us)
+        pending = tail_reads.PendingRead()
+        answered_at: list[float] = []
+        for _ in range(3):
+            pending.wait().addCallback(work)
+        runtime.spawn(pending.answer(runtime, message.ReadResponse(True, 9)))
+        assert len(answered_at) == 2
+        self.clock.advance(0)
+        assert len(answered_at) == 3
