--- a/iriswheel/control/operator_api.py
+++ b/iriswheel/control/operator_api.py
@@ -109,8 +109,9 @@
 def show_blueprint(read: message.ReadResponse) -> dict[str, typing.Any]:
     """The answer to a read of the whole configuration.
 
-    >>> show_blueprint(message.ReadResponse(True, 3))
-    {'stamp': 3, 'blueprint': {}}
+    >>> shown = show_blueprint(message.ReadResponse(True, 3, {"pools/p": {}}))
+    >>> shown["stamp"], shown["blueprint"]["pools"]
+    (3, {'p': {}})
     """
     return {"stamp": read.version, "blueprint": configuration.unflatten(read.items)}
 
