HTTP: look for memory also where a connection keeps requests or is closing

By reading the change again: a connection that keeps later requests was told apart by a flag of its own. Once these had been dropped the flag was gone, but the connection still counted as handling a request without having one. If memory ran out again before its last bytes were sent, the look for memory raised IndexError, and the connection on whose behalf it was made was broken off.

The state is derived: a request is handled, but there is none. Both cases of the new test failed before (IndexError).

--- a/iriswheel/transport/http_server.py
+++ b/iriswheel/transport/http_server.py
@@ -258,7 +258,6 @@
     head_started_at: int | None  # arrival of the first byte of the incomplete request head, in µs; None without one
     reading: read_turns.ReadControl
     idle_since: int  # time of the last received data or completed answer, in µs
-    _has_later_requests = False  # whether `_dataBuffer` holds requests though none is served
     _are_later_requests_due = False  # whether these are looked at in the next turn
 
     def connectionMade(self) -> None:
@@ -318,8 +317,8 @@
         """Keep what the client has sent already, unread, until the reactor's next turn and until it takes its answers.
 
         Otherwise a client's requests would all be handled in one turn, and their answers held, however many there are.
+        Twisted's `_handlingRequest` is set meanwhile, though there is no request.
         """
-        self._has_later_requests = True
         self._handlingRequest = True  # so what arrives meanwhile is kept too
         self.setRawMode()
         self._dataBuffer = [data]
@@ -328,16 +327,16 @@
             self._schedule_later_requests()
 
     def _schedule_later_requests(self) -> None:
-        if self._has_later_requests and not self._are_later_requests_due:
+        if self._handlingRequest and not self.requests and not self._are_later_requests_due:
             self._are_later_requests_due = True
             self.factory.runtime.later(0, self._receive_later_requests)
 
     def _receive_later_requests(self) -> None:
         """Go on with what was kept, unless the connection has ended or its client still does not read."""
         self._are_later_requests_due = False
-        if not self._has_later_requests or self._waitingForTransport or self not in self.factory.slots:
+        if not self._dataBuffer or self._waitingForTransport or self not in self.factory.slots:
             return
-        self._has_later_requests = self._handlingRequest = False
+        self._handlingRequest = False
         data = b"".join(self._dataBuffer)
         self._dataBuffer = []
         self.reading.resumeProducing()
@@ -382,10 +381,8 @@
         if self.unsent_bytes() >= UNSENT_BYTES:
             unsent.abort(self.transport)
             return True
-        if self._has_later_requests:
-            self._drop_later_requests()
-            self.loseConnection()
-            return True
+        if self._handlingRequest and not self.requests:
+            return self._drop_kept_requests()
         if self._handlingRequest:
             return self.requests[-1].release_answer() or self._drop_later_requests()
         if not self.requests and not self._buffer:
@@ -403,10 +400,16 @@
         if not any(self._dataBuffer):
             return False
         self._dataBuffer = []
-        self._has_later_requests = False
         self.persistent = False
         return True
 
+    def _drop_kept_requests(self) -> bool:
+        """Close a connection that keeps later requests; returns whether it did, which one that is closing does not."""
+        if not self._drop_later_requests():
+            return False
+        self.loseConnection()
+        return True
+
     def give_way(self) -> None:
         """Refuse what the client has not finished, and close the connection; see `connection_slots.Client`."""
         if self.unsent_bytes() or (self.requests and self.requests[-1].early_error is not None):
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -93,6 +93,22 @@
         self.wait(1)
         assert (self.served, transport.connected) == ([b"1"], False)
 
+    # The look for memory found no request on such a connection, and broke off the request on whose behalf it was made.
+    @pytest.mark.parametrize("is_kept", [True, False])
+    def test_a_connection_that_is_closing_has_nothing_to_release(self, is_kept: bool) -> None:
+        channel, transport = self.connect()
+        with unittest.mock.patch.object(transport, "loseConnection"):  # some of the answer is not sent yet
+            if is_kept:
+                channel.pauseProducing()
+                channel.dataReceived(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 2)
+                assert channel.release_memory()
+            else:
+                channel.dataReceived(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            assert not channel.release_memory()
+            channel.resumeProducing()
+            self.wait(1)
+        assert len(self.served) == 1
+
     # Clients that do not behave: refused documents of some megabytes stayed until the next search for garbage.
     def test_a_refused_document_is_freed_at_once(self) -> None:
         class Document:
