Tests: send slowly by one function in four crowds

The same loop stood four times; what is sent, and when, is unchanged. Ruled out: one function for the crowds at the ports, as they share a constructor's arguments and no logic.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -37,12 +37,17 @@
     await connection.send(make_head())
 
 
-async def drip_a_head(connection: small_fleet.Connection, make_head: MakeHead) -> None:
-    """Send a head byte by byte."""
-    alive = await connection.send(make_head() + b"X-Slow: ")
+async def drip(connection: small_fleet.Connection, begin: bytes, piece: bytes) -> None:
+    """Send some bytes, and then a piece every DRIP_S for as long as the other side takes them."""
+    alive = await connection.send(begin)
     while alive:
         await asyncio.sleep(DRIP_S)
-        alive = await connection.send(b"x")
+        alive = await connection.send(piece)
+
+
+async def drip_a_head(connection: small_fleet.Connection, make_head: MakeHead) -> None:
+    """Send a head byte by byte."""
+    await drip(connection, make_head() + b"X-Slow: ", b"x")
 
 
 async def stop_in_a_small_body(connection: small_fleet.Connection, make_head: MakeHead) -> None:
@@ -52,18 +57,12 @@
 
 async def drip_a_body(connection: small_fleet.Connection, make_head: MakeHead) -> None:
     """Send a body byte by byte."""
-    alive = await connection.send(make_head() + b"Content-Length: 1000\r\n\r\n")
-    while alive:
-        await asyncio.sleep(DRIP_S)
-        alive = await connection.send(b"x")
+    await drip(connection, make_head() + b"Content-Length: 1000\r\n\r\n", b"x")
 
 
 async def drip_chunks(connection: small_fleet.Connection, make_head: MakeHead) -> None:
     """Send a body in chunks of one byte, slowly."""
-    alive = await connection.send(make_head() + b"Transfer-Encoding: chunked\r\n\r\n")
-    while alive:
-        await asyncio.sleep(DRIP_S)
-        alive = await connection.send(TINY_CHUNK)
+    await drip(connection, make_head() + b"Transfer-Encoding: chunked\r\n\r\n", TINY_CHUNK)
 
 
 async def keep_the_connection_after_an_answer(connection: small_fleet.Connection, make_head: MakeHead) -> None:
@@ -127,10 +126,7 @@
 
 async def send_keep_alives(connection: small_fleet.Connection, _make_head: MakeHead) -> None:
     """Send what a process of iriswheel sends on a connection that it does not use."""
-    alive = await connection.send(peer_frame(["Hello", protocol.PROTOCOL_VERSION]))
-    while alive:
-        await asyncio.sleep(DRIP_S)
-        alive = await connection.send(peer_frame(["Ping"]))
+    await drip(connection, peer_frame(["Hello", protocol.PROTOCOL_VERSION]), peer_frame(["Ping"]))
 
 
 async def send_large_frames(connection: small_fleet.Connection, _make_head: MakeHead) -> None:
